--- /dev/null
+++ b/dillport/__init__.py
@@ -0,0 +1,1 @@
+"""Join-Up-To(m) load balancing decisions for a bank of proxies."""
--- /dev/null
+++ b/dillport/policy.py
@@ -0,0 +1,447 @@
+"""Every decision of one load-balancer node. Its types (settings, events, actions): dillport/interface.py.
+
+`_pick` is Join-Up-To(m); `_draw` says which backends are eligible; `_send` and `_finish` check the rules.
+"""
+
+import math
+import random
+from collections.abc import Callable
+from typing import Any
+
+from dillport import interface as api
+from dillport.state import Attempt, Backend, Class, Request
+
+TRIFLE = 0.012  # a price of no more than this part of the result does not restrict the choice of backends
+SAMPLE = 3  # backends looked at in one round: the paper's lowest-estimate search, sampled
+ROUNDS = 3  # rounds before the lowest of all that was seen is taken
+PATIENCE = 3.0  # a probe is overdue after this many usual round trips: the backend stands still
+SPREAD = 1.5  # second moment of job sizes over the squared mean (the paper's E[G^2]), allowed for in m
+FEEDERS = 5  # nodes that feed one backend (subsetting)
+SUBSET_MIN = 3  # fewest backends in a node's subset
+NEAR = 1 / 5  # the concurrency limit steers for answers that usually take this part of the tightest aim
+LIMIT_GAIN = 0.015  # relative step of the limit per answer and unit of error: small, as all nodes act alike
+LIMIT_LEAST = 2.0  # lowest and first limit, for each backend that falls to this node if that is over one
+BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
+COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
+EJECT_MAX = 5  # doublings of the ejection time
+RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
+RETRY_BANK = 3.0  # and how many can be saved up
+FIT = 0.9  # part of the expected time that must still fit before the aim, else sending is waste
+THROTTLE = 1.4  # without looking, shedding begins once the cubed share of good sends is under one in this
+SPILL = 0.1  # step of the share sent to other zones, per answer and unit of what they are better by
+LOSSY = 0.05  # share of attempts without an answer from which answers are taken to get lost
+GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples lie evenly on a ring, whichever numbers a zone's nodes have
+EWMA = 0.1  # weight of one sample in a running mean
+LOG_EVERY = 10_000.0  # a node logs at most one line in this time
+
+
+class Balancer:
+    """One node. `handle` takes an event and the clock and returns the actions."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.cfg, self.rng, self.now = settings, random.Random(seed), 0.0
+        self.acts: list[api.Action] = []
+        self.classes = {c.name: Class(c, c.aim / 4) for c in settings.classes}
+        self.longest_aim = max(c.aim for c in settings.classes)
+        self.up: list[str] = []
+        self.order: list[str] = []  # the list in this node's own order
+        self.home = self.width = 0  # so many of the first in it are in reach without a price; in the subset
+        self.bad, self.spill = [0.0, 0.0], 0.0  # share gone bad near and far; share of requests sent far
+        self.fleet = 0  # most backends ever listed: what a warm one's share is measured by
+        self.backends: dict[str, Backend] = {}
+        self.requests: dict[str, Request] = {}
+        self.held: list[Request] = []
+        self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
+        self.token = self.out = self.asks_failed = self.arrived = self.shed = 0
+        self.limit, self.least, self.bank, self.logged = LIMIT_LEAST, LIMIT_LEAST, RETRY_BANK, -LOG_EVERY
+        self.lost = 0.0  # share of attempts that got no answer of late
+        self.trust = 1.0  # share of sends answered within the aim; where the node looks, on an idle sign
+        self.rtt = 2.0 * settings.tick  # usual round trip of a probe, until probes tell
+        self.looks = (settings.probing and settings.reports is not api.Reports.NONE
+                      and settings.charges.probe * SAMPLE <= TRIFLE)
+        self.density = sum(c.value / c.aim for c in settings.classes) * 4 / len(settings.classes)
+        self.on: dict[type, Callable[[Any], None]] = {
+            api.Arrival: self._arrival, api.Outcome: self._outcome, api.Probed: self._probed,
+            api.Timer: self._timer, api.ListUpdate: self._list, api.ClientGone: self._gone,
+            api.StreamStarted: self._stream, api.PeerMessage: lambda event: None}
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        """Decide on one event at the clock time `now` (it never goes back)."""
+        if (handler := self.on.get(type(event))) is None:
+            raise api.CallError(f"not an event: {event!r}")
+        self.now, self.acts = now, []
+        handler(event)
+        return self.acts
+
+    def _pick(self, pool: list[Backend], m: int) -> Backend:
+        """JUT(m): the lowest estimate below m, ties at random; a random backend once all have reached m."""
+        low = min(b.estimate for b in pool)
+        if low < m:
+            return self.rng.choice([b for b in pool if b.estimate == low])
+        return self.rng.choices(pool, [b.entry.weight / b.slow**2 for b in pool])[0]
+
+    def _report(self, b: Backend, report: api.Report | None, fresh: bool) -> None:
+        """An idle sign zeroes the estimate, but for own attempts still out: a late sign knows none."""
+        load = None if report is None else report.queue if report.in_flight is None else report.in_flight
+        if load is not None and load < 0.5:
+            b.estimate = b.out
+        elif load is not None and fresh:  # the bound is known anew: a probe is one round trip old
+            b.estimate = max(b.out, round(load))
+
+    def _cap(self, req: Request) -> int:
+        """m: how many requests can stand in line and the last still meet its aim."""
+        return max(1, int(req.cls.cfg.aim / (SPREAD * max(req.cls.usual, 1e-9))))
+
+    def _draw(self, req: Request, count: int, names: list[str], crowd: float = math.inf,
+              panic: bool = False) -> list[Backend]:
+        """Up to `count` eligible backends at random. Slow start: cold ones are thinned out, in fractions.
+
+        Each request goes to a cold backend with a chance of COLD_PART of the fall multiple times its warmth,
+        out of the fleet as large as it was before restarts: all nodes together keep its budget, however many.
+        """
+        out: list[Backend] = []
+        for name in self.rng.sample(names, min(len(names), 3 * count)):
+            b = self.backends[name]
+            if b in req.found or max(b.busy, 0.0 if panic else b.until) > self.now or b.out > crowd:
+                continue
+            warmth = self._warmth(b.entry)
+            if warmth < 1.0:
+                chance = COLD_PART * self.cfg.fall_multiple * warmth * len(self.up) / self.fleet
+                if not req.cold_ok or self.rng.random() * min(count, len(names)) > chance:
+                    continue
+            if self._legal(req, b):
+                out.append(b)
+            if len(out) >= count:
+                break
+        req.cold_ok = False
+        return out
+
+    def _warmth(self, entry: api.Entry) -> float:
+        """The part of its capacity that a backend surely has by now."""
+        age, cold = self.now - entry.started_at, self.cfg.cold_share
+        if entry.started_at <= 0 or age >= self.cfg.ramp_time:
+            return 1.0
+        return cold + (1.0 - cold) * max(0.0, age) / self.cfg.ramp_time
+
+    def _legal(self, req: Request, b: Backend) -> bool:
+        """May this request go to this backend without taking effect twice? One attempt is out at a time."""
+        c, here = req.cls.cfg, b.entry
+        for a in req.attempts:
+            if a.status is None:
+                return False
+            if a.status in api.NEVER_RAN or c.effect is api.Effect.SAFE:
+                continue
+            there = a.backend.entry
+            apart = here.zone != there.zone if c.group is api.Group.ZONE else here.cell != there.cell
+            late = self.now - a.sent > c.memory_span - 2 * self.cfg.tick
+            if c.effect is api.Effect.UNSAFE or late or (apart and c.group is not api.Group.ALL):
+                return False
+        return True
+
+    def _panic(self, req: Request, count: int, names: list[str], crowd: float = math.inf) -> list[Backend]:
+        """Nothing this node feeds is eligible: its own view may be the culprit, so ejections are ignored."""
+        self._log(f"panic: {len(names)} backends in view, none eligible, ignoring ejections")
+        return self._draw(req, count, names, crowd, panic=True)
+
+    def _eject(self, b: Backend) -> None:
+        """Outlier ejection with exponential backoff and jitter."""
+        b.fails = min(b.fails + 1, EJECT_MAX)
+        b.until = self.now + self.longest_aim * 2 ** (b.fails - 1) * self.rng.uniform(0.5, 1.5)
+
+    def _arrival(self, ev: api.Arrival) -> None:
+        if (cls := self.classes.get(ev.class_name)) is None:
+            raise api.CallError(f"unknown class: {ev.class_name!r}")
+        left, c, work = ev.deadline - self.now, cls.cfg, ev.work_hint or 0.0
+        aim = c.deadline if c.late_worth > 0 else c.aim + c.aim_stretch * work - self._age(cls, left)
+        useful = min(ev.deadline, self.now + aim)
+        density = c.value / cls.usual
+        self.density += EWMA / 2 * (density - self.density)
+        self.bank, self.arrived = min(RETRY_BANK, self.bank + RETRY_SHARE), self.arrived + 1
+        req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, density > BYPASS * self.density)
+        self.requests[ev.request] = req
+        # What cannot meet its aim is shed at once: cheaper for all than a failure after the aim.
+        (self._route if self._fits(req) else self._finish)(req)
+
+    def _age(self, cls: Class, left: float) -> float:
+        """First tries all get the same time; a retry gets what is left of the deadline, which tells its age.
+
+        Guards against refusing every first try once one retry came with more time than first tries have.
+        """
+        same = abs(left - cls.allowance) <= 2 * self.cfg.tick
+        cls.votes += 1 if same else -1
+        if cls.votes < 0:
+            cls.allowance, cls.votes, same = left, 1, True
+        return 0.0 if same else max(0.0, cls.cfg.deadline - left)
+
+    def _fits(self, req: Request, ahead: float = 0.0) -> bool:
+        """Can it still be served before its aim, after `ahead` of waiting?"""
+        return self.now + FIT * ((req.hint or req.cls.usual) + ahead) < req.useful
+
+    def _route(self, req: Request) -> None:
+        passing = max(RETRY_SHARE, THROTTLE * self.trust**3)  # quiet nodes shed in fractions, by own success
+        if self.looks:
+            req.rounds, req.found = 0, []
+            self._look(req)
+        elif not (req.attempts or req.dense) and self.rng.random() > passing:
+            self._finish(req)
+        elif self.out < self.limit or req.dense:
+            self._dispatch(req)
+        else:  # hold: last come first served, so that what is sent has time left
+            self.held.append(req)
+            self._at(req.useful - FIT * req.cls.usual, self._expire, req)
+
+    def _expire(self, req: Request) -> None:
+        if req in self.held:
+            self.held.remove(req)
+            self._finish(req)
+
+    def _release(self) -> None:
+        while self.held and self.out < self.limit:
+            req = self.held.pop()
+            (self._dispatch if self._fits(req) else self._finish)(req)
+
+    def _dispatch(self, req: Request) -> None:
+        """Without looking: JUT over the subset, but for members crowded by this node's own count."""
+        # Wider for a node that carries far more than its part, lest it crowd the few that fall to it.
+        k, names = max(1, self.width, self.out), self.order
+        # Own zone first, others as far as they are better by more than the price: hot or failing zones spill.
+        far = self.rng.random() < self.spill
+        if req.attempts:  # a repeat stays on its side: it may be bound to the zone
+            far = not self._near(req.attempts[0].backend.entry.backend)
+        if far:
+            names = names[self.home :] + names[: self.home]
+        crowd = math.inf if req.dense else self.limit / k
+        pool = (self._draw(req, k, names[:k], crowd) or self._draw(req, k, names[k : 2 * k])
+                or self._panic(req, k, names[: 2 * k], crowd))
+        if pool:  # every node takes its part of what a backend may be given after it showed idle
+            self._send(req, self._pick(pool, max(1, self._cap(req) // self.cfg.group_size)))
+        else:
+            self._finish(req)
+
+    def _look(self, req: Request) -> None:
+        """Ask a few backends how they are; the request waits one round trip."""
+        req.rounds, req.looks, k = req.rounds + 1, req.looks + 1, self.width
+        pool = self._draw(req, SAMPLE, self.order[:k]) or self._draw(req, SAMPLE, self.order[k : 2 * k])
+        for b in pool or self._panic(req, SAMPLE, self.order[: 2 * k]):
+            req.pending.add(b.entry.backend)
+            if b.waiting is None:
+                b.waiting = []
+                self.acts.append(api.Probe(b.entry.backend))
+            b.waiting.append(req)
+        self._at(self.now + PATIENCE * self.rtt + self.cfg.tick, self._overdue, (req, req.looks))
+        if not req.pending:
+            self._settle(req)
+
+    def _overdue(self, what: tuple[Request, int]) -> None:
+        """Probes that are not back in the usual time: the backend stands still, whatever the cause."""
+        req, look = what
+        if req.looks == look and req.pending:
+            for name in sorted(req.pending):
+                b = self.backends[name]
+                b.until = max(b.until, self.now + req.cls.usual * self.rng.uniform(0.5, 1.5))
+            self._settle(req)
+
+    def _probed(self, ev: api.Probed) -> None:
+        b = self.backends[ev.backend]
+        waiting, b.waiting = b.waiting or [], None
+        if ev.status is api.Status.OK:
+            self.rtt += EWMA * (ev.duration - self.rtt)
+            self._report(b, ev.report, True)
+            b.until = min(b.until, self.now)
+        else:
+            self._eject(b)
+        for req in waiting:
+            if ev.backend in req.pending:
+                req.pending.discard(ev.backend)
+                if ev.status is api.Status.OK:
+                    req.found.append(b)
+                # Guards against reports that freeze: an idle sign is believed as often as such sends succeed.
+                if b.estimate == 0 and self.rng.random() > self.trust:
+                    b.estimate = self._cap(req)
+                if not req.pending or (req.found and b.estimate == 0):
+                    self._settle(req)
+
+    def _settle(self, req: Request) -> None:
+        """All that was asked has answered, or an idle backend has: decide."""
+        req.pending = set()
+        pool = [b for b in req.found if b.entry.phase is api.Phase.UP and self._legal(req, b)]
+        low, m = min((b.estimate for b in pool), default=math.inf), self._cap(req)
+        if low > 0 and req.rounds < ROUNDS:
+            self._look(req)
+        elif low < m and self._fits(req, max(0.0, low - 0.5) * req.cls.usual):
+            self._send(req, self._pick(pool, m))
+        else:
+            self._finish(req)
+
+    def _send(self, req: Request, b: Backend) -> None:
+        """The one place where an attempt is made: drains, repeats, closed requests and limits end here."""
+        if (req.over or req.stream or b.entry.phase is not api.Phase.UP or not self._legal(req, b)
+                or len(req.attempts) >= self.cfg.max_attempts or self.now >= req.deadline):
+            self._finish(req)
+            return
+        req.attempts.append(Attempt(b, self.now, b.estimate == 0 or not self.looks))
+        req.out, b.out, self.out, b.estimate = req.out + 1, b.out + 1, self.out + 1, b.estimate + 1
+        # An answer after the aim is worth nothing: give up just before, so that the failure is not late.
+        c, left, tick = req.cls.cfg, req.useful - self.now, self.cfg.tick
+        stop = max(tick, left - 2 * tick) if req.useful < req.deadline else 0.0
+        # Guards against answers that get lost: one that may come late is asked for again while it has worth.
+        cut, again = max(c.aim / 2, req.cls.usual + 4 * req.cls.dev), c.effect is not api.Effect.UNSAFE
+        if self.lost > LOSSY and c.late_worth > 0 and again and cut + req.cls.usual < left:
+            stop, req.attempts[-1].cut = cut, True
+        self.acts.append(api.Send(req.id, b.entry.backend, stop))
+
+    def _outcome(self, ev: api.Outcome) -> None:
+        req = self.requests.get(ev.request)
+        if req is None or ev.attempt >= len(req.attempts) or req.attempts[ev.attempt].status is not None:
+            return
+        attempt = req.attempts[ev.attempt]
+        attempt.status, b = ev.status, attempt.backend
+        req.out, b.out, self.out = req.out - 1, b.out - 1, self.out - 1
+        self._report(b, ev.report, False)
+        if ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing of the backend
+            self._learn(req, attempt, ev)
+            self._steer(req.cls, ev)
+        if ev.closed or req.over:
+            self._close(req)
+        else:
+            self._again(req)
+        self._release()
+
+    def _learn(self, req: Request, attempt: Attempt, ev: api.Outcome) -> None:
+        b, cls = attempt.backend, req.cls
+        if attempt.fair and ev.status in (api.Status.OK, api.Status.FULL, api.Status.TIMEOUT):
+            good = ev.status is api.Status.OK and ev.duration <= cls.cfg.aim
+            self.lost += EWMA * ((ev.status is api.Status.TIMEOUT) - self.lost)
+            # A backend without room says nothing of the next one, an answer lost nothing of the load.
+            if good or self.looks or not (attempt.cut or ev.status is api.Status.FULL):
+                self.trust += EWMA * (1 + self.looks) * (good - self.trust)
+            b.slow += EWMA * ((ev.duration if good else cls.cfg.aim) / cls.usual - b.slow)
+            far = not self._near(b.entry.backend)
+            self.bad[far] += EWMA * (1 - good - self.bad[far])
+            gain = SPILL * (self.bad[0] - self.bad[1] - self.cfg.charges.cross_zone)
+            self.spill = max(0.0, min(1.0, self.spill + gain))
+        if ev.status is api.Status.OK:
+            b.fails = 0
+            if attempt.fair:
+                cls.dev += EWMA * (abs(ev.duration - cls.usual) - cls.dev)
+                cls.usual += EWMA * (ev.duration - cls.usual)
+        elif ev.status is api.Status.FULL:
+            b.busy = self.now + cls.usual * self.rng.uniform(0.5, 1.5)
+        else:
+            self._eject(b)
+            if ev.status is api.Status.CONNECT_FAILED:
+                b.busy = b.until
+
+    def _steer(self, cls: Class, ev: api.Outcome) -> None:
+        """The concurrency limit: in proportion to how near answers are to the tightest aim.
+
+        Guards against crowding a fleet until it turns slow, which takes far longer to undo. It rises only
+        while it binds: quiet nodes whose limit floats up would flood the fleet when a burst comes.
+        """
+        took = ev.duration if ev.status is api.Status.OK else cls.cfg.aim
+        cls.strain += EWMA / 2 * (math.log(max(took, 1e-3) / (NEAR * cls.cfg.aim)) - cls.strain)
+        excess = max(c.strain for c in self.classes.values())
+        if excess > 0 or self.out >= self.limit - 1.0:
+            self.limit *= 1 - LIMIT_GAIN * max(-1.0, min(1.0, excess))
+        self.limit = max(self.limit, self.least)
+
+    def _again(self, req: Request) -> None:
+        """The attempt failed: try elsewhere while that can meet the aim and the retry budget lasts."""
+        cost = 0.0 if req.attempts[-1].cut else 1.0  # a lost answer is no sign of load
+        may = self.bank >= cost and len(req.attempts) < self.cfg.max_attempts and self._fits(req)
+        self.bank -= cost * may
+        (self._route if may else self._finish)(req)
+
+    def _finish(self, req: Request) -> None:
+        """The one place where a final answer is given: a refusal only while a repeat does no harm."""
+        if req.over or req.stream:
+            return
+        c = req.cls.cfg
+        harmless = (c.effect is api.Effect.SAFE or all(a.status in api.NEVER_RAN for a in req.attempts)
+                    or (c.effect is api.Effect.KEYED and c.group is api.Group.ALL))
+        self.acts.append(api.Refuse(req.id) if harmless else api.Fail(req.id))
+        self.shed += 1
+        if self.arrived >= 50 and self.shed > self.arrived / 4:  # worth a line to the people on call
+            self._log(f"shedding: {self.shed} of {self.arrived} requests refused or failed")
+        self._close(req)
+
+    def _close(self, req: Request) -> None:
+        """Nothing more is sent for it; an attempt still out is called off."""
+        req.over, req.pending = True, set()
+        if req.out and self.cfg.may_cancel and not req.stream:
+            self.acts.append(api.Cancel(req.id, len(req.attempts) - 1))
+        if not req.out:
+            self.requests.pop(req.id, None)
+
+    def _gone(self, ev: api.ClientGone) -> None:
+        if (req := self.requests.get(ev.request)) is not None and not req.over:
+            self._close(req)
+
+    def _stream(self, ev: api.StreamStarted) -> None:
+        if ev.request in self.requests:
+            self.requests[ev.request].stream = True
+
+    def _at(self, when: float, call: Callable[[Any], None], what: Any) -> None:
+        self.token += 1
+        self.timers[self.token] = (call, what)
+        self.acts.append(api.SetTimer(when, self.token))
+
+    def _timer(self, ev: api.Timer) -> None:
+        call, what = self.timers.pop(ev.token, (lambda _: None, None))
+        call(what)
+
+    def _log(self, text: str) -> None:
+        if self.now - self.logged >= LOG_EVERY:
+            self.logged, self.arrived, self.shed = self.now, 0, 0
+            self.acts.append(api.Log(text))
+
+    def _list(self, ev: api.ListUpdate) -> None:
+        if ev.kind is api.ListKind.FAILED:  # back off with jitter; the last list stays in force
+            self.asks_failed = min(self.asks_failed + 1, EJECT_MAX)
+            wait = self.cfg.ask_within / 32 * 2**self.asks_failed * self.rng.uniform(0.5, 1.5)
+            self._at(self.now + wait, self._ask, None)
+            self._log(f"list: call failed {self.asks_failed} times, asking again in {wait / 1000:.1f} s")
+            return
+        self.asks_failed = 0
+        if ev.kind is api.ListKind.SAVED and self.cfg.must_ask:
+            self._at(self.now + self.rng.uniform(0.0, self.cfg.ask_within / 2), self._ask, None)
+        if ev.kind is not api.ListKind.CHANGES:
+            for name in self.backends.keys() - {e.backend for e in ev.entries}:
+                self.backends[name].entry.phase = api.Phase.GONE
+        for entry in ev.entries:
+            b = self.backends.setdefault(entry.backend, Backend(entry))
+            if entry.started_at > b.entry.started_at:  # restarted: what was known is void
+                b.estimate, b.fails, b.until, b.slow = b.out, 0, 0.0, 1.0
+            b.entry = entry
+        up = sorted(name for name, b in self.backends.items() if b.entry.phase is api.Phase.UP)
+        before, self.up, self.fleet = set(self.up), up, max(self.fleet, len(up))
+        self._reorder(before)
+
+    def _ask(self, _: None) -> None:
+        self.acts.append(api.Subscribe())
+
+    def _reorder(self, before: set[str]) -> None:
+        """Each node's own order of the list: the first `width` are the subset it feeds, the next its reserve.
+
+        Small subsets keep connections few and own counts telling. They start evenly laid; changes move few.
+        """
+        n, group, now = len(self.up), self.cfg.group_size, set(self.up)
+        # A request looks at SAMPLE x ROUNDS at most: more would only fill the backends' connection tables.
+        k = SAMPLE * ROUNDS if self.looks else max(SUBSET_MIN, math.ceil(FEEDERS * n / group))
+        k = self.width = min(n, k)
+        self.least = LIMIT_LEAST * max(1.0, n / group)
+        near = [x for x in self.up if self._near(x)] or self.up
+        if not self.order:
+            turn = self.cfg.me * GOLDEN % 1.0
+            even = [near[int((turn + j / k) * len(near)) % len(near)] for j in range(min(k, len(near)))]
+            rest = sorted(now - set(even))
+            self.order, before = even + self.rng.sample(rest, len(rest)), now
+            self.spill = 1.0 - len(near) / max(1, n)
+        self.order = [name for name in self.order if name in now]
+        for name in sorted(now - before):
+            self.order.insert(self.rng.randrange(len(self.order) + 1), name)
+        self.order.sort(key=lambda name: not self._near(name))
+        self.home = len(near)
+
+    def _near(self, name: str) -> bool:
+        return self.cfg.charges.cross_zone <= TRIFLE or self.backends[name].entry.zone == self.cfg.zone
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,427 @@
+"""Join-Up-To(m): estimates, the pick, and looking before sending."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+
+from dillport import interface as api
+from dillport.policy import Balancer
+from tests.helpers import BASE, KEYED, LOOKING, SAFE, answers, entry, node, sends
+
+NAMES = [f"b{i}" for i in range(8)]
+
+
+def _arrive(b: Balancer, rid: str, now: float = 1000.0, kind: str = "read") -> list[api.Action]:
+    return b.handle(now, api.Arrival(rid, kind, now + 1000.0))
+
+
+def _done(rid: str, backend: str, status: api.Status = api.Status.OK, **over: object) -> api.Outcome:
+    closed = status is api.Status.OK
+    return api.Outcome(rid, 0, backend, status, 50.0, closed, over.get("report"))  # type: ignore[arg-type]
+
+
+def test_a_send_adds_one_and_only_an_idle_sign_resets_it() -> None:
+    b = node(replace(BASE, max_attempts=1), ["x"])
+    kept = (api.Status.OK, api.Status.ERROR, api.Status.TIMEOUT, api.Status.CONNECT_FAILED)
+    for i, status in enumerate(kept):
+        b.trust = 1.0
+        _arrive(b, f"r{i}")
+        before = b.backends["x"].estimate
+        b.handle(1001.0, _done(f"r{i}", "x", status))
+        assert b.backends["x"].estimate >= before > 0
+    b.trust = 1.0
+    _arrive(b, "last", 9000.0)
+    b.handle(9002.0, _done("last", "x", report=api.Report(3.0, 1.0)))
+    assert b.backends["x"].estimate > 0
+    _arrive(b, "idle", 9002.0)
+    b.handle(9003.0, _done("idle", "x", report=api.Report(0.0, 0.0)))
+    assert b.backends["x"].estimate == b.backends["x"].out
+
+
+def test_an_empty_queue_counts_only_where_in_flight_is_not_reported() -> None:
+    b = node(BASE, ["x"])
+    _arrive(b, "a")
+    b.handle(1001.0, _done("a", "x", report=api.Report(4.0, 0.0)))
+    assert b.backends["x"].estimate == 1
+    _arrive(b, "b")
+    b.handle(1002.0, _done("b", "x", report=api.Report(None, 0.0)))
+    assert b.backends["x"].estimate == b.backends["x"].out
+
+
+def test_pick_takes_the_lowest_below_m_and_spreads_ties() -> None:
+    b = node(BASE, NAMES)
+    pool = [b.backends[n] for n in NAMES]
+    for x in pool[2:]:
+        x.estimate = 1
+    got = Counter(b._pick(pool, 2).entry.backend for _ in range(400))
+    assert set(got) == {"b0", "b1"} and min(got.values()) > 100
+
+
+def test_pick_is_random_once_all_have_reached_m() -> None:
+    b = node(BASE, NAMES)
+    pool = [b.backends[n] for n in NAMES]
+    for i, x in enumerate(pool):
+        x.estimate = 2 + i
+    got = Counter(b._pick(pool, 2).entry.backend for _ in range(800))
+    assert set(got) == set(NAMES) and min(got.values()) > 50
+
+
+def test_looking_sends_to_the_first_idle_backend_seen() -> None:
+    b = node(LOOKING, NAMES)
+    probes = [a.backend for a in _arrive(b, "r") if isinstance(a, api.Probe)]
+    assert len(probes) >= 2 and not sends(_arrive(node(LOOKING, NAMES), "r"))
+    assert not sends(b.handle(1001.0, api.Probed(probes[0], api.Status.OK, 1.0, api.Report(2.0, 1.0))))
+    out = sends(b.handle(1001.0, api.Probed(probes[1], api.Status.OK, 1.0, api.Report(0.0, 0.0))))
+    assert [s.backend for s in out] == [probes[1]]
+
+
+def test_a_backend_that_does_not_answer_a_probe_in_time_is_passed_over() -> None:
+    """Guards against waiting for a stalled backend: silence counts, whatever its cause."""
+    b = node(LOOKING, NAMES)
+    acts = _arrive(b, "r")
+    probes = [a.backend for a in acts if isinstance(a, api.Probe)]
+    timer = next(a for a in acts if isinstance(a, api.SetTimer))
+    b.handle(1001.0, api.Probed(probes[0], api.Status.OK, 1.0, api.Report(1.0, 0.0)))
+    b.handle(timer.when, api.Timer(timer.token))
+    assert all(b.backends[p].until > timer.when for p in probes[1:])
+
+
+def test_first_try_time_is_learned_by_majority() -> None:
+    """Guards against refusing every first try once one retry came with more time than first tries have."""
+    b = node(BASE, NAMES)
+    for i in range(5):
+        b.handle(1000.0, api.Arrival(f"a{i}", "read", 1700.0))
+    b.handle(1000.0, api.Arrival("long", "read", 1950.0))
+    for i in range(5):
+        assert not answers(b.handle(1001.0, api.Arrival(f"b{i}", "read", 1701.0)))
+
+
+def test_a_retry_whose_aim_has_passed_is_refused_at_once() -> None:
+    b = node(BASE, NAMES)
+    for i in range(5):
+        b.handle(1000.0, api.Arrival(f"a{i}", "read", 1700.0))
+    assert isinstance(answers(b.handle(1001.0, api.Arrival("old", "read", 1501.0)))[0], api.Refuse)
+
+
+def test_what_cannot_meet_its_aim_is_shed_early() -> None:
+    b = node(replace(BASE, worth_by_work=True), NAMES)
+    act = b.handle(1000.0, api.Arrival("huge", "read", 2000.0, work_hint=5000.0))
+    assert isinstance(answers(act)[0], api.Refuse) and not sends(act)
+
+
+def test_each_backend_is_fed_by_few_nodes_where_nodes_cannot_look() -> None:
+    """Guards against routing as good as random: with all nodes on all backends own counts say nothing."""
+    names = [f"b{i:02d}" for i in range(60)]
+    fed: Counter[str] = Counter()
+    for me in range(40):
+        b = node(replace(BASE, me=me, group_size=40), names)
+        fed.update(b.order[: b.width])
+    assert set(fed) == set(names) and max(fed.values()) <= 2 * min(fed.values())
+    assert max(fed.values()) < 40 / 3
+
+
+def test_looking_nodes_connect_to_few_backends() -> None:
+    """Guards against filling the backends' connection tables, whose size no setting tells."""
+    names = [f"b{i:02d}" for i in range(60)]
+    b = node(replace(LOOKING, group_size=400), names)
+    looked = set()
+    for i in range(300):
+        now = 1000.0 + 10.0 * i
+        for p in [a.backend for a in _arrive(b, f"r{i}", now) if isinstance(a, api.Probe)]:
+            looked.add(p)
+            for s in sends(b.handle(now, api.Probed(p, api.Status.OK, 1.0, api.Report(0.0, 0.0)))):
+                b.handle(now, api.Outcome(s.request, 0, s.backend, api.Status.OK, 5.0, True))
+    assert 3 <= len(looked) <= 12
+
+
+def test_a_node_that_carries_far_more_than_its_part_feeds_more_backends() -> None:
+    """Guards against a hot node that crowds the few backends an even share would give it."""
+    names = [f"b{i:02d}" for i in range(60)]
+    b = node(replace(BASE, group_size=300), names)
+    b.limit = 30.0
+    got = [s.backend for i in range(24) for s in sends(_arrive(b, f"r{i}"))]
+    assert len(got) == 24 and max(Counter(got).values()) <= 3
+    quiet = node(replace(BASE, group_size=300), names)
+    for i in range(24):
+        for s in sends(_arrive(quiet, f"r{i}")):
+            quiet.handle(1000.0, _done(f"r{i}", s.backend))
+    assert len([x for x in quiet.backends.values() if x.estimate]) <= 3
+
+
+def _fed(b: Balancer, count: int, now: float, bad: str = "") -> Counter[str]:
+    """Where requests go that are served at once, or turned away in the zone `bad`."""
+    got: Counter[str] = Counter()
+    for i in range(count):
+        for s in sends(_arrive(b, f"{now}-{i}", now + 100.0 * i)):
+            zone = b.backends[s.backend].entry.zone
+            got[zone] += 1
+            status = api.Status.TIMEOUT if zone == bad else api.Status.OK
+            b.handle(now + 100.0 * i, api.Outcome(s.request, 0, s.backend, status, 50.0, zone != bad))
+    return got
+
+
+def test_own_zone_is_preferred_by_the_price_and_left_when_it_is_worse() -> None:
+    """Guards against paying for crossings, and against a hot or failing zone that is kept to."""
+
+    def made(price: float) -> Balancer:
+        cfg = replace(BASE, group_size=50, max_attempts=1, charges=api.Charges(cross_zone=price))
+        b = Balancer(cfg, 3)
+        fleet = [entry(f"b{i:02d}", zone="abcd"[i % 4]) for i in range(40)]
+        b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, fleet))
+        return b
+
+    dear, cheap = made(0.12), made(0.001)
+    _fed(dear, 200, 1000.0)
+    assert _fed(dear, 100, 50_000.0)["a"] > 90
+    assert _fed(cheap, 200, 1000.0)["a"] < 120
+    _fed(dear, 200, 100_000.0, bad="a")
+    late = _fed(dear, 100, 200_000.0, bad="a")
+    assert late["a"] < sum(late.values()) / 2
+
+
+def test_a_node_that_lost_all_trust_goes_on_trying() -> None:
+    """Guards against a node that throttles itself to nothing in an outage and never learns that it ended."""
+    served = []
+    for seed in range(10):
+        b = node(replace(BASE, group_size=50, max_attempts=1), ["x", "y", "z"], seed)
+        for i in range(300):
+            for s in sends(_arrive(b, f"r{i}", 1000.0 + 1000.0 * i)):
+                late = api.Outcome(s.request, 0, s.backend, api.Status.TIMEOUT, 99.0, False)
+                b.handle(1100.0 + 1000.0 * i, late)
+        served.append(sum(_fed(b, 40, 400_000.0).values()))
+    assert min(served) > 0 and sum(served) > 60
+
+
+def test_late_answers_count_against_sending_more() -> None:
+    """Guards against a jam in which all is served late, by hundreds of nodes too quiet for their limits."""
+    cfg = replace(BASE, group_size=50, classes=(replace(BASE.classes[0], late_worth=0.5),))
+    b, sent = node(cfg, ["x", "y", "z"]), 0
+    for i in range(100):
+        for s in sends(_arrive(b, f"r{i}", 1000.0 + 1000.0 * i)):
+            sent += 1
+            b.handle(1500.0 + 1000.0 * i, api.Outcome(s.request, 0, s.backend, api.Status.OK, 500.0, True))
+    assert 0 < sent < 60
+
+
+def _lossy(late_worth: float, every: int, seed: int = 5) -> tuple[Balancer, int, int]:
+    """A node of a keyed class whose every so-manieth first answer is lost; how many it sent, and repeated."""
+    charges = api.Charges(cross_zone=0.02)
+    cls = replace(KEYED, late_worth=late_worth)
+    cfg = replace(BASE, group_size=50, classes=(cls,), max_attempts=4, charges=charges)
+    b, sent, repeats = Balancer(cfg, seed), 0, 0
+    fleet = [entry(f"b{i}", zone="ab"[i % 2]) for i in range(12)]
+    b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, fleet))
+    for i in range(300):
+        b.spill, start, n = 0.5, 1000.0 + 2000.0 * i, 0
+        acts = b.handle(start, api.Arrival(f"r{i}", "pay", start + 1000.0))
+        sent, now = sent + bool(sends(acts)), start
+        while out := sends(acts):
+            repeats += n > 0
+            lost = n == 0 and i % every == 0
+            took = (out[0].timeout or start + 1000.0 - now) if lost else 40.0
+            now += took
+            status = api.Status.TIMEOUT if lost else api.Status.OK
+            acts = b.handle(now, api.Outcome(f"r{i}", n, out[0].backend, status, took, not lost))
+            n += 1
+    return b, sent, repeats
+
+
+def test_lost_answers_are_asked_for_again_while_that_has_worth() -> None:
+    """Guards against waiting to the deadline for answers that get lost, and against cutting jobs short."""
+    b, sent, repeats = _lossy(0.5, 3)
+    assert sent == 300 and repeats >= 95  # all but the first few losses, none for want of budget or zone
+    assert 0 < sends(b.handle(900_000.0, api.Arrival("x", "pay", 901_000.0)))[0].timeout < 400
+    calm, _, _ = _lossy(0.5, 1000)
+    assert sends(calm.handle(900_000.0, api.Arrival("x", "pay", 901_000.0)))[0].timeout == 0.0
+    worthless, _, _ = _lossy(0.0, 3)
+    worthless.trust = 1.0
+    assert sends(worthless.handle(900_000.0, api.Arrival("x", "pay", 901_000.0)))[0].timeout > 390
+
+
+def test_a_jam_is_shed_sharply_but_not_what_is_worth_most() -> None:
+    """Guards against hundreds of quiet nodes that keep a fleet overdriven; worth goes first."""
+    classes = (replace(SAFE, name="cheap"), replace(SAFE, name="dear", value=50.0))
+    sent: Counter[str] = Counter()
+    for seed in range(10):
+        b = node(replace(BASE, group_size=500, classes=classes, max_attempts=1), NAMES, seed)
+        for i in range(150):
+            kind = "dear" if i % 10 == 9 else "cheap"
+            for s in sends(_arrive(b, f"r{i}", 1000.0 + 1000.0 * i, kind)):
+                sent[kind] += i >= 50
+                bad = i % 2 == 0
+                status = api.Status.TIMEOUT if bad else api.Status.OK
+                now = 1400.0 + 1000.0 * i
+                b.handle(now, api.Outcome(s.request, 0, s.backend, status, 100.0, not bad))
+    assert sent["dear"] == 100 and 0.15 * 900 < sent["cheap"] < 0.65 * 900
+
+
+def test_one_bad_answer_sheds_nothing() -> None:
+    """Guards against losing good requests on a quiet day to the noise of single answers."""
+    for seed in range(40):
+        b = node(replace(BASE, group_size=50, max_attempts=1), NAMES, seed)
+        for i in range(3):
+            got = sends(_arrive(b, f"r{i}", 1000.0 + 1000.0 * i))
+            status = api.Status.TIMEOUT if i == 0 else api.Status.OK
+            b.handle(1100.0 + 1000.0 * i, api.Outcome(f"r{i}", 0, got[0].backend, status, 90.0, i > 0))
+
+
+def test_slow_backends_get_less_once_all_are_at_the_cap() -> None:
+    """Guards against fleets whose speeds differ though nobody tells: the random pick follows answers."""
+    b = node(replace(BASE, group_size=50), ["x", "y", "z"])
+    got: Counter[str] = Counter()
+    for i in range(300):
+        for s in sends(_arrive(b, f"r{i}", 1000.0 + 100.0 * i)):
+            got[s.backend] += i >= 100
+            took = 150.0 if s.backend == "x" else 50.0
+            b.handle(1000.0 + 100.0 * i, api.Outcome(s.request, 0, s.backend, api.Status.OK, took, True))
+    assert 0 < got["x"] < min(got["y"], got["z"]) / 2
+
+
+def test_turned_away_attempts_that_are_served_elsewhere_do_not_shed() -> None:
+    """Guards against shedding by the throttle where short waiting rooms turn many first attempts away."""
+    b, sent, rng = node(replace(BASE, group_size=50), NAMES), 0, random.Random(1)
+    for i in range(300):
+        now = 1000.0 + 2000.0 * i
+        acts, n = _arrive(b, f"r{i}", now), 0
+        sent += bool(sends(acts))
+        while (out := sends(acts)) and n < 3:
+            full = n == 0 and rng.random() < 0.6
+            status = api.Status.FULL if full else api.Status.OK
+            acts = b.handle(now, api.Outcome(f"r{i}", n, out[0].backend, status, 20.0, not full))
+            n += 1
+    assert sent == 300
+
+
+def test_panic_ignores_ejections_but_not_backends_without_room() -> None:
+    """Guards against a node whose own trouble ejects all it feeds, and against storms of new connections."""
+
+    def after(status: api.Status) -> int:
+        b, sent = node(replace(BASE, group_size=50, max_attempts=1), ["x", "y", "z"]), 0
+        for i in range(12):
+            got = sends(_arrive(b, f"r{i}", 1000.0 + i))
+            sent += len(got)
+            for s in got:
+                b.handle(1000.0 + i, api.Outcome(s.request, 0, s.backend, status, 1.0, False))
+        return sent
+
+    assert after(api.Status.RESET) == 12
+    assert after(api.Status.CONNECT_FAILED) == 3
+
+
+def test_limit_does_not_float_up_while_it_does_not_bind() -> None:
+    """Guards against quiet nodes that let their limit grow and flood the fleet when a burst comes."""
+    b = node(replace(BASE, group_size=4), NAMES)
+    first = max(b.limit, b.least)
+    for i in range(300):
+        got = sends(_arrive(b, f"r{i}"))
+        b.handle(1001.0, _done(f"r{i}", got[0].backend))
+    assert b.limit <= first * 1.01
+
+
+def test_names_and_zones_do_not_matter() -> None:
+    """A node acts on numbers, not on what things are called."""
+
+    def run(cls: str, zone: str, tenant: str) -> list[str]:
+        settings = replace(
+            BASE,
+            classes=(replace(BASE.classes[0], name=cls),),
+            zone=zone,
+            tenants=(api.Tenant(tenant, 5.0, 1.0),),
+        )
+        b = Balancer(settings, 7)
+        b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, [entry(n, zone=zone) for n in NAMES]))
+        acts = []
+        for i in range(50):
+            acts += b.handle(1000.0 + i, api.Arrival(f"r{i}", cls, 2000.0 + i, tenant=tenant))
+        return [repr(a) for a in acts]
+
+    assert run("read", "a", "t") == run("zzz", "north", "q")
+
+
+def test_idle_signs_are_doubted_once_sends_on_them_fail() -> None:
+    """Guards against reports that freeze at nothing in flight and draw every node to the same backends."""
+
+    def sent_of(status: api.Status) -> int:
+        b, sent = node(LOOKING, NAMES), 0
+        for i in range(80):
+            now = 1000.0 + 2000.0 * i
+            for act in _arrive(b, f"r{i}", now):
+                if isinstance(act, api.Probe):
+                    seen = api.Probed(act.backend, api.Status.OK, 1.0, api.Report(0.0, 0.0))
+                    for s in sends(b.handle(now, seen)):
+                        sent += 1
+                        closed = status is api.Status.OK
+                        b.handle(now, api.Outcome(s.request, 0, s.backend, status, 5.0, closed))
+        return sent
+
+    assert sent_of(api.Status.OK) == 80
+    assert sent_of(api.Status.FULL) < 60
+
+
+def test_quiet_nodes_shed_in_fractions_when_their_sends_fail() -> None:
+    """Guards against hundreds of nodes that each keep one request on a fleet that answers none."""
+    b, sent = node(BASE, NAMES), 0
+    for i in range(200):
+        now = 1000.0 + 3000.0 * i
+        for s in sends(_arrive(b, f"r{i}", now)):
+            sent += 1
+            b.handle(now + 390.0, api.Outcome(f"r{i}", 0, s.backend, api.Status.TIMEOUT, 390.0, False))
+    assert 0 < sent < 100
+
+
+def test_held_requests_end_in_time_also_after_a_first_attempt() -> None:
+    """Guards against losing a request that is held again after a refused attempt."""
+    b = node(replace(BASE, max_attempts=3), ["x"])
+    b.limit = 1.0
+    first = sends(_arrive(b, "a"))[0]
+    acts = _arrive(b, "b")
+    assert first and not sends(acts)
+    b.out = 5  # other requests keep the node at its limit
+    again = b.handle(1001.0, api.Outcome("a", 0, "x", api.Status.FULL, 1.0, False))
+    timers = [a for a in [*acts, *again] if isinstance(a, api.SetTimer)]
+    ended = [x.request for t in timers for x in answers(b.handle(t.when, api.Timer(t.token)))]
+    assert sorted(ended + [x.request for x in answers(again)]) == ["a", "b"]
+
+
+def test_log_lines_named_on_the_on_call_page_are_emitted_rarely() -> None:
+    lines = []
+    b = node(BASE, NAMES)
+    for i in range(300):
+        for s in sends(acts := _arrive(b, f"r{i}", 1000.0 + i)):
+            acts += b.handle(1000.0 + i, api.Outcome(f"r{i}", 0, s.backend, api.Status.RESET, 1.0, False))
+        lines += [a.text for a in acts if isinstance(a, api.Log)]
+    now = 50_000.0
+    failed = b.handle(now, api.ListUpdate(api.ListKind.FAILED, []))
+    lines += [a.text for a in failed if isinstance(a, api.Log)]
+    b.handle(now, api.ListUpdate(api.ListKind.FAILED, []))
+    for i in range(300):
+        lines += [a.text for a in _arrive(b, f"h{i}", 70_000.0) if isinstance(a, api.Log)]
+    page = (Path(__file__).parents[1] / "docs" / "on-call.md").read_text(encoding="utf-8")
+    starts = {line.split(":")[0] for line in lines}
+    assert len(lines) <= 4 and starts <= {"panic", "list", "shedding"} and len(starts) >= 2
+    assert all(f"`{word}:" in page for word in ("panic", "list", "shedding"))
+
+
+def test_the_lowest_limit_grows_with_the_backends_that_fall_to_a_node() -> None:
+    """Guards against few busy nodes that starve a fleet where serving alone takes much of the aim."""
+    many = [f"b{i}" for i in range(60)]
+    b = node(replace(BASE, group_size=3), many)
+    for i in range(2000):
+        now = 1000.0 + i
+        for s in sends(_arrive(b, f"r{i}", now)):
+            b.handle(now, api.Outcome(f"r{i}", 0, s.backend, api.Status.OK, 200.0, True))
+    assert b.limit >= 20.0
+
+
+def test_what_is_held_and_expired_is_forgotten() -> None:
+    """Guards against a list of held requests that grows for as long as an overload lasts."""
+    b = node(BASE, NAMES)
+    b.out = 99
+    for i in range(50):
+        acts = _arrive(b, f"r{i}", 1000.0 + 1000.0 * i)
+        for t in [a for a in acts if isinstance(a, api.SetTimer)]:
+            assert answers(b.handle(t.when, api.Timer(t.token)))
+    assert not b.held and not b.requests
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,297 @@
+"""The codec and the host loop."""
+
+from __future__ import annotations
+
+import io
+import json
+import os
+import shutil
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from dillport import interface as api
+from dillport import policy, simhost, wire
+
+INFO = {
+    "request-classes": [
+        {"name": "read", "effect": "retryable", "give-up": 1000.0, "objective": 400.0, "value": 2}
+    ],
+    "limits": {"cancel": True, "most-tries": 3, "second-copies": True, "probing": False},
+    "rules": {"answer-slack": 5.0, "cold-share": 0.2, "ramp-time": 9000.0, "fall": 1000.0},
+    "load-info": {"how": "inline", "names": ["waiting", "active"]},
+    "unknown-key": {"x": 1},
+}
+BOOT = json.dumps(INFO)
+LIST = "DIRECTORY_UPDATE disk 1 2\nENTRY 0 k 1.1.1.1:1 1 up - a\nENTRY - k 1.1.1.2:1 1.5 up 61.5 b\n"
+START = f"SYNC 1000\nCONTEXT 0\nSTART 7 {BOOT}\n{LIST}GO\n"
+
+
+ORDER = "ORDER ab 0 - 2001 - - read 0\n"
+
+
+def run(text: str) -> str:
+    out = io.StringIO()
+    simhost.serve(io.StringIO(text), out)
+    return out.getvalue()
+
+
+def test_settings_read_and_unknown_keys_skipped() -> None:
+    got = wire.settings(BOOT)
+    assert got.classes[0].aim == 400.0 and got.max_attempts == 3
+    assert got.report_fields == ("waiting", "active")
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"request-classes": []}, "request-classes is missing"),
+        ({"request-classes": [{"name": "x", "effect": "odd", "give-up": 1}]}, r"effect.*'odd'"),
+        ({"request-classes": [{"name": "x", "effect": "dedup"}]}, r"request-classes\[0\].give-up is missing"),
+        ({"rules": {"ramp-time": -1}}, "rules.ramp-time makes no sense: -1"),
+        ({"group-size": 0}, "group-size makes no sense: 0"),
+        ({"group-size": 2.5}, "group-size makes no sense: 2.5"),
+        ({"me": "x"}, "me makes no sense: 'x'"),
+        ({"request-classes": 5}, "request-classes makes no sense: 5"),
+        ({"request-classes": [7]}, r"request-classes\[0\] makes no sense: 7"),
+        ({"request-classes": [{"name": "x", "effect": 3, "give-up": 1}]}, r"effect makes no sense: 3"),
+        ({"request-classes": [{"name": "x", "effect": "dedup", "give-up": 0}]}, "give-up makes no sense: 0"),
+        ({"limits": [1]}, r"limits makes no sense: \[1\]"),
+        ({"limits": {"cancel": "yes"}}, "limits.cancel makes no sense: 'yes'"),
+        ({"rules": {"cold-share": 1.5}}, "rules.cold-share makes no sense: 1.5"),
+        ({"granularity": float("nan")}, "granularity makes no sense: nan"),
+        ({"rules": {"fall": float("inf")}}, "rules.fall makes no sense: inf"),
+        ({"charges": {"probe": True}}, "charges.probe makes no sense: True"),
+        ({"projects": [{"quota-per-s": 3}]}, r"projects\[0\].name is missing"),
+        ({"projects": ["t"]}, r"projects\[0\] makes no sense: 't'"),
+        ({"load-info": {"how": "inline", "names": "active"}}, "load-info.names makes no sense: 'active'"),
+        ({"discovery": "guess"}, "discovery makes no sense: 'guess'"),
+        ({"weight-source": "odd"}, "weight-source makes no sense: 'odd'"),
+        ({"zone": 4}, "zone makes no sense: 4"),
+    ],
+)
+def test_senseless_settings_are_named(change: dict[str, object], named: str) -> None:
+    with pytest.raises(api.SettingsError, match=named):
+        wire.settings(json.dumps(INFO | change))
+
+
+def test_every_setting_of_the_wire_page_arrives() -> None:
+    told = INFO | {
+        "blend": {"nines": 0.2, "top-nines": 4.0, "slow-end": 0.3, "miss-allowed": 0.02, "whole": 0.5},
+        "charges": {"peer": 0.01, "moves": 0.02, "origin": 0.03, "fleet": 0.04, "discovery": 0.05},
+        "client-habits": {"marks-retry": True},
+        "family-info": {"warm-keys": True, "passes-deadline": True},
+        "kinds": ["k"], "failure-domains": ["a", "b"],
+    }  # fmt: skip
+    told["limits"] = {
+        "conn-idle": 5000.0, "streams-per-conn": 7, "max-open": 9, "cpu-us-per-s": 8000,
+        "cpu-us-per-request": 2.5, "peers": True, "retry-after": True, "max-retry-after": 250.0,
+    }  # fmt: skip
+    got = wire.settings(json.dumps(told))
+    assert (got.blend.nines, got.blend.top_nines, got.blend.slow_end, got.blend.miss_allowed) == (
+        0.2, 4.0, 0.3, 0.02)  # fmt: skip
+    charges = got.charges
+    assert (charges.peer, charges.moves, charges.origin, charges.fleet, charges.discovery) == (
+        0.01, 0.02, 0.03, 0.04, 0.05)  # fmt: skip
+    assert got.retries_marked and got.warm_keys and got.passes_deadline and got.peers
+    assert got.kinds == ("k",) and got.zones == ("a", "b")
+    assert (got.conn_idle, got.streams_per_conn, got.max_open) == (5000.0, 7, 9)
+    assert (got.cpu_us_per_s, got.cpu_us_per_request, got.max_retry_after) == (8000.0, 2.5, 250.0)
+
+
+def test_what_is_not_told_is_read_with_caution() -> None:
+    bare = wire.settings(json.dumps({"request-classes": INFO["request-classes"]}))
+    assert bare.cold_share < 1 and bare.ramp_time > 0 and bare.fall_multiple <= 1
+    assert bare.classes[0].group is api.Group.CELL and bare.classes[0].memory_span == 0
+    assert not (bare.probing or bare.may_cancel or bare.second_copies or bare.peers)
+    assert bare.max_attempts == 1 and bare.must_ask
+
+
+def test_every_report_value_and_the_entry_fields() -> None:
+    names = ("active", "waiting", "cpu", "avg_ms")
+    assert wire.report("1,2,0.5,7.5", names) == api.Report(1.0, 2.0, 0.5, 7.5)
+    assert wire.report("3,4", ("rps", "err_rps")) == api.Report(rate=3.0, error_rate=4.0)
+    assert wire.report("9,1", ("new-value", "active")) == api.Report(1.0)
+    got = wire.entry("ENTRY 3 big 1.1.1.1:1 1.5 draining 61.5 b")
+    assert got == api.Entry("1.1.1.1:1", "b", 3, 1.5, api.Phase.DRAINING, 61.5, "big")
+    assert wire.list_update("DIRECTORY_UPDATE diff 41 2") == (api.ListUpdate(api.ListKind.CHANGES, [], 41), 2)
+
+
+def test_every_event_line() -> None:
+    names = ("waiting", "active")
+    assert wire.event("WAKE 77", names) == api.Timer(77)
+    assert wire.event("CANCELLED_BY_CLIENT ab", names) == api.ClientGone("ab")
+    assert wire.event("ACCEPTED ab 1 h:1 9.25", names) == api.StreamStarted("ab", 1, "h:1", 9.25)
+    assert wire.event("HEARD 2 6869", names) == api.PeerMessage(2, b"hi")
+    assert wire.event("SAMPLED pass 1.4 h:1 3,-", names) == api.Probed(
+        "h:1", api.Status.OK, 1.4, api.Report(None, 3.0)
+    )
+    assert wire.event("ORDER ab 0 - 2000.5 - - read 0", names) == api.Arrival("ab", "read", 2000.5)
+    assert wire.event("ORDER ab 1 k:1 2000.5 t 12.5 read 1", names) == api.Arrival(
+        "ab", "read", 2000.5, True, "k:1", "t", 12.5, True
+    )
+    words = ["pass", "fault", "no_room", "too_slow", "no_route", "cut", "undone", "stale_send"]
+    for word, status in zip(words, api.Status, strict=True):
+        got = wire.event(f"RESOLVED ab 0 h:1 {word} 1 0 -", names)
+        assert got == api.Outcome("ab", 0, "h:1", status, 1.0, False, None)
+
+
+def test_every_action_line() -> None:
+    assert wire.action(api.Send("ab", "h:1", 80.0)) == "PLACE ab 80.0 h:1"
+    assert wire.action(api.Refuse("ab", 250.0)) == "PUSH_BACK ab 250.0"
+    assert wire.action(api.Fail("ab")) == "SURRENDER ab"
+    assert wire.action(api.Cancel("ab", 1)) == "ABANDON ab 1"
+    assert wire.action(api.SetTimer(8912.25, 7)) == "NOTIFY_ME 8912.25 7"
+    assert wire.action(api.Probe("h:1")) == "INSPECT h:1"
+    assert wire.action(api.Subscribe()) == "TAIL 1"
+    assert wire.action(api.Subscribe(False)) == "TAIL 0"
+    assert wire.action(api.ListAll()) == "LIST_ALL"
+    assert wire.action(api.CloseIdle("h:1")) == "SHUT_IDLE h:1"
+    assert wire.action(api.Tell(None, b"hi")) == "WRITE_PEER all 6869"
+    assert wire.action(api.Tell(3, b"")) == "WRITE_PEER 3 -"
+    assert wire.action(api.Log("two\nlines")) == "LOG two lines"
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("HELLO\n", "expected SYNC"),
+        ("SYNC x\nGO\n", "malformed line"),
+        ("SYNC 1\nCONTEXT 3\nWAKE 1\nGO\n", "instance 3, which was never started"),
+        ("SYNC 1\nCONTEXT 0\n", "input ended inside a batch"),
+        (START + "SYNC 1001\nCONTEXT 0\nNONSENSE 1\nGO\n", "unknown message"),
+        (START + "SYNC 1001\nCONTEXT 0\nORDER ab 0\nGO\n", "malformed line"),
+        (START + "SYNC 1001\nCONTEXT 0\nDIRECTORY_UPDATE diff 2 1\nENTRY 0\nGO\n", "malformed list entry"),
+        (START + "SYNC 1001\nCONTEXT 0\nDIRECTORY_UPDATE diff 2 -1\nGO\n", "malformed list update"),
+        (START + "SYNC 1001\nCONTEXT 0\nDIRECTORY_UPDATE diff 2 many\nGO\n", "malformed list update"),
+        (START + "SYNC 1001\nCONTEXT 0\nDIRECTORY_UPDATE diff 2 3\nGO\n", "malformed list entry"),
+        (START + "SYNC 1001\nCONTEXT 0\nORDER ab 0 - nan - - read 0\nGO\n", "malformed line"),
+        (START + "SYNC 1001\nCONTEXT 0\nSAMPLED pass 1 h:1 1,2,3\nGO\n", "malformed line"),
+        ("SYNC nan\nGO\n", "malformed line"),
+        (f"SYNC 1\nSTART 7 {BOOT}\nGO\n", "malformed line"),
+        ("SYNC 1\nCONTEXT x\nGO\n", "malformed line"),
+    ],
+)
+def test_bad_input_is_named(text: str, named: str) -> None:
+    with pytest.raises(wire.WireError, match=named):
+        run(text)
+
+
+def test_bad_input_ends_the_process_with_one_line() -> None:
+    got = subprocess.run(
+        [sys.executable, "-m", "dillport.simhost"],
+        input="HELLO\n", capture_output=True, text=True, check=False,
+    )
+    assert got.returncode == 2 and got.stderr.count("\n") == 1 and "Traceback" not in got.stderr
+
+
+def test_the_deploy_file_builds_and_starts_the_adapter(tmp_path: Path) -> None:
+    """As the operators do it: built once, then started by a shell from a tree that is not written to."""
+    root = Path(__file__).parents[1]
+    for name in ("dillport", "deploy", "requirements.txt"):
+        source = root / name
+        if source.is_dir():
+            shutil.copytree(source, tmp_path / name, ignore=shutil.ignore_patterns("__pycache__"))
+        else:
+            shutil.copy(source, tmp_path / name)
+    deploy = tomllib.loads((tmp_path / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
+    assert deploy["policy"] == ["dillport/policy.py"] and (tmp_path / deploy["policy"][0]).is_file()
+    subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=tmp_path, check=True)
+    subprocess.run(["chmod", "-R", "a-w", str(tmp_path)], check=True)
+    env = {"PATH": os.environ["PATH"], "TMPDIR": str(tmp_path)}
+    order = "SYNC 1001\nCONTEXT 0\nORDER ab 0 - 2001 - - read 0\nGO\n"
+
+    def start(text: str) -> subprocess.CompletedProcess[str]:
+        command = ["/bin/sh", "-c", deploy["sim"]]
+        return subprocess.run(
+            command, input=text, cwd=tmp_path, env=env, capture_output=True, text=True, check=False
+        )
+
+    good = start(START + order)
+    assert good.returncode == 0 and "PLACE ab" in good.stdout and good.stdout.count("FINISHED") == 2
+    bad = start(START.replace("1000.0", "-1000.0", 1))
+    assert bad.returncode == 2 and bad.stderr.count("\n") == 1
+    assert "give-up" in bad.stderr and "-1000.0" in bad.stderr and "Traceback" not in bad.stderr
+    subprocess.run(["chmod", "-R", "u+w", str(tmp_path)], check=True)
+
+
+def test_odd_but_legal_rounds_are_no_error() -> None:
+    head = START + "SYNC 1001\nCONTEXT 0\n"
+    for body in (
+        "RESOLVED ff 0 1.1.1.1:1 pass 1 1 -\nGO\n",
+        "CANCELLED_BY_CLIENT ff\nWAKE 99\nACCEPTED ff 0 1.1.1.1:1 3\nHEARD 2 6869\nGO\n",
+        "DIRECTORY_UPDATE snapshot 2 0\nORDER ab 0 - 2001 - - read 0\nGO\n",
+        "ORDER ab 0 - 900 new-tenant - read 0\nGO\n",
+        ORDER + "DIRECTORY_UPDATE snapshot 2 0\nRESOLVED ab 0 1.1.1.1:1 cut 1 0 -\nGO\n",
+        f"DIRECTORY_UPDATE diff 2 1\nENTRY 4 z 9.9.9.9:9 1 up 5000 nowhere\n{ORDER}GO\n",
+        "DIRECTORY_UPDATE diff 2 1\nENTRY 4 z 9.9.9.9:9 1 removed - nowhere\nGO\n",
+    ):
+        out = run(head + body)
+        assert out.count("FINISHED") == 2 and "EXCEPTION" not in out, body
+
+
+def test_stop_and_start_in_one_batch_begin_afresh() -> None:
+    text = START + f"SYNC 1001\nCONTEXT 0\nORDER ab 0 - 2001 - - read 0\nSTOP\nSTART 8 {BOOT}\n{LIST}GO\n"
+    out = run(text + "SYNC 1002\nCONTEXT 0\nRESOLVED ab 0 1.1.1.1:1 pass 1 1 -\nGO\n")
+    assert out.count("FINISHED") == 3 and "EXCEPTION" not in out
+
+
+def test_broken_decision_code_is_declared(monkeypatch: pytest.MonkeyPatch) -> None:
+    def boom(*_: object) -> None:
+        raise IndexError("off the end")
+
+    monkeypatch.setattr(policy.Balancer, "handle", boom)
+    assert "EXCEPTION IndexError: off the end" in run(START)
+
+
+def _script() -> str:
+    lines = []
+    for i in range(60):
+        lines.append(f"SYNC {1001 + i}")
+        for who in (0, 1):
+            lines += [f"CONTEXT {who}", f"ORDER {i:016x} 0 - {2001 + i} - - read 0"]
+        lines.append("GO")
+    starts = "".join(f"CONTEXT {who}\nSTART {who + 5} {BOOT}\n{LIST}" for who in (0, 1))
+    return f"SYNC 1000\n{starts}GO\n" + "\n".join(lines) + "\n"
+
+
+def test_same_events_same_actions_under_any_hash_seed() -> None:
+    outs = {
+        subprocess.run(
+            [sys.executable, "-m", "dillport.simhost"],
+            input=_script(), capture_output=True, text=True, check=True,
+            env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": str(Path(__file__).parents[1])},
+        ).stdout
+        for seed in ("0", "1", "77")
+    }  # fmt: skip
+    assert len(outs) == 1
+
+
+def test_instances_act_alike_alone_and_together() -> None:
+    def only(text: str, who: int) -> str:
+        keep, mine = [], True
+        for line in text.splitlines():
+            word = line.split(" ")[0]
+            if word in ("SYNC", "GO"):
+                mine = True
+            elif word == "CONTEXT":
+                mine = line == f"CONTEXT {who}"
+            if mine:
+                keep.append(line)
+        return "\n".join(keep) + "\n"
+
+    def acts(text: str, who: int) -> list[str]:
+        out, speaking = [], -1
+        for line in text.splitlines():
+            if line.startswith("SPEAKING"):
+                speaking = int(line.split(" ")[1])
+            elif line != "FINISHED" and speaking == who:
+                out.append(line)
+        return out
+
+    both = run(_script())
+    for who in (0, 1):
+        assert acts(run(only(_script(), who)), who) == acts(both, who)
