--- /dev/null
+++ b/dillport/__main__.py
@@ -0,0 +1,67 @@
+"""Starts one node: configuration, signals, exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from dillport.interface import ListKind
+from dillport.net.config import Config, ConfigError, load
+from dillport.net.discovery import Discovery
+from dillport.net.front import Front
+from dillport.net.node import Node
+
+ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
+LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
+
+
+async def serve(config: Config) -> None:
+    """Run until SIGTERM or SIGINT, then answer what was taken and return."""
+    loop = asyncio.get_running_loop()
+    node = Node(config)
+    node.discovery = discovery = Discovery(node, config.discovery, config.known.revision)
+    front = Front(node, config.client_sockets)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node.list(config.known, ListKind.SAVED)
+    if not config.settings.must_ask:
+        discovery.watch(True)
+    await front.listen(config.listen)
+    gc.freeze()
+    logging.info("%s serves on %s:%d", config.name, *config.listen)
+    await stop.wait()
+    node.stopping = True
+    await asyncio.sleep(ACCEPT)
+    front.stop()
+    await node.finish(LAST - ACCEPT)
+    discovery.watch(False)
+    node.pool.close()
+    await asyncio.sleep(0.05)  # the last answers leave
+    logging.info("%s ends", config.name)
+
+
+def main() -> int:
+    """Entry point; a bad configuration ends with one plain line on standard error."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        config = load(os.environ)
+    except ConfigError as err:
+        print(f"dillport: {' '.join(str(err).split())}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(config))
+    except OSError as err:
+        print(f"dillport: listen: {err}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dillport/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real node: the decision module on sockets."""
--- /dev/null
+++ b/dillport/net/config.py
@@ -0,0 +1,167 @@
+"""What a node is told at its start: environment and JSON file to checked values."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from dillport import interface as api
+from dillport import wire
+
+PREFIX = "PROXY_"
+PHASES = {
+    "in_service": api.Phase.UP,
+    "terminating": api.Phase.DRAINING,
+    "terminated": api.Phase.GONE,
+}
+SPARE = 32  # descriptors kept for the listener, discovery, the loop and the log
+CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
+
+
+class ConfigError(ValueError):
+    """The configuration is missing or makes no sense; the text names the field."""
+
+
+class ListError(ValueError):
+    """An entry or a line of the list makes no sense."""
+
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """One backend as discovery lists it: the module's entry and where it listens."""
+
+    entry: api.Entry
+    address: Address
+
+
+@dataclass(slots=True, frozen=True)
+class News:
+    """One list, or one line of a watch."""
+
+    revision: int
+    complete: bool
+    members: tuple[Member, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All that a node is told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: api.Settings
+    known: News
+    client_sockets: int
+    upstream_sockets: int
+
+
+def address(value: object) -> Address:
+    """`HOST:PORT` with a literal address, as there is no DNS; raises ValueError."""
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not text")
+    host, _, port = value.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(host)
+    if not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{value!r} has no port")
+    return host, int(port)
+
+
+def _member(row: object) -> Member:
+    if not isinstance(row, dict):
+        raise ListError(f"not an object: {row!r:.120}")
+    try:
+        name, weight, started = row["id"], row.get("size", 1.0), row.get("up_since_ms", 0)
+        if not isinstance(name, str) or not name:
+            raise ValueError("id")
+        if isinstance(weight, bool) or not isinstance(weight, (int, float)) or not 0 <= weight < math.inf:
+            raise ValueError("size")
+        if isinstance(started, bool) or not isinstance(started, (int, float)) or not 0 <= started < math.inf:
+            raise ValueError("up_since_ms")
+        entry = api.Entry(
+            backend=name,
+            zone=str(row.get("locality", "")),
+            cell=int(row.get("cell", -1)),
+            weight=float(weight),
+            phase=PHASES[row["phase"]],
+            started_at=float(started),
+            kind=str(row.get("flavor", "")),
+        )
+        return Member(entry, address(row["host_port"]))
+    except (KeyError, TypeError, ValueError) as err:
+        raise ListError(f"bad entry ({err}): {row!r:.120}") from None
+
+
+def news(raw: object) -> News:
+    """A list in discovery's form; raises ListError."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("members"), list):
+        raise ListError(f"not a list: {raw!r:.120}")
+    revision, complete = raw.get("revision"), raw.get("complete", False)
+    if isinstance(revision, bool) or not isinstance(revision, int) or not isinstance(complete, bool):
+        raise ListError(f"not a list: {raw!r:.120}")
+    return News(revision, complete, tuple(map(_member, raw["members"])))
+
+
+def _at(raw: Mapping[str, Any], env: Mapping[str, str], name: str) -> Address:
+    value = env.get(PREFIX + name.upper()) or raw.get(name)
+    if value is None:
+        raise ConfigError(f"{name} is missing")
+    try:
+        return address(value)
+    except ValueError:
+        raise ConfigError(f"{name} makes no sense: {value!r:.120}") from None
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """The configuration that the environment points to; raises ConfigError."""
+    path = env.get(PREFIX + "CONFIG")
+    if not path:
+        raise ConfigError(f"{PREFIX}CONFIG is missing")
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as err:
+        raise ConfigError(f"{PREFIX}CONFIG cannot be read: {err}") from None
+    except (ValueError, RecursionError) as err:
+        raise ConfigError(f"{PREFIX}CONFIG is not JSON: {err}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{PREFIX}CONFIG is not an object")
+    if not isinstance(raw.get("settings"), dict):
+        raise ConfigError("settings is missing")
+    try:
+        settings = wire.parse_settings(raw["settings"])
+    except api.SettingsError as err:
+        raise ConfigError(f"settings: {err}") from None
+    limits = raw.get("limits", {})
+    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * SPARE:
+        raise ConfigError(f"limits.sockets makes no sense: {sockets!r:.120}")
+    seed = raw.get("seed", "0")
+    try:
+        number = int(seed, 16) if isinstance(seed, str) else int(seed)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed makes no sense: {seed!r:.120}") from None
+    try:
+        known = news(raw.get("known", {"revision": 0, "complete": True, "members": []}))
+    except ListError as err:
+        raise ConfigError(f"known: {err}") from None
+    clients = int((sockets - SPARE) * CLIENT_PART)
+    return Config(
+        name=str(env.get(PREFIX + "NAME") or raw.get("name", "")),
+        listen=_at(raw, env, "listen"),
+        discovery=_at(raw, env, "discovery"),
+        seed=number,
+        settings=settings,
+        known=known,
+        client_sockets=clients,
+        upstream_sockets=sockets - SPARE - clients,
+    )
--- /dev/null
+++ b/dillport/net/front.py
@@ -0,0 +1,331 @@
+"""The client side: `/up`, requests, answers, closing."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+from functools import partial
+from typing import cast
+from urllib.parse import parse_qs
+
+import httptools
+
+from dillport import interface as api
+from dillport.interface import Effect
+from dillport.net.config import Address
+from dillport.net.node import Node
+
+log = logging.getLogger(__name__)
+
+MAX_BODY = 64 * 1024
+MAX_HEAD = 16 * 1024
+LINGER = 1.0  # s for a client to read why it was turned away before the connection is torn down
+OVER = 16  # connections over the cap that still get an answer of their own
+SLOW = 10.0  # s for a request to come in whole once it has begun
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+}  # fmt: skip
+TIMEOUT = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
+
+
+class BadRequest(ValueError):
+    """What a client sent cannot be served."""
+
+    def __init__(self, code: int, why: str) -> None:
+        super().__init__(why)
+        self.code = code
+
+
+def parse_timeout(value: bytes) -> float:
+    """A `Request-Timeout` in milliseconds."""
+    found = TIMEOUT.fullmatch(value.strip())
+    if found is None or not (number := float(found[1])):
+        raise BadRequest(400, "bad Request-Timeout")
+    return number if found[2] == b"m" else number / 1000
+
+
+def render(
+    method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait: float
+) -> bytes:
+    """A request as it goes on to a backend that the node will wait `wait` milliseconds for."""
+    lines = [
+        b"%b %b HTTP/1.1" % (method, target),
+        b"Host: " + headers.get(b"host", b"backend"),
+        b"Request-Id: " + headers[b"request-id"],
+        b"Request-Timeout: %du" % max(1, int(wait * 1000)),
+    ]
+    if b"idempotency-key" in headers:
+        lines.append(b"Idempotency-Key: " + headers[b"idempotency-key"])
+    if b"content-type" in headers:
+        lines.append(b"Content-Type: " + headers[b"content-type"])
+    if body or method != b"GET":
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client connection; it carries one request at a time."""
+
+    def __init__(self, front: Front) -> None:
+        self.front, self.node = front, front.node
+        self.transport: asyncio.Transport | None = None
+        self.request: str | None = None  # the open one
+        self.closing = self.mid = self.close_after = False
+        self.keep_alive = True
+        self.slow: asyncio.TimerHandle | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self._reset()
+
+    def _reset(self) -> None:
+        self.target = b""
+        self.headers: dict[bytes, bytes] = {}
+        self.body: list[bytes] = []
+        self.head = self.size = 0
+
+    # --- asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection in, over the cap too: it gets a plain answer and is closed."""
+        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        self.front.took(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The client has left; a request that it waited for is owed no more."""
+        self.closing = True
+        if self.slow is not None:
+            self.slow.cancel()
+        self.front.lost(self)
+        if self.request is not None:
+            name, self.request = self.request, None
+            self.node.gone(name)
+
+    def data_received(self, data: bytes) -> None:
+        """Read a request; what cannot be read gets a plain answer and a close."""
+        if self.closing or self.close_after:
+            return  # the answer under way says `Connection: close`: what follows is for another connection
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
+            cause = err.__context__
+            if isinstance(cause, BadRequest):
+                self._turn_away(cause.code, str(cause))
+            elif isinstance(err, httptools.HttpParserCallbackError):
+                log.exception("request failed")
+                self._turn_away(500, "internal error")
+            else:
+                self._turn_away(400, "malformed request")
+        if self.mid and self.slow is None and not self.closing:
+            self.slow = self.front.loop.call_later(SLOW, self._too_slow)
+
+    def _too_slow(self) -> None:
+        self.slow = None
+        if self.mid:
+            self._turn_away(408, "request took too long")
+
+    # --- httptools; a BadRequest that is raised here ends `feed_data`
+
+    def on_message_begin(self) -> None:
+        """A request begins; one that comes before the last is answered is left unread."""
+        if self.request is not None:
+            self.close_after = True
+            return
+        self._reset()
+        self.mid = True
+        self.front.idle.pop(self, None)
+
+    def on_url(self, url: bytes) -> None:
+        """The request's target, in pieces."""
+        if not self.close_after:
+            self._grow(len(url))
+            self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
+        if not self.close_after:
+            self._grow(len(name) + len(value))
+            self.headers[name.lower()] = value
+
+    def _grow(self, size: int) -> None:
+        self.head += size
+        if self.head > MAX_HEAD:
+            raise BadRequest(431, "headers too long")
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the body."""
+        if not self.close_after:
+            self.size += len(body)
+            if self.size > MAX_BODY:
+                raise BadRequest(413, "body too large")
+            self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        """The request is whole: it is taken from here on."""
+        if self.close_after:
+            return
+        self.mid = False
+        if self.slow is not None:
+            self.slow.cancel()
+            self.slow = None
+        self.keep_alive = self.parser.should_keep_alive()
+        try:
+            self._take()
+        except BadRequest as err:
+            self._turn_away(err.code, str(err))
+
+    # --- requests
+
+    def _take(self) -> None:
+        now, headers, node = self.node.now(), self.headers, self.node
+        method = self.parser.get_method()
+        try:
+            url = httptools.parse_url(self.target)
+        except httptools.HttpParserInvalidURLError:
+            raise BadRequest(400, "bad target") from None
+        path, query = url.path or b"/", url.query or b""
+        if path == b"/up":
+            up = node.ready and not node.stopping
+            self._write(200 if up else 503, b"up\n" if up else b"not up\n")
+            return
+        first = path.split(b"/", 2)[1].decode("latin-1")
+        cls = node.classes.get(first)
+        if cls is None:
+            raise BadRequest(404, "unknown class")
+        if method != (b"GET" if cls.effect is Effect.SAFE else b"POST"):
+            raise BadRequest(405, "the method does not go with the class")
+        if cls.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
+            raise BadRequest(400, "no Idempotency-Key")
+        name = headers.get(b"request-id", b"").decode("latin-1")
+        if not name:
+            raise BadRequest(400, "no Request-Id")
+        if name in node.open:
+            raise BadRequest(409, "Request-Id is in use")
+        wait = cls.deadline
+        if b"request-timeout" in headers:
+            wait = min(wait, parse_timeout(headers[b"request-timeout"]))
+        key = parse_qs(query.decode("latin-1")).get("obj")
+        if node.full() or self.front.crowded:
+            # Guards the descriptors and the open requests: nothing ran, so turning it away is harmless.
+            self.close_after = self.front.crowded
+            self._write(503, b"too many requests\n")
+            return
+        event = api.Arrival(
+            request=name,
+            class_name=first,
+            deadline=now + wait,
+            is_retry=headers.get(b"client-retry") == b"1",
+            key=key[0] if key else None,
+            tenant=headers[b"tenant"].decode("latin-1") if b"tenant" in headers else None,
+            work_hint=self._hint(),
+            writes=cls.effect is not Effect.SAFE,
+        )
+        self.request = name
+        node.arrival(event, self, partial(render, method, self.target, headers, b"".join(self.body)))
+
+    def _hint(self) -> float | None:
+        value = self.headers.get(b"work-hint", b"")
+        return int(value) / 1000 if value.isdigit() and len(value) < 13 else None
+
+    # --- answers
+
+    def served(self, body: bytes, content_type: bytes) -> None:
+        """Pass on a backend's answer."""
+        self.request = None
+        self._write(200, body, b"Content-Type: %b\r\n" % content_type if content_type else b"")
+
+    def refused(self, retry_after: float) -> None:
+        """Turn the request away."""
+        self.request = None
+        extra = b"Retry-After: %.3f\r\n" % (retry_after / 1000) if retry_after > 0 else b""
+        self._write(503, b"refused\n", extra)
+
+    def failed(self) -> None:
+        """Say that the request failed."""
+        self.request = None
+        self._write(502, b"failed\n")
+
+    def _turn_away(self, code: int, why: str) -> None:
+        if self.closing:
+            return
+        if self.request is not None:
+            self.close_after = True  # the request before it gets its own answer first
+            return
+        self.mid = self.close_after = True
+        self._write(code, why.encode() + b"\n")
+
+    def _write(self, code: int, body: bytes, extra: bytes = b"") -> None:
+        if self.closing or self.transport is None:
+            return
+        close = self.close_after or self.node.stopping or not self.keep_alive
+        if close:
+            extra += b"Connection: close\r\n"
+        head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n"
+        self.transport.write(head % (code, REASONS[code].encode(), extra, len(body)) + body)
+        if self.mid:
+            self._linger()
+        elif close:
+            self.close()
+        else:
+            self.front.idle[self] = None
+
+    def close(self) -> None:
+        """Close once the answer is out."""
+        if not self.closing and self.transport is not None:
+            self.closing = True
+            self.front.idle.pop(self, None)
+            self.transport.close()
+
+    def _linger(self) -> None:
+        """Close once the client has read its answer.
+
+        Guards against a reset that takes the answer with it: it is what closing does while bytes come in.
+        """
+        if not self.closing and self.transport is not None:
+            self.closing = True
+            self.transport.write_eof()
+            self.front.loop.call_later(LINGER, self.transport.abort)
+
+
+class Front:
+    """The listener and its connections."""
+
+    def __init__(self, node: Node, limit: int) -> None:
+        self.node, self.limit = node, limit
+        self.loop = asyncio.get_running_loop()
+        self.connections: set[ClientConnection] = set()
+        self.idle: dict[ClientConnection, None] = {}  # longest idle first
+        self.server: asyncio.Server | None = None
+
+    @property
+    def crowded(self) -> bool:
+        """Whether there are more client connections than the cap."""
+        return len(self.connections) > self.limit
+
+    async def listen(self, address: Address) -> None:
+        """Accept connections on this address only."""
+        self.server = await self.loop.create_server(lambda: ClientConnection(self), *address, backlog=1024)
+
+    def took(self, connection: ClientConnection) -> None:
+        """A connection came in; over the cap the longest idle one goes."""
+        self.connections.add(connection)
+        self.idle[connection] = None
+        if self.crowded:
+            oldest = next(iter(self.idle))
+            if oldest is not connection:
+                oldest.close()
+            elif len(self.connections) > self.limit + OVER:
+                connection.close()
+
+    def lost(self, connection: ClientConnection) -> None:
+        """A connection has ended."""
+        self.connections.discard(connection)
+        self.idle.pop(connection, None)
+
+    def stop(self) -> None:
+        """Accept no more and close what is idle."""
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.idle):
+            connection.close()
--- /dev/null
+++ b/dillport/net/node.py
@@ -0,0 +1,273 @@
+"""Drives the decision module: events in, actions out, open requests, attempts, timers, the one answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
+
+from dillport import interface as api
+from dillport.net.config import Config, News
+from dillport.net.upstream import Answer, Attempt, Pool
+from dillport.policy import Balancer
+
+log = logging.getLogger(__name__)
+
+MARGIN = 10.0  # ms before a client's limit at which the last answer is due: it counted from its own send
+
+
+class Client(Protocol):
+    """Whoever waits for the answer of one request."""
+
+    def served(self, body: bytes, content_type: bytes) -> None:
+        """Pass on a backend's answer."""
+
+    def refused(self, retry_after: float) -> None:
+        """Turn the request away; `retry_after` is in milliseconds, 0 for no advice."""
+
+    def failed(self) -> None:
+        """Say that the request failed."""
+
+
+class Watcher(Protocol):
+    """What brings the list."""
+
+    def watch(self, on: bool) -> None:
+        """Start or stop to watch."""
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+
+
+class Open:
+    """A request that is owed an answer, or has an attempt out."""
+
+    __slots__ = ("answered", "attempts", "client", "deadline", "limit", "render")
+
+    def __init__(self, client: Client, deadline: float, render: Callable[[float], bytes]) -> None:
+        self.client, self.deadline, self.render = client, deadline, render
+        self.attempts: list[Try] = []
+        self.answered = False
+        self.limit: asyncio.TimerHandle | None = None
+
+
+class Try:
+    """One attempt with its clock."""
+
+    __slots__ = ("attempt", "backend", "number", "over", "request", "sent", "timer")
+
+    def __init__(self, request: str, number: int, backend: str, sent: float) -> None:
+        self.request, self.number, self.backend, self.sent = request, number, backend, sent
+        self.attempt: Attempt | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.over = False
+
+
+class Node:
+    """One load-balancer node around one `Balancer`. It carries out decisions and makes none."""
+
+    def __init__(self, config: Config) -> None:
+        self.settings = config.settings
+        self.classes = {c.name: c for c in config.settings.classes}
+        self.balancer = Balancer(config.settings, config.seed)
+        self.loop = asyncio.get_running_loop()
+        # The clock is monotonic and set to Unix time once, at the start: it can read `up_since_ms` as it is.
+        self._zero = time.time() * 1000 - time.monotonic() * 1000
+        self.pool = Pool(config.settings, config.upstream_sockets)
+        self.open: dict[str, Open] = {}
+        self.discovery: Watcher | None = None
+        self.ready = self.stopping = False
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+        self._drained: Callable[[], None] = lambda: None
+
+    def now(self) -> float:
+        """Milliseconds; never goes back."""
+        return self._zero + time.monotonic() * 1000
+
+    # --- events
+
+    def event(self, event: api.Event) -> None:
+        """Hand an event to the module and do what it says. Events made meanwhile wait for their turn."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._decide(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _decide(self, event: api.Event) -> None:
+        try:
+            for action in self.balancer.handle(self.now(), event):
+                self._act(action)
+        except Exception:  # guards against one bad request ending the node with all the others
+            log.exception("decision on %s failed", type(event).__name__)
+            name = getattr(event, "request", None)
+            if name in self.open:
+                self._abandon(name)
+
+    def _abandon(self, name: str) -> None:
+        request = self.open[name]
+        for item in request.attempts:
+            self._stop(item)
+        self._answer(name, lambda client: client.failed())
+
+    def arrival(self, event: api.Arrival, client: Client, render: Callable[[float], bytes]) -> None:
+        """A client's request has come; `render` gives its bytes for a backend, told for how long."""
+        request = self.open[event.request] = Open(client, event.deadline - MARGIN, render)
+        wait = max(0.0, request.deadline - self.now()) / 1000
+        request.limit = self.loop.call_later(wait, self._deadline, event.request)
+        self.event(event)
+
+    def full(self) -> bool:
+        """Whether the node holds as many requests as it may."""
+        return len(self.open) >= self.settings.max_open
+
+    def gone(self, name: str) -> None:
+        """The client has left."""
+        if (request := self.open.get(name)) is not None and not request.answered:
+            self._close(name, request)
+            self.event(api.ClientGone(name))
+
+    def list(self, news: News, kind: api.ListKind) -> None:
+        """The list, or a change of it."""
+        self.pool.update(news.members, kind is not api.ListKind.CHANGES)
+        self.event(api.ListUpdate(kind, [m.entry for m in news.members], news.revision))
+        self.ready = self.ready or any(host.up for host in self.pool.hosts.values())
+
+    def list_failed(self) -> None:
+        """A call that the module asked for has failed."""
+        self.event(api.ListUpdate(api.ListKind.FAILED, []))
+
+    async def finish(self, wait: float) -> None:
+        """Wait until all that was taken is answered, `wait` seconds at most, then fail the rest."""
+        done = asyncio.Event()
+        self._drained = done.set
+        if self.open:
+            try:
+                await asyncio.wait_for(done.wait(), wait)
+            except TimeoutError:
+                for name in list(self.open):
+                    self._abandon(name)
+
+    # --- actions
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.SetTimer():
+                wait = max(0.0, action.when - self.now()) / 1000
+                self.loop.call_later(wait, self.event, api.Timer(action.token))
+            case api.Refuse():
+                self._answer(action.request, lambda client: client.refused(action.retry_after))
+            case api.Fail():
+                self._answer(action.request, lambda client: client.failed())
+            case api.Cancel():
+                self._cancel(action)
+            case api.CloseIdle():
+                self.pool.close_idle(action.backend)
+            case api.Subscribe() if self.discovery is not None:
+                self.discovery.watch(action.on)
+            case api.ListAll() if self.discovery is not None:
+                self.discovery.fetch()
+            case api.Log():
+                log.info("%s", action.text)
+            case _:
+                log.error("not carried out: %r", action)
+
+    def _send(self, action: api.Send) -> None:
+        request, now = self.open.get(action.request), self.now()
+        number = len(request.attempts) if request else 0
+        item = Try(action.request, number, action.backend, now)
+        if request is None:
+            self._outcome(item, Answer(api.Status.MOOT))
+            return
+        request.attempts.append(item)
+        left = request.deadline - now
+        wait = min(action.timeout, left) if action.timeout else left
+        if request.answered or action.backend not in self.pool.hosts or wait <= 0:
+            self._outcome(item, Answer(api.Status.MOOT))
+            return
+        item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
+        item.attempt = self.pool.start(action.backend, request.render(wait), partial(self._outcome, item))
+        if item.over:
+            item.attempt = None
+
+    def _timeout(self, item: Try) -> None:
+        if item.over:
+            return
+        left = item.attempt is not None and item.attempt.left
+        self._stop(item)
+        # A connection that was still coming up when the time ran out carried nothing: it never ran.
+        self._outcome(item, Answer(api.Status.TIMEOUT if left else api.Status.CONNECT_FAILED))
+
+    def _stop(self, item: Try) -> None:
+        if item.timer is not None:
+            item.timer.cancel()
+        if item.attempt is not None:
+            item.attempt.drop()
+            item.attempt = None
+
+    def _cancel(self, action: api.Cancel) -> None:
+        request = self.open.get(action.request)
+        if request is None or action.attempt >= len(request.attempts):
+            return
+        item = request.attempts[action.attempt]
+        if not item.over:
+            self._stop(item)
+            self._outcome(item, Answer(api.Status.CANCELLED))
+
+    def _outcome(self, item: Try, answer: Answer) -> None:
+        """The one outcome of an attempt; a backend's whole answer goes to the client and ends the request."""
+        item.over, item.attempt = True, None
+        if item.timer is not None:
+            item.timer.cancel()
+        if answer.status is api.Status.OK:
+            self._answer(item.request, lambda client: client.served(answer.body, answer.content_type))
+        request = self.open.get(item.request)
+        closed = request is None or request.answered
+        if request is not None and closed:
+            self._forget(item.request, request)
+        took = self.now() - item.sent
+        self.event(
+            api.Outcome(item.request, item.number, item.backend, answer.status, took, closed, answer.report)
+        )
+
+    def _deadline(self, name: str) -> None:
+        """The client's time is up: end what is out, and answer whatever the module did not."""
+        request = self.open.get(name)
+        if request is None or request.answered:
+            return
+        for item in request.attempts:
+            self._timeout(item)
+        if name in self.open and not request.answered:
+            self._answer(name, lambda client: client.failed())
+            self.event(api.ClientGone(name))
+
+    def _answer(self, name: str, tell: Callable[[Client], None]) -> None:
+        request = self.open.get(name)
+        if request is not None and not request.answered:
+            client = request.client
+            self._close(name, request)
+            tell(client)
+
+    def _close(self, name: str, request: Open) -> None:
+        request.answered = True
+        if request.limit is not None:
+            request.limit.cancel()
+        self._forget(name, request)
+
+    def _forget(self, name: str, request: Open) -> None:
+        """Drop a request that is answered and has nothing out."""
+        if name in self.open and all(item.over for item in request.attempts):
+            del self.open[name]
+            if not self.open:
+                self._drained()
--- /dev/null
+++ b/dillport/net/upstream.py
@@ -0,0 +1,367 @@
+"""Connections to backends: the pool, one attempt on a connection, its outcome and load report."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import math
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+from dillport import interface as api
+from dillport.interface import Status
+from dillport.net.config import Address, Member
+
+log = logging.getLogger(__name__)
+
+MAX_BODY = 64 * 1024
+MAX_HEAD = 16 * 1024
+KEEP = 0.7  # part of the backend's idle limit after which this side closes
+SWEEP = 0.1  # part of the idle limit between two looks for idle connections
+FIELDS = {
+    "inflight": "in_flight", "active": "in_flight", "queue": "queue", "waiting": "queue", "util": "cpu",
+    "cpu": "cpu", "latency_ms": "mean_time", "avg_ms": "mean_time", "qps": "rate", "rps": "rate",
+    "eps": "error_rate", "err_rps": "error_rate",
+}  # fmt: skip
+
+
+def parse_report(value: str) -> api.Report:
+    """A load report header; fields of other names are skipped. Raises ValueError."""
+    form, _, rest = value.partition(" ")
+    if form != "TEXT":
+        raise ValueError(f"not a load report: {value!r:.120}")
+    out = api.Report()
+    for part in rest.split(","):
+        name, sign, text = part.strip().partition("=")
+        number = float(text) if sign else math.nan
+        if not 0 <= number < math.inf:
+            raise ValueError(f"not a load report: {value!r:.120}")
+        if name in FIELDS:
+            setattr(out, FIELDS[name], number)
+    return out
+
+
+@dataclass(slots=True)
+class Answer:
+    """How an attempt ended; `body` and `content_type` are those of a backend's 200."""
+
+    status: Status
+    report: api.Report | None = None
+    body: bytes = b""
+    content_type: bytes = b""
+
+
+class Attempt:
+    """One request on its way to one backend; `done` is called once with its end, unless it is dropped."""
+
+    __slots__ = ("connection", "data", "done", "host")
+
+    def __init__(self, host: Host, data: bytes, done: Callable[[Answer], None]) -> None:
+        self.host, self.data, self.done = host, data, done
+        self.connection: Connection | None = None
+
+    @property
+    def left(self) -> bool:
+        """Whether the request's last byte may have left this node."""
+        return self.connection is not None and self.connection.wrote and not self.connection.blocked
+
+    def end(self, answer: Answer) -> None:
+        """Report the end."""
+        self.connection = None
+        self.done(answer)
+
+    def drop(self) -> None:
+        """Stop waiting. The connection is closed on return, so that no two copies are out at once."""
+        if self.connection is not None:
+            self.connection.attempt = None
+            self.connection.close()
+            self.connection = None
+
+
+class Host:
+    """One backend: where it listens, whether it takes work, its idle connections, latest used last."""
+
+    __slots__ = ("address", "idle", "up")
+
+    def __init__(self, address: Address) -> None:
+        self.address, self.up = address, True
+        self.idle: list[Connection] = []
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a backend; it carries one attempt at a time."""
+
+    def __init__(self, pool: Pool, host: Host) -> None:
+        self.pool, self.host, self.address = pool, host, host.address
+        family = socket.AF_INET6 if ":" in host.address[0] else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.attempt: Attempt | None = None
+        self.closed = self.wrote = self.blocked = False
+        self.idle_since = 0.0
+        self._reset()
+
+    def _reset(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.body: list[bytes] = []
+        self.size = self.head = 0
+        self.load = self.content_type = b""
+        self.not_started = self.complete = self.excess = False
+
+    # --- opening, closing
+
+    async def open(self) -> None:
+        """Connect, then write the attempt that waits for it."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self.pool.connect_timeout):
+                await loop.sock_connect(self.sock, self.address)
+                await loop.create_connection(lambda: self, sock=self.sock)
+        except (OSError, TimeoutError):
+            self._fail(Status.CONNECT_FAILED)
+            return
+        attempt = self.attempt
+        if attempt is None or self.closed:
+            self.close()
+        elif not self.host.up or self.host.address != self.address:
+            # Guards against sending to a backend that was taken off the list while the connection came up.
+            self._fail(Status.MOOT)
+        else:
+            self.write(attempt)
+
+    @property
+    def alive(self) -> bool:
+        """Whether it is up, as far as this side knows."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def _fail(self, status: Status) -> None:
+        attempt, self.attempt = self.attempt, None
+        self.close()
+        if attempt is not None:
+            attempt.end(Answer(status))
+
+    def close(self) -> None:
+        """Close now: transports would do it a turn of the loop later, after the next attempt went out."""
+        if self.closed:
+            return
+        self.closed = True
+        self.pool.count -= 1
+        if self in self.host.idle:
+            self.host.idle.remove(self)
+        if self.task is not None and not self.task.done() and self.task is not asyncio.current_task():
+            self.task.cancel()
+        if self.transport is None:
+            self.sock.close()
+            return
+        with contextlib.suppress(OSError):  # the other side was first
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.transport.abort()
+
+    # --- asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep no bytes back: what a write leaves in the buffer has not left, and that must be known."""
+        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        self.transport.set_write_buffer_limits(high=0)
+        if self.closed:
+            self.transport.abort()
+
+    def pause_writing(self) -> None:
+        """Bytes of the request are still here."""
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        """The request's last byte has left."""
+        self.blocked = False
+
+    def write(self, attempt: Attempt) -> None:
+        """Send the attempt's request."""
+        assert self.transport is not None
+        self.attempt, attempt.connection = attempt, self
+        self._reset()
+        self.transport.write(attempt.data)
+        self.wrote = True
+        # Guards against calling a reset what never left: a write that fails at once closes the transport.
+        if self.transport.is_closing():
+            self._fail(Status.CONNECT_FAILED)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """A break before the request's last byte has left proves that it never ran; after, it may have."""
+        self._fail(Status.CONNECT_FAILED if self.blocked else Status.RESET)
+
+    def data_received(self, data: bytes) -> None:
+        """Read the answer; bytes that belong to none spoil the connection."""
+        if self.attempt is None:
+            self.close()
+            return
+        fault = ""
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
+            fault = f"broken answer: {err}"
+        if self.complete:
+            self._finish(not fault and not self.excess)
+        elif fault or self.size > MAX_BODY or self.head > MAX_HEAD:
+            log.warning("backend %s:%d: %s", *self.address, fault or "answer too large")
+            self._fail(Status.RESET)
+
+    # --- httptools
+
+    def on_message_begin(self) -> None:
+        """A second answer is one too many."""
+        self.excess = self.complete
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep the few headers that matter."""
+        if self.complete:
+            return
+        self.head += len(name) + len(value)
+        key = name.lower()
+        if key == b"server-load":
+            self.load = value
+        elif key == b"not-started":
+            self.not_started = value.strip() == b"1"
+        elif key == b"content-type":
+            self.content_type = value
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body up to the limit."""
+        if not self.complete:
+            self.size += len(body)
+            if self.size <= MAX_BODY:
+                self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        """The answer is whole, unless it was an interim one."""
+        if self.complete:
+            return
+        if self.parser.get_status_code() < 200:
+            self.load = b""
+            self.not_started = False
+            return
+        self.complete = True
+        self.keep_alive = self.parser.should_keep_alive()
+        self.code = self.parser.get_status_code()
+
+    def _finish(self, clean: bool) -> None:
+        attempt, self.attempt = self.attempt, None
+        assert attempt is not None
+        report = None
+        if self.load:
+            try:
+                report = parse_report(self.load.decode("latin-1"))
+            except ValueError as err:
+                log.warning("backend %s:%d: %s", *self.address, err)
+        if self.size > MAX_BODY:
+            answer = Answer(Status.ERROR, report)
+        elif self.code == 200:
+            answer = Answer(Status.OK, report, b"".join(self.body), self.content_type)
+        elif self.code in (503, 504) and self.not_started:
+            answer = Answer(Status.FULL, report)
+        else:
+            answer = Answer(Status.ERROR, report)
+        self.pool.release(self, clean and self.keep_alive and not self.blocked)
+        attempt.end(answer)
+
+
+class Pool:
+    """All connections to backends."""
+
+    def __init__(self, settings: api.Settings, limit: int) -> None:
+        self.connect_timeout = settings.connect_timeout / 1000
+        self.idle_limit = settings.conn_idle / 1000
+        self.limit, self.count = limit, 0
+        self.hosts: dict[str, Host] = {}
+        self.sweeper: asyncio.TimerHandle | None = None
+        self.loop = asyncio.get_running_loop()
+
+    def update(self, members: tuple[Member, ...], complete: bool) -> None:
+        """Take the news of the list: idle connections to what leaves or moves go."""
+        if complete:
+            for name in self.hosts.keys() - {m.entry.backend for m in members}:
+                self._remove(name)
+        for member in members:
+            name = member.entry.backend
+            if member.entry.phase is api.Phase.GONE:
+                self._remove(name)
+                continue
+            host = self.hosts.setdefault(name, Host(member.address))
+            host.up = member.entry.phase is api.Phase.UP
+            if not host.up or host.address != member.address:
+                self.close_idle(name)
+            host.address = member.address
+
+    def _remove(self, name: str) -> None:
+        """Forget a backend; an attempt that is out there ends on its own."""
+        if name in self.hosts:
+            self.hosts[name].up = False
+            self.close_idle(name)
+            del self.hosts[name]
+
+    def close_idle(self, name: str) -> None:
+        """Close the idle connections to a backend."""
+        for connection in self.hosts[name].idle[:] if name in self.hosts else ():
+            connection.close()
+
+    def start(self, name: str, data: bytes, done: Callable[[Answer], None]) -> Attempt:
+        """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once."""
+        host = self.hosts[name]
+        attempt = Attempt(host, data, done)
+        stale = self.loop.time() - KEEP * self.idle_limit
+        while host.idle:
+            connection = host.idle.pop()
+            if connection.idle_since < stale or not connection.alive:
+                connection.close()
+                continue
+            connection.write(attempt)
+            return attempt
+        if self.count >= self.limit and not self._evict():
+            attempt.end(Answer(Status.MOOT))
+            return attempt
+        self.count += 1
+        connection = Connection(self, host)
+        connection.attempt, attempt.connection = attempt, connection
+        connection.task = self.loop.create_task(connection.open())
+        return attempt
+
+    def _evict(self) -> bool:
+        """Close the connection that has been idle longest."""
+        idle = [host.idle[0] for host in self.hosts.values() if host.idle]
+        if idle:
+            min(idle, key=lambda connection: connection.idle_since).close()
+        return bool(idle)
+
+    def release(self, connection: Connection, reusable: bool) -> None:
+        """Take back a connection after its answer."""
+        host = connection.host
+        if not reusable or not host.up or host.address != connection.address or connection.closed:
+            connection.close()
+            return
+        connection.wrote, connection.idle_since = False, self.loop.time()
+        host.idle.append(connection)
+        if self.sweeper is None:
+            self.sweeper = self.loop.call_later(max(SWEEP * self.idle_limit, 0.05), self._sweep)
+
+    def _sweep(self) -> None:
+        """Close what has been idle for long, well before the backend does so under a request."""
+        self.sweeper, stale, left = None, self.loop.time() - KEEP * self.idle_limit, False
+        for host in self.hosts.values():
+            for connection in [c for c in host.idle if c.idle_since < stale]:
+                connection.close()
+            left = left or bool(host.idle)
+        if left:
+            self.sweeper = self.loop.call_later(max(SWEEP * self.idle_limit, 0.05), self._sweep)
+
+    def close(self) -> None:
+        """Close all idle connections, at the end."""
+        for name in self.hosts:
+            self.close_idle(name)
+        if self.sweeper is not None:
+            self.sweeper.cancel()
--- a/dillport/wire.py
+++ b/dillport/wire.py
@@ -141,17 +141,22 @@
 
 
 def settings(text: str) -> api.Settings:
-    """The settings out of a START line; raises SettingsError where one is missing or senseless.
-
-    Left out on purpose, as they say nothing that a decision could use: `family`, `stages` and `tier` (an
-    instance sends to one tier only). Unknown keys are skipped.
-    """
+    """The settings out of a START line; raises SettingsError where one is missing or senseless."""
     try:
         raw = json.loads(text)
     except (ValueError, RecursionError) as err:
         raise api.SettingsError(f"boot-info is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise api.SettingsError("boot-info is not an object")
+    return parse_settings(raw)
+
+
+def parse_settings(raw: Table) -> api.Settings:
+    """The settings out of their JSON object, as a START line or a node's configuration holds it.
+
+    Left out on purpose, as they say nothing that a decision could use: `family`, `stages` and `tier` (an
+    instance sends to one tier only). Unknown keys are skipped.
+    """
     limits, rules, load = _table(raw, "limits"), _table(raw, "rules"), _table(raw, "load-info")
     charges, blend, family = _table(raw, "charges"), _table(raw, "blend"), _table(raw, "family-info")
     classes = _rows(raw, "request-classes")
