Tell refused clients when to return

Excluded: the node; front.py writes the header whenever the module gives a time. Cause: policy.py, _finish, `api.Refuse(req.id)` gave none. Mend: one to two usual times of the class, by chance, within the limit. Both tests fail without the change.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -32,6 +32,7 @@
 LOSSY = 0.05  # share of attempts without an answer from which answers are taken to get lost
 GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples lie evenly on a ring, whichever numbers a zone's nodes have
 EWMA = 0.1  # weight of one sample in a running mean
+AWAY = (1.0, 2.0)  # usual times of its class that a refused client is told to stay away, at least and most
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
 
 
@@ -359,12 +360,19 @@
         c = req.cls.cfg
         harmless = (c.effect is api.Effect.SAFE or all(a.status in api.NEVER_RAN for a in req.attempts)
                     or (c.effect is api.Effect.KEYED and c.group is api.Group.ALL))
-        self.acts.append(api.Refuse(req.id) if harmless else api.Fail(req.id))
+        self.acts.append(api.Refuse(req.id, self._away(req)) if harmless else api.Fail(req.id))
         self.shed += 1
         if self.arrived >= 50 and self.shed > self.arrived / 4:  # worth a line to the people on call
             self._log(f"shedding: {self.shed} of {self.arrived} requests refused or failed")
         self._close(req)
 
+    def _away(self, req: Request) -> float:
+        """How long a refused client should stay away: until what is out now has made room, spread by chance.
+
+        Guards against refused clients that all come back at once, into the crowd that turned them away.
+        """
+        return min(self.cfg.max_retry_after, req.cls.usual * self.rng.uniform(*AWAY))
+
     def _close(self, req: Request) -> None:
         """Nothing more is sent for it; an attempt still out is called off."""
         req.over, req.pending = True, set()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -405,6 +405,19 @@
     assert all(f"`{word}:" in page for word in ("panic", "list", "shedding"))
 
 
+def test_a_refused_client_is_told_when_to_return_within_the_limit() -> None:
+    """Guards against refused clients that come back in step: what they are told differs."""
+    told: list[float] = []
+    for longest in (0.0, 150.0, 1000.0):
+        b = node(replace(BASE, max_retry_after=longest), ["b0"])
+        b.handle(1000.0, api.ListUpdate(api.ListKind.FULL, []))
+        got = [answers(_arrive(b, f"r{i}", 1000.0))[0] for i in range(20)]
+        told = [a.retry_after for a in got if isinstance(a, api.Refuse)]
+        assert len(told) == 20 and all(0.0 <= t <= longest for t in told)
+        assert longest == 0.0 or min(told) > 0.0
+    assert len(set(told)) == 20
+
+
 def test_the_lowest_limit_grows_with_the_backends_that_fall_to_a_node() -> None:
     """Guards against few busy nodes that starve a fleet where serving alone takes much of the aim."""
     many = [f"b{i}" for i in range(60)]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -340,6 +340,24 @@
     run(test)
 
 
+def test_a_refusal_comes_at_once_and_says_when_to_return(tmp_path: Path) -> None:
+    """Guards against clients that all come back at once after a refusal."""
+
+    async def test() -> None:
+        backend = Backend("b0", never)
+        limits = {"retry-after": True, "max-retry-after": 100}
+        async with running(tmp_path, backend, limits=limits) as rig:
+            client = await rig.client()
+            await rig.discovery.asked.get()
+            rig.discovery.news(42, backend.member(phase="terminating"))
+            rig.discovery.news(43, complete=True)
+            while (got := await client.ask("/read", "Request-Timeout: 50m")).code != 503:
+                pass
+            assert 0 < float(got.headers["retry-after"]) <= 0.1
+
+    run(test)
+
+
 # --- the list
 
 
