--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -360,19 +360,15 @@
         c = req.cls.cfg
         harmless = (c.effect is api.Effect.SAFE or all(a.status in api.NEVER_RAN for a in req.attempts)
                     or (c.effect is api.Effect.KEYED and c.group is api.Group.ALL))
-        self.acts.append(api.Refuse(req.id, self._away(req)) if harmless else api.Fail(req.id))
+        away = self.cfg.max_retry_after
+        if harmless and away > 0:  # until there is room; guards against clients that come back in step
+            away = min(away, req.cls.usual * self.rng.uniform(*AWAY))
+        self.acts.append(api.Refuse(req.id, away) if harmless else api.Fail(req.id))
         self.shed += 1
         if self.arrived >= 50 and self.shed > self.arrived / 4:  # worth a line to the people on call
             self._log(f"shedding: {self.shed} of {self.arrived} requests refused or failed")
         self._close(req)
 
-    def _away(self, req: Request) -> float:
-        """How long a refused client should stay away: until what is out now has made room, spread by chance.
-
-        Guards against refused clients that all come back at once, into the crowd that turned them away.
-        """
-        return min(self.cfg.max_retry_after, req.cls.usual * self.rng.uniform(*AWAY))
-
     def _close(self, req: Request) -> None:
         """Nothing more is sent for it; an attempt still out is called off."""
         req.over, req.pending = True, set()
