--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,6 +17,7 @@
 
 ROOT = Path(__file__).parents[1]
 WAIT = 20.0  # s until a test that waits for something that does not come fails
+HOUR = 3_600_000  # ms: no time-out or idle limit comes to the help of a test that does not set its own
 IDS = itertools.count(1)
 CLASSES: list[dict[str, Any]] = [
     {"name": "read", "effect": "retryable", "give-up": 4000, "objective": 3000},
@@ -24,8 +25,9 @@
      "objective": 3000},
     {"name": "once", "effect": "fragile", "give-up": 4000, "objective": 3000},
 ]  # fmt: skip
+PATIENT = {"request-classes": [c | {"give-up": HOUR, "objective": HOUR} for c in CLASSES]}
 LIMITS: dict[str, Any] = {
-    "cancel": True, "conn-idle": 10000, "connect-timeout": 1000, "most-tries": 4, "streams-per-conn": 1,
+    "cancel": True, "conn-idle": HOUR, "connect-timeout": 1000, "most-tries": 4, "streams-per-conn": 1,
 }  # fmt: skip
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,7 @@
 from dillport.net.front import Front
 from dillport.net.node import Node
 from dillport.net.upstream import Answer, Pool, parse_report
-from tests.sockets import WAIT, Backend, Client, Message, answer, configuration, echo, running, spawn
+from tests.sockets import PATIENT, WAIT, Backend, Client, Message, answer, configuration, echo, running, spawn
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
@@ -352,7 +352,7 @@
 def test_a_client_that_leaves_calls_its_attempt_off(tmp_path: Path) -> None:
     async def test() -> None:
         backend = Backend("b0", never)
-        async with running(tmp_path, backend) as rig:
+        async with running(tmp_path, backend, **PATIENT) as rig:
             client = await rig.client()
             client.send("/read")
             await backend.got.get()
@@ -529,16 +529,18 @@
 
 def test_a_request_behind_an_answer_that_closes_is_not_taken(tmp_path: Path) -> None:
     async def test() -> None:
-        async with running(tmp_path) as rig:
+        backend = Backend("b0")
+        async with running(tmp_path, backend) as rig:
             rig.terminate()
             while (await (await rig.client()).ask("/up")).code != 503:
                 pass
             client = await rig.client()
-            one = "GET /read HTTP/1.1\r\nRequest-Id: %d\r\n\r\n"
-            client.writer.write((one % 1 + one % 2).encode())  # in one packet, so that both are read at once
+            two = b"GET /up HTTP/1.1\r\n\r\nGET /read HTTP/1.1\r\nRequest-Id: 1\r\n\r\n"
+            client.writer.write(two)  # in one packet, so that both are read at once
             assert (await client.answer()).headers["connection"] == "close"
             assert await client.ended() == b""
             assert await rig.end() == 0
+            assert backend.got.empty()
 
     run(test)
 
@@ -611,7 +613,7 @@
 def test_no_more_than_max_open_requests_are_taken(tmp_path: Path) -> None:
     async def test() -> None:
         backend = Backend("b0", never)
-        async with running(tmp_path, backend, limits={"max-open": 1}) as rig:
+        async with running(tmp_path, backend, limits={"max-open": 1}, **PATIENT) as rig:
             first, second = await rig.client(), await rig.client()
             first.send("/read")
             await backend.got.get()
