--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -531,6 +531,8 @@
     async def test() -> None:
         backend = Backend("b0")
         async with running(tmp_path, backend) as rig:
+            await (await rig.client()).ask("/read")  # leaves a connection on which the next is sent at once
+            await backend.got.get()
             rig.terminate()
             while (await (await rig.client()).ask("/up")).code != 503:
                 pass
