SIGHUP moves the node to another discovery instead of ending it

No handler for SIGHUP was set in __main__.serve, so the signal's default ended the process. Cause: __main__.py set handlers for SIGTERM and SIGINT only; and Discovery could not move: its revision is that of the old address, under which a new one's lower revisions would be taken for old news. Now: the file is read again (it goes before the environment, which is that of the start); calls to the old address are dropped, the whole list is fetched from the new one and the watch goes on from its revision. A bad file costs one line. A bad line of a watch now asks for the whole list too, in place of a watch from 0. Test: a reload over loopback with an open request, lower revisions and a list that lacks a backend; without the handler the node ends. A bad file: the old discovery is still listened to.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -21,8 +21,19 @@
 LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
 
 
+def reload(discovery: Discovery) -> None:
+    """Read the configuration again: discovery may have moved. All else holds until the next start."""
+    try:
+        config = load(os.environ, again=True)
+    except ConfigError as err:
+        logging.error("reload: the old configuration stays: %s", " ".join(str(err).split()))
+        return
+    discovery.move(config.discovery)
+    logging.info("reload: discovery is at %s:%d", *config.discovery)
+
+
 async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT, then answer what was taken and return."""
+    """Run until SIGTERM or SIGINT, then answer what was taken and return; SIGHUP reads the file again."""
     loop = asyncio.get_running_loop()
     node = Node(config)
     node.discovery = discovery = Discovery(node, config.discovery, config.known.revision)
@@ -30,6 +41,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload, discovery)
     node.list(config.known, ListKind.SAVED)
     if not config.settings.must_ask:
         discovery.watch(True)
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -112,8 +112,9 @@
     return News(revision, complete, tuple(map(_member, raw["members"])))
 
 
-def _at(raw: Mapping[str, Any], env: Mapping[str, str], name: str) -> Address:
-    value = env.get(PREFIX + name.upper()) or raw.get(name)
+def _at(raw: Mapping[str, Any], env: Mapping[str, str], name: str, again: bool) -> Address:
+    told = env.get(PREFIX + name.upper())
+    value = raw.get(name) or told if again else told or raw.get(name)
     if value is None:
         raise ConfigError(f"{name} is missing")
     try:
@@ -122,8 +123,11 @@
         raise ConfigError(f"{name} makes no sense: {value!r:.120}") from None
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """The configuration that the environment points to; raises ConfigError."""
+def load(env: Mapping[str, str], again: bool = False) -> Config:
+    """The configuration that the environment points to; raises ConfigError.
+
+    The environment goes before the file, but not when it is read again: it is that of the start.
+    """
     path = env.get(PREFIX + "CONFIG")
     if not path:
         raise ConfigError(f"{PREFIX}CONFIG is missing")
@@ -157,8 +161,8 @@
     clients = int((sockets - SPARE) * CLIENT_PART)
     return Config(
         name=str(env.get(PREFIX + "NAME") or raw.get("name", "")),
-        listen=_at(raw, env, "listen"),
-        discovery=_at(raw, env, "discovery"),
+        listen=_at(raw, env, "listen", again),
+        discovery=_at(raw, env, "discovery", again),
         seed=number,
         settings=settings,
         known=known,
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -19,24 +19,37 @@
 SILENCE = 5.0  # s without a byte after which a watch is dead: an empty line comes every 2 s
 CONNECT = 2.0  # s for a connection to come up
 WAIT_FIRST, WAIT_MOST = 0.1, 2.0  # s before a new try, doubled with each failure, jittered
-MAX_LINE = 8 * 1024 * 1024
+MAX_LINE = 1024 * 1024  # thousands of backends; a longer line would cost a small node its memory
 
 
 class Call(asyncio.Protocol):
     """One call: a watch that goes on until its connection ends, or the whole list once."""
 
-    def __init__(self, owner: Discovery, target: str, watch: bool) -> None:
-        self.owner, self.target, self.watch = owner, target, watch
+    def __init__(self, owner: Discovery, address: Address, target: str, watch: bool) -> None:
+        self.owner, self.address, self.target, self.watch = owner, address, target, watch
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.rest = bytearray()
         self.timer: asyncio.TimerHandle | None = None
-        self.done = False
+        self.done = self.ended = False
+
+    async def dial(self) -> None:
+        """Connect; `connection_lost` or this ends the call."""
+        try:
+            async with asyncio.timeout(CONNECT):
+                await asyncio.get_running_loop().create_connection(lambda: self, *self.address)
+        except (OSError, TimeoutError) as err:
+            if not self.ended:
+                log.warning("discovery: no connection: %s", err or "timed out")
+            self._end()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask."""
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
-        host, port = self.owner.address
+        if self.ended:
+            self.transport.abort()
+            return
+        host, port = self.address
         keep = "keep-alive" if self.watch else "close"
         self.transport.write(
             f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: {keep}\r\n\r\n".encode("ascii")
@@ -55,6 +68,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Read; what is not HTTP ends the call."""
+        if self.ended:
+            return
         self._awake()
         try:
             self.parser.feed_data(data)
@@ -64,7 +79,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Lines may be cut anywhere."""
-        if self.parser.get_status_code() != 200:
+        if self.ended or self.parser.get_status_code() != 200:
             return
         self.rest += body
         if self.watch:
@@ -77,100 +92,135 @@
             self.close()
 
     def _line(self, line: bytes) -> None:
-        if not line.strip():
+        if self.ended or not line.strip():
             return
         try:
             update = news(json.loads(line))
         except (ListError, ValueError, RecursionError) as err:
             log.warning("discovery: bad line: %.200s", err)
             # What it said is lost, and later changes do not repeat it: only the whole list will do.
-            self.owner.revision = 0
+            self.owner.revision = None
             self.close()
             return
         self.owner.news(update)
 
     def on_message_complete(self) -> None:
         """The end of a whole list, or of a watch."""
-        if not self.watch and self.parser.get_status_code() == 200:
+        if not self.watch and not self.ended and self.parser.get_status_code() == 200:
             self.done = True
             self._line(bytes(self.rest))
         self.close()
 
+    def eof_received(self) -> None:
+        """A list without a length ends with its connection."""
+        if not self.watch and not self.done and self.rest:
+            self.on_message_complete()
+
     def close(self) -> None:
         """End the call."""
         if self.transport is not None:
             self.transport.abort()
 
+    def drop(self) -> None:
+        """End the call and say nothing of it: its owner no longer wants to know."""
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the owner."""
         if self.timer is not None:
             self.timer.cancel()
-        self.owner.lost(self)
+        self._end()
+
+    def _end(self) -> None:
+        if not self.ended:
+            self.ended = True
+            self.owner.lost(self)
 
 
 class Discovery:
     """Keeps the node's list up to date; the last list stays in force while discovery is away."""
 
-    def __init__(self, node: Node, address: Address, revision: int) -> None:
-        self.node, self.address, self.revision = node, address, revision
-        self.call: Call | None = None
-        self.wanted = self.connecting = False
+    def __init__(self, node: Node, address: Address, revision: int | None) -> None:
+        self.node, self.address = node, address
+        self.revision = revision  # of the list held; None: only the whole list will do
+        self.following: Call | None = None  # the watch, or the whole list that a watch goes on from
+        self.fetching: set[Call] = set()
+        self.wanted = False
         self.wait = WAIT_FIRST
+        self.retry: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def watch(self, on: bool) -> None:
         """Start or stop the watch."""
         self.wanted = on
-        if not on and self.call is not None:
-            self.call.close()
-        elif on and self.call is None and not self.connecting:
-            self._connect()
+        if not on:
+            self._drop()
+        elif self.following is None and self.retry is None:
+            self._follow()
 
     def fetch(self) -> None:
         """Ask for the whole list once."""
-        self._start(Call(self, "/discovery/hosts", False))
+        call = Call(self, self.address, "/discovery/hosts", False)
+        self.fetching.add(call)
+        self._start(call)
 
-    def _connect(self) -> None:
-        if not self.wanted:
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on. Its revisions are its own: the whole list comes first."""
+        if address == self.address:
             return
-        self.connecting = True
-        self._start(Call(self, f"/discovery/hosts?watch=1&from={self.revision}", True))
+        self._drop()
+        self.address, self.revision, self.wait = address, None, WAIT_FIRST
+        if self.wanted:
+            self._follow()
+
+    def _drop(self) -> None:
+        """Forget the calls that are out."""
+        if self.retry is not None:
+            self.retry.cancel()
+            self.retry = None
+        for call in {self.following, *self.fetching} - {None}:
+            assert call is not None
+            call.drop()
+        self.following = None
+        self.fetching.clear()
+
+    def _follow(self) -> None:
+        self.retry = None
+        known = self.revision is not None
+        target = f"/discovery/hosts?watch=1&from={self.revision}" if known else "/discovery/hosts"
+        self.following = Call(self, self.address, target, known)
+        self._start(self.following)
 
     def _start(self, call: Call) -> None:
-        task = self.loop.create_task(self._dial(call))
+        task = self.loop.create_task(call.dial())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _dial(self, call: Call) -> None:
-        try:
-            async with asyncio.timeout(CONNECT):
-                await self.loop.create_connection(lambda: call, *self.address)
-        except (OSError, TimeoutError) as err:
-            log.warning("discovery: no connection: %s", err or "timed out")
-            self.lost(call)
-            return
-        if call.watch:
-            self.call, self.connecting = call, False
-
     def news(self, update: News) -> None:
         """Apply a line by its revision: a change that is not newer than the list held is an old one."""
         self.wait = WAIT_FIRST
         if update.complete:
             self.revision = update.revision
             self.node.list(update, api.ListKind.FULL)
-        elif update.revision > self.revision:
+        elif self.revision is not None and update.revision > self.revision:
             self.revision = update.revision
             self.node.list(update, api.ListKind.CHANGES)
 
     def lost(self, call: Call) -> None:
         """A call has ended: the module hears of it where it asks by itself, else the watch is tried again."""
-        if call.watch:
-            self.call, self.connecting = None, False
-        if self.node.settings.must_ask:
+        self.fetching.discard(call)
+        follows = call is self.following
+        if follows:
+            self.following = None
+        if follows and call.done and self.wanted and self.revision is not None:
+            self._follow()
+        elif self.node.settings.must_ask:
             if not call.done and self.wanted:
                 self.node.list_failed()
-        elif call.watch and self.wanted:
-            self.connecting = True
-            self.loop.call_later(self.wait * random.uniform(0.5, 1.5), self._connect)
+        elif follows and self.wanted:
+            self.retry = self.loop.call_later(self.wait * random.uniform(0.5, 1.5), self._follow)
             self.wait = min(2 * self.wait, WAIT_MOST)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -114,7 +114,7 @@
 
 @dataclass
 class FakeDiscovery:
-    """Answers watches with the chunks it is told to send; `asked` holds their targets."""
+    """Answers each call with the chunks it is told to send; `asked` holds their targets."""
 
     asked: asyncio.Queue[str] = field(default_factory=asyncio.Queue)
     writer: asyncio.StreamWriter | None = None
@@ -144,6 +144,11 @@
         line = {"revision": revision, "complete": complete, "members": members}
         self.send(json.dumps(line).encode() + b"\n")
 
+    def whole(self, revision: int, *members: dict[str, Any]) -> None:
+        """The whole list, as the one answer of a call."""
+        self.news(revision, *members, complete=True)
+        self.send(b"")
+
 
 class Client:
     """One connection of a client."""
@@ -187,6 +192,7 @@
     discovery: FakeDiscovery
     log: list[str]
     clients: list[Client] = field(default_factory=list)
+    path: Path = Path()
 
     async def client(self) -> Client:
         """A new connection to the node."""
@@ -212,6 +218,11 @@
         """SIGTERM."""
         self.process.send_signal(signal.SIGTERM)
 
+    def reload(self, text: str) -> None:
+        """Another configuration file and SIGHUP."""
+        self.path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     async def end(self) -> int:
         """Wait for the node's end; its exit code."""
         async with asyncio.timeout(WAIT):
@@ -236,9 +247,10 @@
     }  # fmt: skip
 
 
-async def spawn(path: Path) -> asyncio.subprocess.Process:
-    """Start the program on a configuration file."""
+async def spawn(path: Path, **told: str) -> asyncio.subprocess.Process:
+    """Start the program on a configuration file; `told` are further `PROXY_` variables."""
     env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    env |= {f"PROXY_{k.upper()}": v for k, v in told.items()}
     return await asyncio.create_subprocess_exec(
         sys.executable, "-B", "-m", "dillport", cwd=ROOT, env=env | {"PROXY_CONFIG": str(path)},
         stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
@@ -254,8 +266,8 @@
         await backend.start()
     path = tmp / "config.json"
     path.write_text(json.dumps(configuration([b.member() for b in backends], discovery.port, **over)))
-    process = await spawn(path)
-    rig = Rig(process, 0, discovery, [])
+    process = await spawn(path, discovery=f"127.0.0.1:{discovery.port}")
+    rig = Rig(process, 0, discovery, [], path=path)
     try:
         await rig.logged("serves on")
         found = re.search(r"serves on \S+:(\d+)", rig.log[-1])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,19 @@
 from dillport.net.front import Front
 from dillport.net.node import Node
 from dillport.net.upstream import Answer, Pool, parse_report
-from tests.sockets import PATIENT, WAIT, Backend, Client, Message, answer, configuration, echo, running, spawn
+from tests.sockets import (
+    PATIENT,
+    WAIT,
+    Backend,
+    Client,
+    FakeDiscovery,
+    Message,
+    answer,
+    configuration,
+    echo,
+    running,
+    spawn,
+)
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
@@ -460,13 +472,69 @@
             await rig.discovery.asked.get()
             rig.discovery.send(b'{"revision": 42, "members": [{"id": "b9"}]}\n')
             await rig.logged("bad line")
-            assert await rig.discovery.asked.get() == "/discovery/hosts?watch=1&from=0"
+            assert await rig.discovery.asked.get() == "/discovery/hosts"
+            rig.discovery.whole(43, backend.member())
+            assert await rig.discovery.asked.get() == "/discovery/hosts?watch=1&from=43"
             client = await rig.client()
             assert (await client.ask("/read")).code == 200
 
     run(test)
 
 
+def test_sighup_moves_to_the_discovery_of_the_new_file_and_keeps_what_is_open(tmp_path: Path) -> None:
+    """Guards against ending on SIGHUP, and against a list that stays that of the address left behind.
+
+    Revisions at the new address are lower than those held: only its whole list says what is gone.
+    """
+
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def slow(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            await echo(backend, message, writer)
+
+        old, new, discovery = Backend("b0", slow), Backend("b1"), FakeDiscovery()
+        await new.start()
+        await discovery.start()
+        async with running(tmp_path, old, **PATIENT) as rig:
+            assert await rig.discovery.asked.get() == "/discovery/hosts?watch=1&from=41"
+            client = await rig.client()
+            client.send("/read")
+            await old.got.get()
+            rig.reload(json.dumps(configuration([], discovery.port)))
+            assert await discovery.asked.get() == "/discovery/hosts"
+            discovery.whole(3, new.member())
+            assert await discovery.asked.get() == "/discovery/hosts?watch=1&from=3"
+            other = await rig.client()
+            assert (await other.ask("/read")).body.startswith(b"b1 ")
+            discovery.news(4, new.member(phase="terminating"))
+            await new.lost.get()
+            assert (await other.ask("/read")).code == 503
+            go.set()
+            assert (await client.answer()).body.startswith(b"b0 ")
+            rig.terminate()
+            assert await rig.end() == 0
+        new.stop()
+
+    run(test)
+
+
+def test_a_bad_file_at_sighup_costs_a_log_line(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = Backend("b0")
+        async with running(tmp_path, backend) as rig:
+            await rig.discovery.asked.get()
+            rig.reload("{")
+            await rig.logged("reload: the old configuration stays")
+            rig.discovery.news(42, backend.member(phase="terminating"))  # still listened to
+            client = await rig.client()
+            while (await client.ask("/read")).code != 503:
+                pass
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     "row",
     [{}, {"id": 3}, {"phase": "odd"}, {"size": -1}, {"size": "1"}, {"host_port": "here:1"}, {"cell": "x"}],
