The concurrency limit leaves the way to a backend out and starts at 3.5 a backend

Probe lines: backends report 2.4 to 3.2 requests in flight and nothing waiting, while the node holds 30 to 85 requests back with its limit at or near the least (12 to 20 for 12 backends and two nodes). Ruled out: CPU (0.2 of a core), ejections (no panic lines), full caps, the throttle (trust 0.98 to 1.0). Cause: policy.py, Balancer._steer: it steers for answers in a fifth of the aim, round trip and all. Across zones the way alone takes 11 to 20 ms; of an aim of 120 ms that is most of the 24 ms, and no lower limit mends it. And LIMIT_LEAST of 2 requests a backend is less than its cores (2 or 4) and the way take. Now: the least time of late from each zone is taken off both sides; 0.11 of what is left is what a fifth was at aims far longer than the way. The least limit is 3.5.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -18,9 +18,11 @@
 SPREAD = 1.5  # second moment of job sizes over the squared mean (the paper's E[G^2]), allowed for in m
 FEEDERS = 5  # nodes that feed one backend (subsetting)
 SUBSET_MIN = 3  # fewest backends in a node's subset
-NEAR = 1 / 5  # the concurrency limit steers for answers that usually take this part of the tightest aim
+NEAR = 0.11  # the concurrency limit steers for answers that usually take this part of the tightest aim
 LIMIT_GAIN = 0.015  # relative step of the limit per answer and unit of error: small, as all nodes act alike
-LIMIT_LEAST = 2.0  # lowest and first limit, for each backend that falls to this node if that is over one
+FLOOR_RISE = 0.001  # part of an answer's time by which the least time rises again, lest one outlive its cause
+EASY = 0.1  # less than this part of the time that the limit steers for counts as this part
+LIMIT_LEAST = 3.5  # lowest and first limit, for each backend that falls to this node if that is over one
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
 EJECT_MAX = 5  # doublings of the ejection time
@@ -58,6 +60,7 @@
         self.lost = 0.0  # share of attempts that got no answer of late
         self.trust = 1.0  # share of sends answered within the aim; where the node looks, on an idle sign
         self.rtt = 2.0 * settings.tick  # usual round trip of a probe, until probes tell
+        self.floors: dict[str, float] = {}  # least time an answer takes, for each zone: no load explains it
         self.looks = (settings.probing and settings.reports is not api.Reports.NONE
                       and settings.charges.probe * SAMPLE <= TRIFLE)
         self.density = sum(c.value / c.aim for c in settings.classes) * 4 / len(settings.classes)
@@ -301,7 +304,7 @@
         self._report(b, ev.report, False)
         if ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing of the backend
             self._learn(req, attempt, ev)
-            self._steer(req.cls, ev)
+            self._steer(req.cls, ev, b.entry.zone)
         if ev.closed or req.over:
             self._close(req)
         else:
@@ -333,14 +336,21 @@
             if ev.status is api.Status.CONNECT_FAILED:
                 b.busy = b.until
 
-    def _steer(self, cls: Class, ev: api.Outcome) -> None:
+    def _steer(self, cls: Class, ev: api.Outcome, zone: str) -> None:
         """The concurrency limit: in proportion to how near answers are to the tightest aim.
 
         Guards against crowding a fleet until it turns slow, which takes far longer to undo. It rises only
         while it binds: quiet nodes whose limit floats up would flood the fleet when a burst comes.
+        The way there and back is left out: guards against a limit that aims near the round trip keep down.
         """
-        took = ev.duration if ev.status is api.Status.OK else cls.cfg.aim
-        cls.strain += EWMA / 2 * (math.log(max(took, 1e-3) / (NEAR * cls.cfg.aim)) - cls.strain)
+        aim, took = cls.cfg.aim, cls.cfg.aim
+        floor = self.floors.get(zone, aim / 2)
+        if ev.status is api.Status.OK:
+            took = ev.duration
+            floor = self.floors[zone] = min(took, floor + FLOOR_RISE * took)
+        floor = min(floor, aim / 2)
+        late = (took - floor) / (NEAR * (aim - floor))
+        cls.strain += EWMA / 2 * (math.log(max(late, EASY)) - cls.strain)
         excess = max(c.strain for c in self.classes.values())
         if excess > 0 or self.out >= self.limit - 1.0:
             self.limit *= 1 - LIMIT_GAIN * max(-1.0, min(1.0, excess))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -321,6 +321,24 @@
     assert b.limit <= first * 1.01
 
 
+def test_the_way_to_a_backend_does_not_hold_the_limit_down() -> None:
+    """Guards against a limit at its least all day: load is not to blame for a round trip."""
+    cls = replace(SAFE, aim=100.0)
+    b, live = node(replace(BASE, classes=(cls,)), NAMES), list[str]()
+    first = max(b.limit, b.least)
+    for i in range(600):
+        now = 1000.0 + i
+        live += [s.request + " " + s.backend for s in sends(_arrive(b, f"r{i}", now))]
+        while len(live) >= int(b.limit):  # it binds all the time
+            name, backend = live.pop(0).split()
+            took = 20.0 if i % 4 else 24.0  # the way takes 20 of 100
+            acts = b.handle(now, api.Outcome(name, 0, backend, api.Status.OK, took, True))
+            live += [s.request + " " + s.backend for s in sends(acts)]
+            if b.limit > 2 * first:
+                return
+    raise AssertionError(f"limit {b.limit} after 600 answers that no load delayed")
+
+
 def test_names_and_zones_do_not_matter() -> None:
     """A node acts on numbers, not on what things are called."""
 
