--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -207,7 +207,7 @@
     def _dispatch(self, req: Request) -> None:
         """Without looking: JUT over the subset, but for members crowded by this node's own count."""
         # Wider for a node that carries far more than its part, lest it crowd the few that fall to it.
-        k, names = max(1, self.width, self.out), self.order
+        k, names = max(1, min(len(self.order), max(self.width, self.out))), self.order
         # Own zone first, others as far as they are better by more than the price: hot or failing zones spill.
         far = self.rng.random() < self.spill
         if req.attempts:  # a repeat stays on its side: it may be bound to the zone
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -322,14 +322,17 @@
 
 
 def test_the_way_to_a_backend_does_not_hold_the_limit_down() -> None:
-    """Guards against a limit at its least all day: load is not to blame for a round trip."""
+    """Guards against a limit at its least all day: load is not to blame for a round trip.
+
+    And against dividing it by more backends than there are, which refused what it allowed.
+    """
     cls = replace(SAFE, aim=100.0)
     b, live = node(replace(BASE, classes=(cls,)), NAMES), list[str]()
     first = max(b.limit, b.least)
     for i in range(600):
         now = 1000.0 + i
         live += [s.request + " " + s.backend for s in sends(_arrive(b, f"r{i}", now))]
-        while len(live) >= int(b.limit):  # it binds all the time
+        while b.out >= b.limit:  # it binds all the time
             name, backend = live.pop(0).split()
             took = 20.0 if i % 4 else 24.0  # the way takes 20 of 100
             acts = b.handle(now, api.Outcome(name, 0, backend, api.Status.OK, took, True))
