--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -22,7 +22,7 @@
 LIMIT_GAIN = 0.015  # relative step of the limit per answer and unit of error: small, as all nodes act alike
 FLOOR_RISE = 0.001  # part of an answer's time by which the least time rises again, lest one outlive its cause
 EASY = 0.1  # less than this part of the time that the limit steers for counts as this part
-LIMIT_LEAST = 3.5  # lowest and first limit, for each backend that falls to this node if that is over one
+LIMIT_LEAST = 4.0  # lowest and first limit, for each backend that falls to this node if that is over one
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
 EJECT_MAX = 5  # doublings of the ejection time
@@ -188,7 +188,7 @@
             self._look(req)
         elif not (req.attempts or req.dense) and self.rng.random() > passing:
             self._finish(req)
-        elif self.out < self.limit or req.dense:
+        elif self.out + 1 <= self.limit or req.dense:
             self._dispatch(req)
         else:  # hold: last come first served, so that what is sent has time left
             self.held.append(req)
@@ -200,7 +200,7 @@
             self._finish(req)
 
     def _release(self) -> None:
-        while self.held and self.out < self.limit:
+        while self.held and self.out + 1 <= self.limit:
             req = self.held.pop()
             (self._dispatch if self._fits(req) else self._finish)(req)
 
