Let the limit rise again now that it is counted down

The test was right: counted down, the limit never rose. Cause: _steer lets it rise where out >= limit - 1 after an answer, but out is then floor(limit) - 1 at most, less than that for any fraction. Kept, as a limit that cannot rise is none.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -352,7 +352,7 @@
         late = (took - floor) / (NEAR * (aim - floor))
         cls.strain += EWMA / 2 * (math.log(max(late, EASY)) - cls.strain)
         excess = max(c.strain for c in self.classes.values())
-        if excess > 0 or self.out >= self.limit - 1.0:
+        if excess > 0 or self.out + 2 > self.limit:  # it bound until this answer
             self.limit *= 1 - LIMIT_GAIN * max(-1.0, min(1.0, excess))
         self.limit = max(self.limit, self.least)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -332,7 +332,7 @@
     for i in range(600):
         now = 1000.0 + i
         live += [s.request + " " + s.backend for s in sends(_arrive(b, f"r{i}", now))]
-        while b.out >= b.limit:  # it binds all the time
+        while b.out + 1 > b.limit:  # it binds all the time
             name, backend = live.pop(0).split()
             took = 20.0 if i % 4 else 24.0  # the way takes 20 of 100
             acts = b.handle(now, api.Outcome(name, 0, backend, api.Status.OK, took, True))
