Bound what clients and backends can hold: silent clients, large bodies, bytes behind an answer, old backends

Read: front.py let a trailer replace Request-Id, took a second Request-Id, read 64 KiB of a 60 MB body before it turned it away, and closed over unread bytes; upstream.py reused a connection without a look at what waits in the kernel, and waited for the body of an answer said to have 3 GB; Balancer.backends kept every backend ever listed; a decision that failed half-way left its request and its count of what is out in the module. Ruled out by the parser itself (probed): both lengths, repeated and negative lengths, control bytes.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -17,10 +17,29 @@
 from dillport.net.front import Front
 from dillport.net.node import Node
 
+LOG_LINES, LOG_TIME = 50, 10.0  # at most so many lines in so many seconds
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
 LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
 
 
+class Brake(logging.Filter):
+    """Bounds the log: guards against peers for each of whose messages a line is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.start, self.lines = 0.0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Pass the first lines of each stretch of time; the next stretch says how many were left out."""
+        if record.created - self.start >= LOG_TIME:
+            if self.lines > LOG_LINES:
+                record.msg = f"({self.lines - LOG_LINES} lines left out) {record.getMessage()}"
+                record.args = None
+            self.start, self.lines = record.created, 0
+        self.lines += 1
+        return self.lines <= LOG_LINES
+
+
 def reload(discovery: Discovery) -> None:
     """Read the configuration again: discovery may have moved. All else holds until the next start."""
     try:
@@ -62,6 +81,7 @@
 def main() -> int:
     """Entry point; a bad configuration ends with one plain line on standard error."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    logging.getLogger().handlers[0].addFilter(Brake())
     try:
         config = load(os.environ)
     except ConfigError as err:
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -20,9 +20,13 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
-LINGER = 1.0  # s for a client to read why it was turned away before the connection is torn down
+LINGER = 0.5  # s for a client to read its last answer before the connection is torn down
 OVER = 16  # connections over the cap that still get an answer of their own
-SLOW = 10.0  # s for a request to come in whole once it has begun
+SLOW = 2.3  # s for a request to come in whole once its connection is up, or once it has begun on a used one
+MUTE = 1.0  # s without a word after which a new connection goes before used ones where they are too many
+IDLE = 60.0  # s that a connection is kept between two requests
+SWEEP = 0.2  # s between two looks for connections whose time is up
+ONCE = frozenset({b"request-id", b"idempotency-key", b"request-timeout", b"host"})
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
@@ -75,7 +79,7 @@
         self.request: str | None = None  # the open one
         self.closing = self.mid = self.close_after = False
         self.keep_alive = True
-        self.slow: asyncio.TimerHandle | None = None
+        self.left = 0  # bytes that came once it was closing
         self.parser = httptools.HttpRequestParser(self)
         self._reset()
 
@@ -96,8 +100,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has left; a request that it waited for is owed no more."""
         self.closing = True
-        if self.slow is not None:
-            self.slow.cancel()
         self.front.lost(self)
         if self.request is not None:
             name, self.request = self.request, None
@@ -106,7 +108,12 @@
     def data_received(self, data: bytes) -> None:
         """Read a request; what cannot be read gets a plain answer and a close."""
         if self.closing or self.close_after:
-            return  # the answer under way says `Connection: close`: what follows is for another connection
+            # The answer under way says `Connection: close`: what follows is for another connection. A little
+            # of it is taken from the kernel, as a close over unread bytes resets; a flood is left there.
+            self.left += len(data)
+            if self.left > MAX_BODY and self.transport is not None:
+                self.transport.pause_reading()
+            return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -125,8 +132,8 @@
             self.head += len(data)
             if self.head > MAX_HEAD:
                 self._turn_away(431, "headers too long")
-        if self.mid and self.slow is None and not self.closing:
-            self.slow = self.front.loop.call_later(SLOW, self._too_slow)
+        if self.mid and not self.closing:
+            self.front.waiting.setdefault(self, self.front.loop.time())
 
     def _end_here(self) -> None:
         """Read no more: the parser stops at an upgrade, which is not to be had here.
@@ -135,12 +142,14 @@
         """
         self.close_after = True
         if self.request is None:
-            self.close()
+            self._linger()
 
-    def _too_slow(self) -> None:
-        self.slow = None
+    def too_slow(self) -> None:
+        """Its request did not come in whole in time."""
         if self.mid:
             self._turn_away(408, "request took too long")
+        elif self.request is None:
+            self.close()
 
     # --- httptools; a BadRequest that is raised here ends `feed_data`
 
@@ -153,6 +162,7 @@
         self._reset()
         self.mid = True
         self.front.idle.pop(self, None)
+        self.front.fresh.pop(self, None)
 
     def on_url(self, url: bytes) -> None:
         """The request's target, in pieces."""
@@ -160,10 +170,17 @@
             self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """One header."""
-        if not self.close_after:
-            self.size += len(name) + len(value)
-            self.headers[name.lower()] = value
+        """One header; a trailer is none."""
+        if self.close_after or self.in_body:
+            return
+        self.size += len(name) + len(value)
+        key = name.lower()
+        if key in ONCE and key in self.headers:
+            # Guards against a request that is one thing to this node and another to a backend.
+            raise BadRequest(400, "header given twice")
+        if key == b"content-length" and int(value) > MAX_BODY:
+            raise BadRequest(413, "body too large")
+        self.headers[key] = value
 
     def on_headers_complete(self) -> None:
         """The head is whole; from here on the size is the body's."""
@@ -185,9 +202,7 @@
         if self.close_after:
             return
         self.mid = False
-        if self.slow is not None:
-            self.slow.cancel()
-            self.slow = None
+        self.front.waiting.pop(self, None)
         self.keep_alive = self.parser.should_keep_alive()
         try:
             self._take()
@@ -282,18 +297,16 @@
             extra += b"Connection: close\r\n"
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n"
         self.transport.write(head % (code, REASONS[code].encode(), extra, len(body)) + body)
-        if self.mid:
+        if close:
             self._linger()
-        elif close:
-            self.close()
         else:
-            self.front.idle[self] = None
+            self.front.idle[self] = self.front.loop.time()
 
     def close(self) -> None:
-        """Close once the answer is out."""
+        """Close a connection that nothing is owed on."""
         if not self.closing and self.transport is not None:
             self.closing = True
-            self.front.idle.pop(self, None)
+            self.front.forget(self)
             self.transport.close()
 
     def _linger(self) -> None:
@@ -303,6 +316,7 @@
         """
         if not self.closing and self.transport is not None:
             self.closing = True
+            self.front.forget(self)
             self.transport.write_eof()
             self.front.loop.call_later(LINGER, self.transport.abort)
 
@@ -314,8 +328,12 @@
         self.node, self.limit = node, limit
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
-        self.idle: dict[ClientConnection, None] = {}  # longest idle first
+        # Since when, longest first: no request on it, none yet; a request of its that has to come in whole.
+        self.idle: dict[ClientConnection, float] = {}
+        self.fresh: dict[ClientConnection, float] = {}
+        self.waiting: dict[ClientConnection, float] = {}
         self.server: asyncio.Server | None = None
+        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
 
     @property
     def crowded(self) -> bool:
@@ -334,24 +352,47 @@
         self.server = await self.loop.create_server(lambda: ClientConnection(self), *address, backlog=1024)
 
     def took(self, connection: ClientConnection) -> None:
-        """A connection came in; over the cap the longest idle one goes."""
+        """A connection came in; over the cap one that nothing is asked on goes."""
         self.connections.add(connection)
-        self.idle[connection] = None
         if self.crowded:
-            oldest = next(iter(self.idle))
-            if oldest is not connection:
-                oldest.close()
+            if (other := self._spare()) is not None:
+                other.close()
             elif len(self.connections) > self.limit + OVER:
                 connection.close()
+                return
+        self.fresh[connection] = self.waiting[connection] = self.loop.time()
+
+    def _spare(self) -> ClientConnection | None:
+        """One mute for long, else the longest idle one: closing others may meet their first request."""
+        mute, since = next(iter(self.fresh.items()), (None, 0.0))
+        if mute is not None and self.loop.time() - since > MUTE:
+            return mute
+        return next(iter(self.idle), mute)
+
+    def _sweep(self) -> None:
+        """Close what asks for nothing. Guards against clients that keep a connection and its descriptor."""
+        now = self.loop.time()
+        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
+        for table, most in ((self.waiting, SLOW), (self.idle, IDLE)):
+            while table and now - next(iter(table.values())) > most:
+                connection = next(iter(table))
+                del table[connection]
+                connection.too_slow()
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Nothing more is expected from it."""
+        for table in (self.idle, self.fresh, self.waiting):
+            table.pop(connection, None)
 
     def lost(self, connection: ClientConnection) -> None:
         """A connection has ended."""
         self.connections.discard(connection)
-        self.idle.pop(connection, None)
+        self.forget(connection)
 
     def stop(self) -> None:
         """Accept no more and close what is idle."""
         if self.server is not None:
             self.server.close()
-        for connection in list(self.idle):
+        self.sweeper.cancel()
+        for connection in [*self.idle, *self.fresh]:
             connection.close()
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -114,10 +114,14 @@
                 self._abandon(name)
 
     def _abandon(self, name: str) -> None:
+        """Fail a request and have the module forget it: what it counts as out would stay so for good."""
         request = self.open[name]
-        for item in request.attempts:
-            self._stop(item)
         self._answer(name, lambda client: client.failed())
+        self.event(api.ClientGone(name))
+        for item in request.attempts:
+            if not item.over:
+                self._stop(item)
+                self._outcome(item, Answer(api.Status.CANCELLED))
 
     def arrival(self, event: api.Arrival, client: Client, render: Callable[[float], bytes]) -> None:
         """A client's request has come; `render` gives its bytes for a backend, told for how long."""
@@ -219,6 +223,9 @@
     def _cancel(self, action: api.Cancel) -> None:
         request = self.open.get(action.request)
         if request is None or action.attempt >= len(request.attempts):
+            # Never made, as the decision failed half-way: guards the module's counts of what is out.
+            status = api.Status.CANCELLED
+            self.event(api.Outcome(action.request, action.attempt, "", status, 0.0, True))
             return
         item = request.attempts[action.attempt]
         if not item.over:
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -117,7 +117,7 @@
         self.size = self.head = 0
         self.in_body = False
         self.load = self.content_type = b""
-        self.not_started = self.complete = self.excess = False
+        self.not_started = self.complete = self.excess = self.large = False
 
     # --- opening, closing
 
@@ -141,9 +141,20 @@
             self.write(attempt)
 
     @property
-    def alive(self) -> bool:
-        """Whether it is up, as far as this side knows."""
-        return self.transport is not None and not self.transport.is_closing()
+    def clean(self) -> bool:
+        """Whether it is up, as far as this side knows, and nothing has come that no request asked for.
+
+        Guards against taking what came behind one answer for the next: it may wait in the kernel still.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     def _fail(self, status: Status) -> None:
         attempt, self.attempt = self.attempt, None
@@ -214,7 +225,7 @@
             self.head += len(data)  # guards memory against a header without end, which the parser would keep
         if self.complete:
             self._finish(not fault and not self.excess)
-        elif fault or self.size > MAX_BODY or self.head > MAX_HEAD:
+        elif fault or self.large or self.head > MAX_HEAD:
             log.warning("backend %s:%d: %s", *self.address, fault or "answer too large")
             self._fail(Status.RESET)
 
@@ -229,7 +240,9 @@
         if self.complete:
             return
         key = name.lower()
-        if key == b"server-load":
+        if key == b"content-length":
+            self.large = int(value) > MAX_BODY  # known from the head: its body is not waited for
+        elif key == b"server-load":
             self.load = value
         elif key == b"not-started":
             self.not_started = value.strip() == b"1"
@@ -244,7 +257,8 @@
         """Collect the body up to the limit."""
         if not self.complete:
             self.size += len(body)
-            if self.size <= MAX_BODY:
+            self.large = self.large or self.size > MAX_BODY
+            if not self.large:
                 self.body.append(body)
 
     def on_message_complete(self) -> None:
@@ -268,7 +282,7 @@
                 report = parse_report(self.load.decode("latin-1"))
             except ValueError as err:
                 log.warning("backend %s:%d: %s", *self.address, err)
-        if self.size > MAX_BODY:
+        if self.large:
             answer = Answer(Status.ERROR, report)
         elif self.code == 200:
             answer = Answer(Status.OK, report, b"".join(self.body), self.content_type)
@@ -326,7 +340,7 @@
         stale = self.loop.time() - KEEP * self.idle_limit
         while host.idle:
             connection = host.idle.pop()
-            if connection.idle_since < stale or not connection.alive:
+            if connection.idle_since < stale or not connection.clean:
                 connection.close()
                 continue
             connection.write(attempt)
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -211,7 +211,7 @@
         # Own zone first, others as far as they are better by more than the price: hot or failing zones spill.
         far = self.rng.random() < self.spill
         if req.attempts:  # a repeat stays on its side: it may be bound to the zone
-            far = not self._near(req.attempts[0].backend.entry.backend)
+            far = not self._near(req.attempts[0].backend.entry)
         if far:
             names = names[self.home :] + names[: self.home]
         crowd = math.inf if req.dense else self.limit / k
@@ -240,13 +240,13 @@
         """Probes that are not back in the usual time: the backend stands still, whatever the cause."""
         req, look = what
         if req.looks == look and req.pending:
-            for name in sorted(req.pending):
-                b = self.backends[name]
+            for b in [self.backends[name] for name in sorted(req.pending) if name in self.backends]:
                 b.until = max(b.until, self.now + req.cls.usual * self.rng.uniform(0.5, 1.5))
             self._settle(req)
 
     def _probed(self, ev: api.Probed) -> None:
-        b = self.backends[ev.backend]
+        if (b := self.backends.get(ev.backend)) is None:
+            return  # gone meanwhile; what waits for it is overdue before long
         waiting, b.waiting = b.waiting or [], None
         if ev.status is api.Status.OK:
             self.rtt += EWMA * (ev.duration - self.rtt)
@@ -320,7 +320,7 @@
             if good or self.looks or not (attempt.cut or ev.status is api.Status.FULL):
                 self.trust += EWMA * (1 + self.looks) * (good - self.trust)
             b.slow += EWMA * ((ev.duration if good else cls.cfg.aim) / cls.usual - b.slow)
-            far = not self._near(b.entry.backend)
+            far = not self._near(b.entry)
             self.bad[far] += EWMA * (1 - good - self.bad[far])
             gain = SPILL * (self.bad[0] - self.bad[1] - self.cfg.charges.cross_zone)
             self.spill = max(0.0, min(1.0, self.spill + gain))
@@ -427,6 +427,9 @@
             if entry.started_at > b.entry.started_at:  # restarted: what was known is void
                 b.estimate, b.fails, b.until, b.slow = b.out, 0, 0.0, 1.0
             b.entry = entry
+        # Guards against a table that grows for as long as backends are replaced under new names.
+        for name in [n for n, b in self.backends.items() if b.entry.phase is api.Phase.GONE and not b.out]:
+            del self.backends[name]
         up = sorted(name for name, b in self.backends.items() if b.entry.phase is api.Phase.UP)
         before, self.up, self.fleet = set(self.up), up, max(self.fleet, len(up))
         self._reorder(before)
@@ -444,7 +447,7 @@
         k = SAMPLE * ROUNDS if self.looks else max(SUBSET_MIN, math.ceil(FEEDERS * n / group))
         k = self.width = min(n, k)
         self.least = LIMIT_LEAST * max(1.0, n / group)
-        near = [x for x in self.up if self._near(x)] or self.up
+        near = [x for x in self.up if self._near(self.backends[x].entry)] or self.up
         if not self.order:
             turn = self.cfg.me * GOLDEN % 1.0
             even = [near[int((turn + j / k) * len(near)) % len(near)] for j in range(min(k, len(near)))]
@@ -454,8 +457,8 @@
         self.order = [name for name in self.order if name in now]
         for name in sorted(now - before):
             self.order.insert(self.rng.randrange(len(self.order) + 1), name)
-        self.order.sort(key=lambda name: not self._near(name))
+        self.order.sort(key=lambda name: not self._near(self.backends[name].entry))
         self.home = len(near)
 
-    def _near(self, name: str) -> bool:
-        return self.cfg.charges.cross_zone <= TRIFLE or self.backends[name].entry.zone == self.cfg.zone
+    def _near(self, entry: api.Entry) -> bool:
+        return self.cfg.charges.cross_zone <= TRIFLE or entry.zone == self.cfg.zone
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -459,3 +459,16 @@
         for t in [a for a in acts if isinstance(a, api.SetTimer)]:
             assert answers(b.handle(t.when, api.Timer(t.token)))
     assert not b.held and not b.requests
+
+
+def test_backends_that_left_are_forgotten() -> None:
+    """Guards against a table that grows for as long as backends are replaced; one with work out stays."""
+    b = node(BASE, ["old"])
+    _arrive(b, "r")
+    for i in range(100):
+        gone = entry(f"b{i - 1}" if i else "old", phase=api.Phase.GONE)
+        b.handle(1001.0, api.ListUpdate(api.ListKind.CHANGES, [entry(f"b{i}"), gone]))
+    assert sorted(b.backends) == ["b99", "old"]
+    b.handle(1002.0, api.Outcome("r", 0, "old", api.Status.OK, 2.0, True))
+    b.handle(1003.0, api.ListUpdate(api.ListKind.CHANGES, []))
+    assert sorted(b.backends) == ["b99"]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from dillport.interface import Effect, ListKind, Settings, Status
+from dillport.interface import Arrival, Effect, ListKind, Settings, Status
 from dillport.interface import RequestClass as Class
 from dillport.net.config import ListError, load, news
 from dillport.net.front import Front
@@ -563,6 +563,10 @@
         (b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: -1\r\n\r\n", 400),
         (b"POST /once HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
         (b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, 413),
+        (b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 60000000\r\n\r\n", 413),  # at its head
+        (b"GET /read HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Id: 2\r\n\r\n", 400),
+        (b"GET /read HTTP/1.1\r\nRequest-Id: 1\r\nX: a\x01b\r\n\r\n", 400),
+        (b"GET /re\x01ad HTTP/1.1\r\nRequest-Id: 1\r\n\r\n", 400),
         (b"GET /read HTTP/1.1\r\nLong: " + b"x" * 20_000, 431),
         (b"GET /" + b"x" * 20_000, 431),
         (b"GET /read HTTP/1.1\r\nUpgrade: websocket\r\nConnection: upgrade\r\n\r\n", 400),
@@ -582,6 +586,109 @@
     run(test)
 
 
+def test_a_connection_that_never_asks_is_closed(tmp_path: Path) -> None:
+    """Guards against connections by hundreds that say nothing, or half a request, and keep a descriptor."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        async with running(tmp_path, backend) as rig:
+            used, mute, half = await rig.client(), await rig.client(), await rig.client()
+            assert (await used.ask("/read")).code == 200
+            half.writer.write(b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\nhalf")
+            assert (await half.answer()).code == 408
+            assert await half.ended() == await mute.ended() == b""
+            assert (await used.ask("/read")).code == 200  # one that has asked is kept
+
+    run(test)
+
+
+def test_a_trailer_is_no_header(tmp_path: Path) -> None:
+    """Guards against a request whose id changes behind its body."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        async with running(tmp_path, backend) as rig:
+            client = await rig.client()
+            head = b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            client.writer.write(head + b"1\r\nx\r\n0\r\nRequest-Id: 2\r\n\r\n")
+            assert (await client.answer()).body == b"b0 1"
+
+    run(test)
+
+
+def test_what_comes_behind_an_answer_is_not_the_next_ones(tmp_path: Path) -> None:
+    """Guards against serving a client with another's answer: the second copy waits in the kernel at reuse."""
+
+    async def test() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        pool = Pool(Settings(classes=(READ,), conn_idle=60_000.0), 10)
+        pool.update(_list("b0", listener.getsockname()[1]), True)
+        ends: list[Answer] = []
+        pool.start("b0", b"one", ends.append)
+        peer, _ = await loop.sock_accept(listener)
+        await loop.sock_recv(peer, 10)
+        peer.setblocking(True)
+        peer.sendall(answer(b"mine"))
+        while not ends:
+            await asyncio.sleep(0)
+        peer.sendall(answer(b"mine again"))  # without a turn of the loop before the next request
+        pool.start("b0", b"two", ends.append)
+        other, _ = await loop.sock_accept(listener)
+        assert await loop.sock_recv(other, 10) == b"two"
+        other.setblocking(True)
+        other.sendall(answer(b"yours"))
+        while len(ends) < 2:
+            await asyncio.sleep(0)
+        assert [end.body for end in ends] == [b"mine", b"yours"]
+        for sock in (peer, other, listener):
+            sock.close()
+
+    run(test)
+
+
+def test_an_answer_too_large_is_known_from_its_head(tmp_path: Path) -> None:
+    async def test() -> None:
+        first = b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"  # and nothing more
+        async with running(tmp_path, Backend("b0", says(first)), **PATIENT) as rig:
+            client = await rig.client()
+            assert (await client.ask("/once", method="POST")).code == 502
+            await rig.logged("answer too large")
+
+    run(test)
+
+
+def test_a_failed_decision_leaves_nothing_behind(tmp_path: Path) -> None:
+    """Guards against requests that the module keeps, or counts as out, for good after an exception."""
+
+    async def test() -> None:
+        backend = Backend("b0", never)
+        await backend.start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration([backend.member()], 1)))
+        config = load({"PROXY_CONFIG": str(path)})
+        node = Node(config)
+        node.list(config.known, ListKind.SAVED)
+        front = Front(node, 9)
+        await front.listen(("127.0.0.1", 0))
+        decide = node.balancer.on[Arrival]
+
+        def broken(event: Any) -> None:
+            decide(event)
+            raise RuntimeError("half-way")
+
+        node.balancer.on[Arrival] = broken
+        client = Client(*await asyncio.open_connection(*front.address))
+        assert (await client.ask("/once", method="POST")).code == 502
+        assert node.balancer.out == 0 and not node.balancer.requests and not node.open
+        client.writer.transport.abort()
+        front.stop()
+        backend.stop()
+
+    run(test)
+
+
 def test_an_upgrade_is_not_answered_twice(tmp_path: Path) -> None:
     """The parser stops at an upgrade once the request is whole, and so may be answered already."""
 
