Hold a request for room for one usual time at most

Ruled out: kept idle connections (the node closes them when it needs room; descriptors 205 of 256). Cause: policy.py, _route holds until the last moment at which an answer could meet its aim, and _release serves the last come first: under steady excess the rest of the pile is never served, only refused late. Now: refused after one usual time of the class (HOLD), with Retry-After as ever.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -29,6 +29,7 @@
 RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
 RETRY_BANK = 3.0  # and how many can be saved up
 FIT = 0.9  # part of the expected time that must still fit before the aim, else sending is waste
+HOLD = 1.0  # usual times of its class that a request is held for room
 THROTTLE = 1.4  # without looking, shedding begins once the cubed share of good sends is under one in this
 SPILL = 0.1  # step of the share sent to other zones, per answer and unit of what they are better by
 LOSSY = 0.05  # share of attempts without an answer from which answers are taken to get lost
@@ -190,9 +191,12 @@
             self._finish(req)
         elif self.out + 1 <= self.limit or req.dense:
             self._dispatch(req)
-        else:  # hold: last come first served, so that what is sent has time left
+        else:
+            # Hold: last come first served, so that what is sent has time left. What is not sent soon never
+            # is: guards against a pile of it that takes up the connections on which clients could ask anew.
             self.held.append(req)
-            self._at(req.useful - FIT * req.cls.usual, self._expire, req)
+            until = min(req.useful - FIT * req.cls.usual, self.now + HOLD * req.cls.usual)
+            self._at(until, self._expire, req)
 
     def _expire(self, req: Request) -> None:
         if req in self.held:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -472,3 +472,13 @@
     b.handle(1002.0, api.Outcome("r", 0, "old", api.Status.OK, 2.0, True))
     b.handle(1003.0, api.ListUpdate(api.ListKind.CHANGES, []))
     assert sorted(b.backends) == ["b99"]
+
+
+def test_what_is_held_is_refused_while_its_client_can_still_ask_elsewhere() -> None:
+    """Guards against a pile of held requests that nothing serves any more and that clients wait for."""
+    b = node(BASE, NAMES)
+    b.out = 99
+    acts = _arrive(b, "r")
+    timer = next(a for a in acts if isinstance(a, api.SetTimer))
+    assert timer.when <= 1000.0 + SAFE.aim / 2
+    assert isinstance(answers(b.handle(timer.when, api.Timer(timer.token)))[0], api.Refuse)
