A crowd of connections no longer costs those who were here their answers

A probe line in _take: at a count of 212 for a cap of 211 every request was refused on any connection and its connection closed, with 120 to 156 idle ones that could have gone. Cause: front.py, _take asked whether there are too many at that moment, and a connection that was just closed went on counting until the next turn of the loop. Now: only a connection that comes over the cap with nothing to spare is turned away; a closed one counts no more. Test: a request half-way when another connection comes over the cap; refused before.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -78,6 +78,7 @@
         self.transport: asyncio.Transport | None = None
         self.request: str | None = None  # the open one
         self.closing = self.mid = self.close_after = False
+        self.over = False  # it came when there were too many, and gets one answer
         self.keep_alive = True
         self.left = 0  # bytes that came once it was closing
         self.parser = httptools.HttpRequestParser(self)
@@ -213,7 +214,7 @@
 
     def _take(self) -> None:
         now, headers, node = self.node.now(), self.headers, self.node
-        crowded = self.close_after = self.front.crowded
+        self.close_after = self.over
         method = self.parser.get_method()
         try:
             url = httptools.parse_url(self.target)
@@ -241,7 +242,7 @@
         if b"request-timeout" in headers:
             wait = min(wait, parse_timeout(headers[b"request-timeout"]))
         key = parse_qs(query.decode("latin-1")).get("obj")
-        if node.full() or crowded:
+        if node.full() or self.over:
             # Guards the descriptors and the open requests: nothing ran, so turning it away is harmless.
             self._write(503, b"too many requests\n")
             return
@@ -306,7 +307,7 @@
         """Close a connection that nothing is owed on."""
         if not self.closing and self.transport is not None:
             self.closing = True
-            self.front.forget(self)
+            self.front.lost(self)  # its descriptor is free with the next turn of the loop
             self.transport.close()
 
     def _linger(self) -> None:
@@ -355,11 +356,14 @@
         """A connection came in; over the cap one that nothing is asked on goes."""
         self.connections.add(connection)
         if self.crowded:
+            # Only who comes too many is turned away: guards those who were here against a crowd.
             if (other := self._spare()) is not None:
                 other.close()
             elif len(self.connections) > self.limit + OVER:
                 connection.close()
                 return
+            else:
+                connection.over = True
         self.fresh[connection] = self.waiting[connection] = self.loop.time()
 
     def _spare(self) -> ClientConnection | None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -787,6 +787,36 @@
     run(test)
 
 
+def test_a_crowd_does_not_cost_those_who_were_here_their_answer(tmp_path: Path) -> None:
+    """Guards against refusing all requests, on any connection, while new ones keep coming over the cap."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration([backend.member()], 1)))
+        config = load({"PROXY_CONFIG": str(path)})
+        node = Node(config)
+        node.list(config.known, ListKind.SAVED)
+        front = Front(node, 1)
+        await front.listen(("127.0.0.1", 0))
+        first = Client(*await asyncio.open_connection(*front.address))
+        assert (await first.ask("/up")).code == 200
+        first.writer.write(b"GET /read HTTP/1.1\r\nRequest-Id: 1\r\n")
+        while front.idle:
+            await asyncio.sleep(0)
+        second = Client(*await asyncio.open_connection(*front.address))
+        assert (await second.ask("/read")).code == 503
+        first.writer.write(b"\r\n")
+        assert (await first.answer()).code == 200
+        front.stop()
+        for client in (first, second):
+            client.writer.transport.abort()
+        backend.stop()
+
+    run(test)
+
+
 def test_no_more_than_max_open_requests_are_taken(tmp_path: Path) -> None:
     async def test() -> None:
         backend = Backend("b0", never)
