--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -22,8 +22,7 @@
 LIMIT_GAIN = 0.015  # relative step of the limit per answer and unit of error: small, as all nodes act alike
 FLOOR_RISE = 0.001  # part of an answer's time by which the least time rises again, lest one outlive its cause
 EASY = 0.1  # less than this part of the time that the limit steers for counts as this part
-LIMIT_FULL = 7.0  # requests from all nodes that a backend takes without being crowded
-LIMIT_SPREAD = 1.4  # what one node's own count does not know of them, in two deviations
+LIMIT_LEAST = 4.0  # lowest and first limit, for each backend that falls to this node if that is over one
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
 EJECT_MAX = 5  # doublings of the ejection time
@@ -58,7 +57,7 @@
         self.held: list[Request] = []
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
         self.token = self.out = self.asks_failed = self.arrived = self.shed = 0
-        self.limit, self.least, self.bank, self.logged = 1.0, 1.0, RETRY_BANK, -LOG_EVERY
+        self.limit, self.least, self.bank, self.logged = LIMIT_LEAST, LIMIT_LEAST, RETRY_BANK, -LOG_EVERY
         self.lost = 0.0  # share of attempts that got no answer of late
         self.trust = 1.0  # share of sends answered within the aim; where the node looks, on an idle sign
         self.rtt = 2.0 * settings.tick  # usual round trip of a probe, until probes tell
@@ -451,10 +450,7 @@
         # A request looks at SAMPLE x ROUNDS at most: more would only fill the backends' connection tables.
         k = SAMPLE * ROUNDS if self.looks else max(SUBSET_MIN, math.ceil(FEEDERS * n / group))
         k = self.width = min(n, k)
-        # The fewer nodes feed a backend, the more of its load each of them knows: less is to be spared.
-        room = LIMIT_FULL - LIMIT_SPREAD * math.sqrt(min(FEEDERS, group))
-        self.least = room * max(1.0, n / group)
-        self.limit = max(self.limit, self.least)
+        self.least = LIMIT_LEAST * max(1.0, n / group)
         near = [x for x in self.up if self._near(self.backends[x].entry)] or self.up
         if not self.order:
             turn = self.cfg.me * GOLDEN % 1.0
