Eject on failures in a row beyond the fleet's share; spoilt answers no longer steer the limit

Checked on the sockets: the 512 attempts that the nodes gave up in 26 s had brought not one byte, so no spoilt answer holds a place; whole answers take 0.03 ms from first to last byte. 7 to 15 resets and 5 to 20 time-outs a second and node, from all backends alike. The bank stays at 3.0: repeats are not short of budget. An estimate does stay over m (40 to 700), the choice at random, with and without spoilt answers. And _steer counted a spoilt answer as one that took the aim. Now: a backend is ejected for failures in a row that the share failing everywhere explains once in 1000 times; connects that fail eject at once as before. Errors and resets leave the limit alone.

Tests: two over loopback (a spoilt answer, a backend that spoils all), two of the module. One loopback test and both of the module fail without the change; the other guards against too mild a judgement. The log test fails connects now and the panic test sets failures in a row, as one reset ejects no more.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -26,6 +26,8 @@
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
 EJECT_MAX = 5  # doublings of the ejection time
+CHANCE = 0.001  # failures in a row that the whole fleet's share explains less often than this eject
+FAIL_LEAST = 0.02  # and this much of it is always allowed for
 RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
 RETRY_BANK = 3.0  # and how many can be saved up
 FIT = 0.9  # part of the expected time that must still fit before the aim, else sending is waste
@@ -37,6 +39,7 @@
 EWMA = 0.1  # weight of one sample in a running mean
 AWAY = (1.0, 2.0)  # usual times of its class that a refused client is told to stay away, at least and most
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
+SPOILT = frozenset({api.Status.ERROR, api.Status.RESET})  # failures that say nothing of load
 
 
 class Balancer:
@@ -59,6 +62,7 @@
         self.token = self.out = self.asks_failed = self.arrived = self.shed = 0
         self.limit, self.least, self.bank, self.logged = LIMIT_LEAST, LIMIT_LEAST, RETRY_BANK, -LOG_EVERY
         self.lost = 0.0  # share of attempts that got no answer of late
+        self.failing = 0.0  # share of attempts that failed of late, for want of room left out
         self.trust = 1.0  # share of sends answered within the aim; where the node looks, on an idle sign
         self.rtt = 2.0 * settings.tick  # usual round trip of a probe, until probes tell
         self.floors: dict[str, float] = {}  # least time an answer takes, for each zone: no load explains it
@@ -148,10 +152,22 @@
         self._log(f"panic: {len(names)} backends in view, none eligible, ignoring ejections")
         return self._draw(req, count, names, crowd, panic=True)
 
-    def _eject(self, b: Backend) -> None:
-        """Outlier ejection with exponential backoff and jitter."""
-        b.fails = min(b.fails + 1, EJECT_MAX)
-        b.until = self.now + self.longest_aim * 2 ** (b.fails - 1) * self.rng.uniform(0.5, 1.5)
+    def _failed(self, b: Backend) -> None:
+        """Outlier ejection: failures in a row that are no chance at the share that fails everywhere.
+
+        Guards against noise that any backend alike may bring (spoilt answers, cut links, costly requests):
+        with most of a sound fleet ejected, all goes to the few that are left. Could hurt where a good part
+        of the fleet goes bad at once: each then takes some failures more until it is left alone.
+        """
+        b.fails += 1
+        more = b.fails - math.log(CHANCE) / math.log(min(0.5, max(FAIL_LEAST, self.failing)))
+        if more > 0:
+            self._eject(b, int(more))
+
+    def _eject(self, b: Backend, doublings: int) -> None:
+        """Leave it alone for a time: exponential backoff with jitter."""
+        time = self.longest_aim * 2 ** min(doublings, EJECT_MAX - 1)
+        b.until = self.now + time * self.rng.uniform(0.5, 1.5)
 
     def _arrival(self, ev: api.Arrival) -> None:
         if (cls := self.classes.get(ev.class_name)) is None:
@@ -257,7 +273,8 @@
             self._report(b, ev.report, True)
             b.until = min(b.until, self.now)
         else:
-            self._eject(b)
+            b.fails += 1
+            self._eject(b, b.fails - 1)
         for req in waiting:
             if ev.backend in req.pending:
                 req.pending.discard(ev.backend)
@@ -308,7 +325,8 @@
         self._report(b, ev.report, False)
         if ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing of the backend
             self._learn(req, attempt, ev)
-            self._steer(req.cls, ev, b.entry.zone)
+            if ev.status not in SPOILT:
+                self._steer(req.cls, ev, b.entry.zone)
         if ev.closed or req.over:
             self._close(req)
         else:
@@ -317,6 +335,8 @@
 
     def _learn(self, req: Request, attempt: Attempt, ev: api.Outcome) -> None:
         b, cls = attempt.backend, req.cls
+        if ev.status is not api.Status.FULL:
+            self.failing += EWMA / 4 * ((ev.status is not api.Status.OK) - self.failing)
         if attempt.fair and ev.status in (api.Status.OK, api.Status.FULL, api.Status.TIMEOUT):
             good = ev.status is api.Status.OK and ev.duration <= cls.cfg.aim
             self.lost += EWMA * ((ev.status is api.Status.TIMEOUT) - self.lost)
@@ -336,8 +356,9 @@
         elif ev.status is api.Status.FULL:
             b.busy = self.now + cls.usual * self.rng.uniform(0.5, 1.5)
         else:
-            self._eject(b)
+            self._failed(b)
             if ev.status is api.Status.CONNECT_FAILED:
+                self._eject(b, b.fails - 1)
                 b.busy = b.until
 
     def _steer(self, cls: Class, ev: api.Outcome, zone: str) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -300,6 +300,8 @@
 
     def after(status: api.Status) -> int:
         b, sent = node(replace(BASE, group_size=50, max_attempts=1), ["x", "y", "z"]), 0
+        for x in b.backends.values():
+            x.fails = 20  # so often in a row that the next failure ejects
         for i in range(12):
             got = sends(_arrive(b, f"r{i}", 1000.0 + i))
             sent += len(got)
@@ -407,12 +409,43 @@
     assert sorted(ended + [x.request for x in answers(again)]) == ["a", "b"]
 
 
+def test_noise_in_the_whole_fleet_ejects_none_and_a_bad_backend_is_still_told_from_it() -> None:
+    """Guards against ejecting most of a sound fleet; what is far worse than the rest goes all the same."""
+    for noise in (0.02, 0.1):
+        b, rng = node(replace(BASE, max_attempts=1), NAMES), random.Random(5)
+        left_out, to_bad = 0, 0
+        for i in range(3000):
+            now, bad = 1000.0 + 5.0 * i, "b3" if i >= 2000 else ""
+            for s in sends(_arrive(b, f"r{i}", now)):
+                spoilt = s.backend == bad or rng.random() < noise
+                status = api.Status.RESET if spoilt else api.Status.OK
+                b.handle(now, api.Outcome(s.request, 0, s.backend, status, 50.0, not spoilt))
+                to_bad += s.backend == bad
+            left_out += not bad and sum(x.until > now for x in b.backends.values())
+        assert left_out < 2000 * len(NAMES) / 50
+        assert to_bad < 1000 / len(NAMES) / 3
+
+
+def test_spoilt_answers_do_not_press_the_limit() -> None:
+    """Guards against shedding for what says nothing of load."""
+    b, quiet = node(replace(BASE, max_attempts=1), NAMES), node(replace(BASE, max_attempts=1), NAMES)
+    for i in range(2000):
+        now = 1000.0 + 5.0 * i
+        for x in (b, quiet):
+            for s in sends(_arrive(x, f"r{i}", now)):
+                spoilt = x is b and i % 8 == 0
+                status = api.Status.RESET if spoilt else api.Status.OK
+                x.handle(now, api.Outcome(s.request, 0, s.backend, status, 50.0, not spoilt))
+    assert b.classes["read"].strain <= quiet.classes["read"].strain + 0.1
+
+
 def test_log_lines_named_on_the_on_call_page_are_emitted_rarely() -> None:
     lines = []
     b = node(BASE, NAMES)
     for i in range(300):
         for s in sends(acts := _arrive(b, f"r{i}", 1000.0 + i)):
-            acts += b.handle(1000.0 + i, api.Outcome(f"r{i}", 0, s.backend, api.Status.RESET, 1.0, False))
+            end = api.Outcome(f"r{i}", 0, s.backend, api.Status.CONNECT_FAILED, 1.0, False)
+            acts += b.handle(1000.0 + i, end)
         lines += [a.text for a in acts if isinstance(a, api.Log)]
     now = 50_000.0
     failed = b.handle(now, api.ListUpdate(api.ListKind.FAILED, []))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -297,6 +297,37 @@
     run(test)
 
 
+def test_a_spoilt_answer_does_not_cost_a_backend_its_work(tmp_path: Path) -> None:
+    """Guards against a sound fleet left out bit by bit, as noise comes from any backend alike."""
+
+    async def test() -> None:
+        noisy = Backend("b0", says(b"\x00 no answer\r\n\r\n"))
+        async with running(tmp_path, noisy, Backend("b1"), **PATIENT) as rig:
+            client = await rig.client()
+            while noisy.got.empty():
+                assert (await client.ask("/read")).code == 200
+            await rig.logged("broken answer")
+            seen = {(await client.ask("/read")).body.split()[0] for _ in range(20)}
+            assert seen == {b"b0", b"b1"}
+
+    run(test)
+
+
+def test_a_backend_that_spoils_every_answer_is_left_alone(tmp_path: Path) -> None:
+    async def test() -> None:
+        async def spoil(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"\x00 no answer\r\n\r\n")
+
+        bad, good = Backend("b0", spoil), [Backend(f"b{i}") for i in range(1, 4)]
+        async with running(tmp_path, bad, *good, **PATIENT) as rig:
+            client = await rig.client()
+            for _ in range(100):
+                assert (await client.ask("/read")).code == 200
+            assert bad.got.qsize() < 10
+
+    run(test)
+
+
 def test_an_answer_whose_head_does_not_end_is_given_up(tmp_path: Path) -> None:
     async def test() -> None:
         backend = Backend("b0", says(b"HTTP/1.1 200 OK\r\nLong: " + b"x" * 20_000))
