Send to backends that hold no more of this node's work than the mean; keep high worth off those that turn away

Ruled out: connections (57 of 146), the cap on them, connects (none fail), the bank. Cause: policy.py, _dispatch let requests of high worth go to any backend whatever this node had out there, others to up to three; _outcome believed idle signs of answers that turn away; nothing remembered who does. Now: of those eligible, only backends with no more of this node's own in flight than their mean; the random pick leans harder on weights and own count; high worth avoids backends that turned away over a tenth of late; idle signs count from served answers only.

Tests: over loopback a backend that stands still gets no second request while another is free; of the module, high worth and who turns away. Both fail without the change.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -25,6 +25,7 @@
 LIMIT_LEAST = 4.0  # lowest and first limit, for each backend that falls to this node if that is over one
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
+CHOOSY = 0.1  # share turned away from which a backend gets no more requests of high worth
 EJECT_MAX = 5  # doublings of the ejection time
 CHANCE = 0.001  # failures in a row that the whole fleet's share explains less often than this eject
 FAIL_LEAST = 0.02  # and this much of it is always allowed for
@@ -87,7 +88,7 @@
         low = min(b.estimate for b in pool)
         if low < m:
             return self.rng.choice([b for b in pool if b.estimate == low])
-        return self.rng.choices(pool, [b.entry.weight / b.slow**2 for b in pool])[0]
+        return self.rng.choices(pool, [(b.entry.weight / b.slow) ** 2 / (1 + b.out) for b in pool])[0]
 
     def _report(self, b: Backend, report: api.Report | None, fresh: bool) -> None:
         """An idle sign zeroes the estimate, but for own attempts still out: a late sign knows none."""
@@ -113,6 +114,8 @@
             b = self.backends[name]
             if b in req.found or max(b.busy, 0.0 if panic else b.until) > self.now or b.out > crowd:
                 continue
+            if req.dense and b.full > CHOOSY and not panic:
+                continue  # guards against a backend that turns away for want of what its report leaves out
             warmth = self._warmth(b.entry)
             if warmth < 1.0:
                 chance = COLD_PART * self.cfg.fall_multiple * warmth * len(self.up) / self.fleet
@@ -237,6 +240,9 @@
         crowd = math.inf if req.dense else self.limit / k
         pool = (self._draw(req, k, names[:k], crowd) or self._draw(req, k, names[k : 2 * k])
                 or self._panic(req, k, names[: 2 * k], crowd))
+        # No busier by this node's own count, the one figure that is not late, than the mean of those here:
+        # guards against backends that stall or crowd before a report tells. Says little where many feed one.
+        pool = [b for b in pool if b.out * len(pool) <= sum(x.out for x in pool)]
         if pool:  # every node takes its part of what a backend may be given after it showed idle
             self._send(req, self._pick(pool, max(1, self._cap(req) // self.cfg.group_size)))
         else:
@@ -322,7 +328,8 @@
         attempt = req.attempts[ev.attempt]
         attempt.status, b = ev.status, attempt.backend
         req.out, b.out, self.out = req.out - 1, b.out - 1, self.out - 1
-        self._report(b, ev.report, False)
+        if ev.status is api.Status.OK:  # who turns away or fails and calls itself idle is not believed
+            self._report(b, ev.report, False)
         if ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing of the backend
             self._learn(req, attempt, ev)
             if ev.status not in SPOILT:
@@ -335,6 +342,7 @@
 
     def _learn(self, req: Request, attempt: Attempt, ev: api.Outcome) -> None:
         b, cls = attempt.backend, req.cls
+        b.full += EWMA * ((ev.status is api.Status.FULL) - b.full)
         if ev.status is not api.Status.FULL:
             self.failing += EWMA / 4 * ((ev.status is not api.Status.OK) - self.failing)
         if attempt.fair and ev.status in (api.Status.OK, api.Status.FULL, api.Status.TIMEOUT):
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -17,6 +17,7 @@
     slow: float = 1.0  # mean time of its answers over the usual time of their class
     fails: int = 0
     until: float = 0.0  # ejected until then
+    full: float = 0.0  # share of attempts that it turned away of late
     busy: float = 0.0  # turned a request or a connection away: left alone until then, even in panic
     waiting: list[Request] | None = None  # requests waiting for a probe of it; None: no probe is out
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -426,6 +426,20 @@
         assert to_bad < 1000 / len(NAMES) / 3
 
 
+def test_requests_of_high_worth_avoid_backends_that_turn_away() -> None:
+    """Guards against a backend that turns away for want of something else and calls itself idle."""
+    urgent = replace(SAFE, name="urgent", value=50.0)
+    b, late = node(replace(BASE, classes=(SAFE, urgent)), NAMES), Counter[str]()
+    for i in range(600):
+        for s in sends(_arrive(b, f"r{i}", 1000.0 + 20 * i, "urgent" if i % 10 == 0 else "read")):
+            late[s.backend] += i % 10 == 0 and i >= 300
+            status = api.Status.FULL if s.backend == "b3" else api.Status.OK
+            report = api.Report(0.0, 0.0) if s.backend == "b3" else api.Report(3.0, 0.0)
+            end = api.Outcome(s.request, 0, s.backend, status, 20.0, status is api.Status.OK, report)
+            b.handle(1010.0 + 20 * i, end)
+    assert late["b3"] == 0 and late.total() == 30
+
+
 def test_spoilt_answers_do_not_press_the_limit() -> None:
     """Guards against shedding for what says nothing of load."""
     b, quiet = node(replace(BASE, max_attempts=1), NAMES), node(replace(BASE, max_attempts=1), NAMES)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -328,6 +328,24 @@
     run(test)
 
 
+def test_a_backend_that_holds_more_than_the_others_gets_no_more(tmp_path: Path) -> None:
+    """Guards against feeding a backend that stands still while others are free; no report tells in time."""
+
+    async def test() -> None:
+        still, free = Backend("b0", never), Backend("b1")
+        async with running(tmp_path, still, free, **PATIENT) as rig:
+            for _ in range(8):
+                client = await rig.client()
+                client.send("/read")
+                ends = {asyncio.ensure_future(client.answer()), asyncio.ensure_future(still.got.get())}
+                _, waiting = await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+                for end in waiting:
+                    end.cancel()
+            assert free.got.qsize() >= 7
+
+    run(test)
+
+
 def test_an_answer_whose_head_does_not_end_is_given_up(tmp_path: Path) -> None:
     async def test() -> None:
         backend = Backend("b0", says(b"HTTP/1.1 200 OK\r\nLong: " + b"x" * 20_000))
