Let the least limit rise while live weights tell of room

Cause: policy.py, LIMIT_LEAST is one figure for all fleets and _steer cannot leave it. Now: where the settings say that weights are live (size over one and the requests held a core), the least limit rises by up to half while the mean is at most 1.6 and the limit binds, and falls faster than it rose.

Tests: over loopback more than the least limit is sent once the list tells of idle cores (waits in vain with the rise taken out); the module lets it rise, takes it back, and leaves it alone where weights are not live.

--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -161,6 +161,7 @@
     fall_window: float = 1_000.0
     fall_multiple: float = 1.0
     weighted: bool = False
+    live_weights: bool = False
     connect_timeout: float = 250.0
     zones: tuple[str, ...] = ()
     kinds: tuple[str, ...] = ()
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -23,6 +23,8 @@
 FLOOR_RISE = 0.001  # part of an answer's time by which the least time rises again, lest one outlive its cause
 EASY = 0.1  # less than this part of the time that the limit steers for counts as this part
 LIMIT_LEAST = 4.0  # lowest and first limit, for each backend that falls to this node if that is over one
+ROOMY = 1.6  # requests held a core, in the mean, up to which the least limit may rise while it binds
+EASE = (1.5, 0.1, 0.2)  # how far it may, and the parts by which it rises and falls in the longest aim
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
 CHOOSY = 0.1  # share turned away from which a backend gets no more requests of high worth
@@ -62,6 +64,8 @@
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
         self.token = self.out = self.asks_failed = self.arrived = self.shed = 0
         self.limit, self.least, self.bank, self.logged = LIMIT_LEAST, LIMIT_LEAST, RETRY_BANK, -LOG_EVERY
+        self.sizes: dict[str, float] = {}  # weight of an idle backend, by kind
+        self.ease, self.listed = 1.0, 0.0  # factor of the least limit; when it was last told
         self.lost = 0.0  # share of attempts that got no answer of late
         self.failing = 0.0  # share of attempts that failed of late, for want of room left out
         self.trust = 1.0  # share of sends answered within the aim; where the node looks, on an idle sign
@@ -465,8 +469,29 @@
             del self.backends[name]
         up = sorted(name for name, b in self.backends.items() if b.entry.phase is api.Phase.UP)
         before, self.up, self.fleet = set(self.up), up, max(self.fleet, len(up))
+        if self.cfg.live_weights and up:
+            self._relax()
         self._reorder(before)
 
+    def _relax(self) -> None:
+        """Live weights tell how many requests each core holds: let the least limit rise while that is few.
+
+        Guards against shedding where the aims are too tight for answers' times to tell load from a backend's
+        own time to serve. Could hurt where weights are late by more than a burst takes to crowd a fleet, or
+        where discovery falls silent after a rise: it stays until the next list.
+        """
+        held = 0.0
+        for b in [self.backends[name] for name in self.up]:
+            size = self.sizes[b.entry.kind] = max(self.sizes.get(b.entry.kind, 0.0), b.entry.weight)
+            held += size / b.entry.weight - 1 if b.entry.weight else 0.0
+        most, rise, fall = EASE
+        part = min(1.0, (self.now - self.listed) / self.longest_aim)
+        self.listed = self.now
+        if held > ROOMY * len(self.up):
+            self.ease = max(1.0, self.ease * (1 - fall * part))
+        elif self.held or self.out + 2 > self.limit:
+            self.ease = min(most, self.ease * (1 + rise * part))
+
     def _ask(self, _: None) -> None:
         self.acts.append(api.Subscribe())
 
@@ -479,7 +504,7 @@
         # A request looks at SAMPLE x ROUNDS at most: more would only fill the backends' connection tables.
         k = SAMPLE * ROUNDS if self.looks else max(SUBSET_MIN, math.ceil(FEEDERS * n / group))
         k = self.width = min(n, k)
-        self.least = LIMIT_LEAST * max(1.0, n / group)
+        self.least = LIMIT_LEAST * max(1.0, n / group) * self.ease
         near = [x for x in self.up if self._near(self.backends[x].entry)] or self.up
         if not self.order:
             turn = self.cfg.me * GOLDEN % 1.0
--- a/dillport/wire.py
+++ b/dillport/wire.py
@@ -210,6 +210,7 @@
         fall_window=_number(rules, "rules.", "fall", 1_000.0),
         fall_multiple=_number(rules, "rules.", "fall-multiple", 1.0),
         weighted=_choice(raw, "", "weight-source", _WEIGHTS, "off"),
+        live_weights=raw.get("weight-source") == "live",
         connect_timeout=_number(limits, "limits.", "connect-timeout", 250.0),
         zones=_texts(raw, "", "failure-domains"),
         kinds=_texts(raw, "", "kinds"),
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -497,6 +497,26 @@
     assert b.limit >= 20.0
 
 
+def test_live_weights_let_the_least_limit_rise_and_take_it_back() -> None:
+    """Guards against shedding while cores stand idle, and against keeping a limit that crowds them."""
+
+    def least(held: float, live: bool = True) -> list[float]:
+        b, out = node(replace(BASE, weighted=True, live_weights=live), NAMES), list[float]()
+        b.out = 99  # all comes to be held: the limit binds
+        for i in range(60):
+            _arrive(b, f"r{i}", 2000.0 + 100.0 * i)
+            weight = 1.0 if i < 30 else 1 / (1 + held)
+            entries = [entry(name, weight=weight) for name in NAMES]
+            b.handle(2000.0 + 100.0 * i, api.ListUpdate(api.ListKind.CHANGES, entries))
+            out.append(b.least)
+        return out
+
+    eased, crowded = least(0.5), least(3.0)
+    assert eased[-1] >= eased[29] > 1.2 * eased[0]
+    assert crowded[29] == eased[29] and crowded[-1] < crowded[29]
+    assert len(set(least(0.5, live=False))) == 1
+
+
 def test_what_is_held_and_expired_is_forgotten() -> None:
     """Guards against a list of held requests that grows for as long as an overload lasts."""
     b = node(BASE, NAMES)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import resource
 import socket
@@ -346,6 +347,48 @@
     run(test)
 
 
+def test_more_is_sent_while_live_weights_tell_of_room(tmp_path: Path) -> None:
+    """Guards against shedding while cores stand idle, where aims are close to the time that serving takes."""
+
+    async def test() -> None:
+        busy, peak, count = 0, asyncio.Event(), 0
+
+        async def work(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            nonlocal busy, count
+            busy, count = busy + 1, count + 1
+            if busy > 8:  # four for each backend is the least limit
+                peak.set()
+            await asyncio.sleep(0.1 if count % 10 else 0.0)
+            busy -= 1
+            await echo(backend, message, writer)
+
+        read = {"name": "read", "effect": "retryable", "give-up": 2000, "objective": 400}
+        backends = [Backend("b0", work), Backend("b1", work)]
+        settings = {"request-classes": [read], "weight-source": "live"}
+        async with running(tmp_path, *backends, **settings) as rig:
+            await rig.discovery.asked.get()
+
+            async def keep_asking() -> None:
+                client = await rig.client()
+                while True:
+                    await client.ask("/read")
+                    await asyncio.sleep(0.01)
+
+            async def tell() -> None:
+                for revision in itertools.count(42):
+                    rig.discovery.news(revision, *[b.member() for b in backends])
+                    await asyncio.sleep(0.05)
+
+            tasks = [asyncio.ensure_future(keep_asking()) for _ in range(24)]
+            tasks.append(asyncio.ensure_future(tell()))
+            await asyncio.wait_for(peak.wait(), WAIT)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    run(test)
+
+
 def test_an_answer_whose_head_does_not_end_is_given_up(tmp_path: Path) -> None:
     async def test() -> None:
         backend = Backend("b0", says(b"HTTP/1.1 200 OK\r\nLong: " + b"x" * 20_000))
