--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -92,7 +92,9 @@
         low = min(b.estimate for b in pool)
         if low < m:
             return self.rng.choice([b for b in pool if b.estimate == low])
-        return self.rng.choices(pool, [(b.entry.weight / b.slow) ** 2 / (1 + b.out) for b in pool])[0]
+        # A weight may be 0: guards against a draw from nothing where all in the pool have that.
+        parts = [(max(b.entry.weight, 1e-6) / b.slow) ** 2 / (1 + b.out) for b in pool]
+        return self.rng.choices(pool, parts)[0]
 
     def _report(self, b: Backend, report: api.Report | None, fresh: bool) -> None:
         """An idle sign zeroes the estimate, but for own attempts still out: a late sign knows none."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -69,6 +69,14 @@
     assert set(got) == set(NAMES) and min(got.values()) > 50
 
 
+def test_backends_without_weight_are_picked_where_there_are_no_others() -> None:
+    """Guards against a request that fails because a random draw has nothing to draw from."""
+    b = node(BASE, NAMES, weight=0.0)
+    for x in b.backends.values():
+        x.estimate = 99
+    assert sends(_arrive(b, "r"))
+
+
 def test_looking_sends_to_the_first_idle_backend_seen() -> None:
     b = node(LOOKING, NAMES)
     probes = [a.backend for a in _arrive(b, "r") if isinstance(a, api.Probe)]
