Backends that turn away do not count as room for the least limit

Checked: the mean of _relax over both kinds stays under 1.6, so the limit rose while the serving half was full. Cause: policy.py, _relax took the weights of all. Test of the module: half a fleet idle and turning away lets nothing rise; it fails without the change.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -482,14 +482,17 @@
         own time to serve. Could hurt where weights are late by more than a burst takes to crowd a fleet, or
         where discovery falls silent after a rise: it stays until the next list.
         """
-        held = 0.0
+        held, count = 0.0, 0
         for b in [self.backends[name] for name in self.up]:
+            if b.full > CHOOSY:
+                continue  # what it turns away is no room
+            count += 1
             size = self.sizes[b.entry.kind] = max(self.sizes.get(b.entry.kind, 0.0), b.entry.weight)
             held += size / b.entry.weight - 1 if b.entry.weight else 0.0
         most, rise, fall = EASE
         part = min(1.0, (self.now - self.listed) / self.longest_aim)
         self.listed = self.now
-        if held > ROOMY * len(self.up):
+        if held > ROOMY * count:
             self.ease = max(1.0, self.ease * (1 - fall * part))
         elif self.held or self.out + 2 > self.limit:
             self.ease = min(most, self.ease * (1 + rise * part))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -519,6 +519,19 @@
             out.append(b.least)
         return out
 
+    def with_idle(full: float) -> float:
+        b = node(replace(BASE, weighted=True, live_weights=True), NAMES)
+        b.out = 99
+        for i in range(30):
+            _arrive(b, f"r{i}", 2000.0 + 100.0 * i)
+            for x in NAMES[:6]:
+                b.backends[x].full = full
+            entries = [entry(x, weight=1.0 if x in NAMES[:6] else 0.3) for x in NAMES]
+            b.handle(2000.0 + 100.0 * i, api.ListUpdate(api.ListKind.CHANGES, entries))
+        return b.ease
+
+    # Those that turn away and stand idle are no room for what crowds the rest.
+    assert with_idle(0.0) > 1.2 and with_idle(0.5) == 1.0
     eased, crowded = least(0.5), least(3.0)
     assert eased[-1] >= eased[29] > 1.2 * eased[0]
     assert crowded[29] == eased[29] and crowded[-1] < crowded[29]
