First answers on a connection close while many connections stand idle

Its clients ask once on a connection and keep it; the node kept each for 2.1 s, so the third of its descriptors that clients may hold let in some 60 requests a second where 280 wanted to come. The module refused next to nothing.

Change: while more than an eighth of the places stand idle, the first answer on a connection says Connection: close. One that has been asked on again is kept, as only who asked once may never ask again.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -25,7 +25,7 @@
 SLOW = 2.3  # s for a request to come in whole once its connection is up, or once it has begun on a used one
 MUTE = 1.0  # s without a word after which a new connection goes before used ones where they are too many
 IDLE = 60.0  # s that a connection is kept between two requests
-BRIEF = 2.1  # the same where more than FEW of all that may be there are idle
+BRIEF = 2.1  # the same where more than FEW of all that may be there are idle; first answers close then
 FEW = 1 / 8
 SWEEP = 0.2  # s between two looks for connections whose time is up
 ONCE = frozenset({b"request-id", b"idempotency-key", b"request-timeout", b"host"})
@@ -82,6 +82,7 @@
         self.closing = self.mid = self.close_after = False
         self.over = False  # it came when there were too many, and gets one answer
         self.keep_alive = True
+        self.asked = 0  # whole requests that came on it
         self.left = 0  # bytes that came once it was closing
         self.parser = httptools.HttpRequestParser(self)
         self._reset()
@@ -205,6 +206,7 @@
         if self.close_after:
             return
         self.mid = False
+        self.asked += 1
         self.front.waiting.pop(self, None)
         self.keep_alive = self.parser.should_keep_alive()
         try:
@@ -296,6 +298,9 @@
         if self.closing or self.transport is None:
             return
         close = self.close_after or self.node.stopping or not self.keep_alive
+        # Guards against clients that ask once and keep their connection: what they hold keeps others out, and
+        # only a new request could tell them from those who will ask again. One that was asked on again stays.
+        close = close or (self.asked < 2 and self.front.pressed)
         if close:
             extra += b"Connection: close\r\n"
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n"
@@ -343,6 +348,11 @@
         """Whether there are more client connections than the cap."""
         return len(self.connections) > self.limit
 
+    @property
+    def pressed(self) -> bool:
+        """Whether more than `FEW` of the connections that may be there stand idle."""
+        return len(self.idle) > FEW * self.limit
+
     @property
     def address(self) -> Address:
         """Where it listens; the port is the system's choice where the configuration says 0."""
@@ -388,7 +398,7 @@
             connection.too_slow()
         while self.idle:
             connection, since = next(iter(self.idle.items()))
-            if now - since <= (BRIEF if len(self.idle) > FEW * self.limit else IDLE):
+            if now - since <= (BRIEF if self.pressed else IDLE):
                 break
             connection.close()
 
