Only classes in use steer the concurrency limit

Seen: four servers of 50 ms, 60 clients, one class asked for: 1,189 answers a second; with two more classes configured that nobody uses 320 answers and 285 refusals a second, the limit at its least of 16. A class that was slow and then falls silent does the same for good.

Cause: _steer takes the largest strain of all classes, and that of a class without answers never moves: 0 for one never asked for, its last value else.

Change: a class that has had no answer for four longest aims has no say, and starts anew when it comes back. For as long after the first answer all classes have one, as before.

Tried: leaving unheard classes out from the first answer on.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -21,6 +21,7 @@
 NEAR = 0.11  # the concurrency limit steers for answers that usually take this part of the tightest aim
 LIMIT_GAIN = 0.015  # relative step of the limit per answer and unit of error: small, as all nodes act alike
 FLOOR_RISE = 0.001  # part of an answer's time by which the least time rises again, lest one outlive its cause
+RECALL = 4.0  # longest aims without an answer after which a class no longer steers the limit
 EASY = 0.1  # less than this part of the time that the limit steers for counts as this part
 LIMIT_LEAST = 4.0  # lowest and first limit, for each backend that falls to this node if that is over one
 ROOMY = 1.6  # requests held a core, in the mean, up to which the least limit may rise while it binds
@@ -65,6 +66,7 @@
         self.token = self.out = self.asks_failed = self.arrived = self.shed = 0
         self.limit, self.least, self.bank, self.logged = LIMIT_LEAST, LIMIT_LEAST, RETRY_BANK, -LOG_EVERY
         self.sizes: dict[str, float] = {}  # weight of an idle backend, by kind
+        self.began = math.inf  # when the first answer steered the limit
         self.ease, self.listed = 1.0, 0.0  # factor of the least limit; when it was last told
         self.lost = 0.0  # share of attempts that got no answer of late
         self.failing = 0.0  # share of attempts that failed of late, for want of room left out
@@ -389,8 +391,15 @@
             floor = self.floors[zone] = min(took, floor + FLOOR_RISE * took)
         floor = min(floor, aim / 2)
         late = (took - floor) / (NEAR * (aim - floor))
+        # Only classes in use have a say, and one that comes back starts anew: guards against a class that
+        # nobody asks for, or that was slow and fell silent, and holds the limit down for good. At first all
+        # have one: a limit that rises before each class has shown slack crowds a fleet that is in trouble.
+        since, self.began = self.now - RECALL * self.longest_aim, min(self.began, self.now)
+        if cls.heard < since:
+            cls.strain = 0.0
+        cls.heard = self.now
         cls.strain += EWMA / 2 * (math.log(max(late, EASY)) - cls.strain)
-        excess = max(c.strain for c in self.classes.values())
+        excess = max(c.strain for c in self.classes.values() if max(c.heard, self.began) >= since)
         if excess > 0 or self.out + 2 > self.limit:  # it bound until this answer
             self.limit *= 1 - LIMIT_GAIN * max(-1.0, min(1.0, excess))
         self.limit = max(self.limit, self.least)
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from dillport import interface as api
@@ -41,6 +42,7 @@
     usual: float  # expected time to serve
     dev: float = 0.0  # and its mean deviation
     strain: float = 0.0  # mean log of late times over what the limit steers for: tames heavy tails
+    heard: float = -math.inf  # when an answer of it last steered the limit
     allowance: float = 0.0  # the time clients give a first try, by majority vote
     votes: int = 0
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import random
 from collections import Counter
 from dataclasses import replace
@@ -352,6 +354,66 @@
     raise AssertionError(f"limit {b.limit} after 600 answers that no load delayed")
 
 
+def _closed_loop(
+    b: Balancer, start: float, length: float, kind: str, took: float, clients: int = 60
+) -> tuple[int, int]:
+    """Clients that ask, wait and ask again, a moment later after a refusal: answers and refusals."""
+    queue: list[tuple[float, int, str, api.Event]] = []
+    tie, served, refused = itertools.count(), 0, 0
+
+    def ask(when: float) -> None:
+        if when >= start + length:
+            return
+        number = next(tie)
+        event = api.Arrival(f"{start}-{number}", kind, when + 1000.0)
+        heapq.heappush(queue, (when, number, event.request, event))
+
+    for i in range(clients):
+        ask(start + took * i / clients)
+    while queue:
+        now, _, name, event = heapq.heappop(queue)
+        if isinstance(event, api.Outcome):
+            served += 1
+            ask(now)
+        for act in b.handle(now, event):
+            if isinstance(act, api.Send):
+                end = api.Outcome(act.request, 0, act.backend, api.Status.OK, took, True)
+                heapq.heappush(queue, (now + took, next(tie), act.request, end))
+            elif isinstance(act, api.SetTimer):
+                heapq.heappush(queue, (act.when, next(tie), name, api.Timer(act.token)))
+            elif isinstance(act, (api.Refuse, api.Fail)):
+                refused += 1
+                ask(now + 100.0)
+    return served, refused
+
+
+def test_a_class_that_nobody_uses_does_not_pin_the_limit() -> None:
+    """Guards against a limit at its least for good, as a class without answers never showed any slack."""
+    alone, among = node(replace(BASE, classes=(SAFE,)), NAMES[:4]), node(BASE, NAMES[:4])
+    first = _closed_loop(among, 1000.0, 1000.0, "read", 50.0)
+    assert first[0] < 400  # at first it waits for every class to show slack
+    for b in (alone, among):
+        _closed_loop(b, 3000.0, 5000.0, "read", 50.0)
+    got = [_closed_loop(b, 9000.0, 5000.0, "read", 50.0) for b in (alone, among)]
+    assert got[0] == got[1]
+    assert among.limit > 50
+
+
+def test_a_class_that_was_slow_and_fell_silent_lets_the_limit_recover() -> None:
+    """Guards against a bad hour of one class that holds down all others while nobody asks for it."""
+    b = node(replace(BASE, classes=(SAFE, KEYED)), NAMES[:4])
+    _closed_loop(b, 1000.0, 10_000.0, "pay", 390.0)
+    low = b.limit
+    assert b.classes["pay"].strain > 0
+    _closed_loop(b, 12_000.0, 20_000.0, "read", 50.0)
+    assert b.limit > 2 * low
+    # Back after its silence it starts where the others stand, not with what was true an hour ago.
+    high, late = b.limit, b.classes["pay"].strain
+    _arrive(b, "back", 3_600_000.0, "pay")
+    b.handle(3_600_050.0, _done("back", b.requests["back"].attempts[0].backend.entry.backend))
+    assert b.classes["pay"].strain < late and b.limit >= high
+
+
 def test_names_and_zones_do_not_matter() -> None:
     """A node acts on numbers, not on what things are called."""
 
