--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from dillport import interface as api
-from dillport import wire
+from dillport import settings as platform
 
 PREFIX = "PROXY_"
 PHASES = {
@@ -142,7 +142,7 @@
     if not isinstance(raw.get("settings"), dict):
         raise ConfigError("settings is missing")
     try:
-        settings = wire.parse_settings(raw["settings"])
+        settings = platform.parse(raw["settings"])
     except api.SettingsError as err:
         raise ConfigError(f"settings: {err}") from None
     limits = raw.get("limits", {})
--- /dev/null
+++ b/dillport/settings.py
@@ -0,0 +1,207 @@
+"""The platform's settings, out of their JSON object, checked. Nothing is decided here.
+
+A START line of the simulator's wire and a real node's configuration hold the same object.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+from dillport import interface as api
+
+_EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
+_GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
+_REPORTS = {"inline": api.Reports.ANSWERS, "on_probe": api.Reports.PROBES, "off": api.Reports.NONE}
+_WEIGHTS = {"off": False, "nominal": True, "rough": True, "live": True}
+_CHARGES = (
+    "probe", "waste", "cross-zone", "late-fail", "handshake", "connection", "discovery", "fleet", "moves",
+    "origin", "peer",
+)  # fmt: skip
+
+Table = dict[str, Any]
+
+
+def _fault(where: str, name: str, value: object) -> api.SettingsError:
+    return api.SettingsError(f"{where}{name} makes no sense: {value!r}")
+
+
+def _number(table: Table, where: str, name: str, default: float | None, low: float = 0.0) -> float:
+    value = table.get(name, default)
+    if value is None:
+        raise api.SettingsError(f"{where}{name} is missing")
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not low <= value < math.inf:
+        raise _fault(where, name, value)
+    return float(value)
+
+
+def _whole(table: Table, where: str, name: str, default: int, low: int) -> int:
+    value = _number(table, where, name, default, low)
+    if value != int(value):
+        raise _fault(where, name, table[name])
+    return int(value)
+
+
+def _flag(table: Table, where: str, name: str, default: bool) -> bool:
+    value = table.get(name, default)
+    if not isinstance(value, bool):
+        raise _fault(where, name, value)
+    return value
+
+
+def _text(table: Table, where: str, name: str, default: str | None) -> str:
+    value = table.get(name, default)
+    if value is None or (value == "" and default is None):
+        raise api.SettingsError(f"{where}{name} is missing")
+    if not isinstance(value, str):
+        raise _fault(where, name, value)
+    return value
+
+
+def _texts(table: Table, where: str, name: str) -> tuple[str, ...]:
+    value = table.get(name, [])
+    if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+        raise _fault(where, name, value)
+    return tuple(value)
+
+
+def _table(table: Table, name: str) -> Table:
+    value = table.get(name, {})
+    if not isinstance(value, dict):
+        raise _fault("", name, value)
+    return value
+
+
+def _rows(table: Table, name: str) -> list[Table]:
+    value = table.get(name, [])
+    if not isinstance(value, list):
+        raise _fault("", name, value)
+    for index, row in enumerate(value):
+        if not isinstance(row, dict):
+            raise _fault("", f"{name}[{index}]", row)
+    return value
+
+
+def _choice(table: Table, where: str, name: str, among: dict[str, Any], default: str | None) -> Any:
+    value = _text(table, where, name, default)
+    if value not in among:
+        raise _fault(where, name, value)
+    return among[value]
+
+
+def _class(table: Table, index: int) -> api.RequestClass:
+    where = f"request-classes[{index}]."
+    deadline = _number(table, where, "give-up", None)
+    out = api.RequestClass(
+        name=_text(table, where, "name", None),
+        effect=_choice(table, where, "effect", _EFFECTS, None),
+        aim=_number(table, where, "objective", deadline),
+        deadline=deadline,
+        value=_number(table, where, "value", 1.0),
+        late_worth=_number(table, where, "late-worth", 0.0),
+        # Untold, only the smallest group drops a repeat and forgets it at once: the cautious reading.
+        group=_choice(table, where, "group", _GROUPS, "cell"),
+        memory_span=_number(table, where, "memory-span", 0.0),
+        streamed=_flag(table, where, "streamed", False),
+        aim_stretch=_number(table, where, "aim-stretch", 0.0),
+    )
+    for name, value in (("give-up", out.deadline), ("objective", out.aim)):
+        if value <= 0:
+            raise _fault(where, name, value)
+    return out
+
+
+def _tenant(table: Table, index: int) -> api.Tenant:
+    where = f"projects[{index}]."
+    return api.Tenant(
+        _text(table, where, "name", None),
+        _number(table, where, "quota-per-s", 0.0),
+        _number(table, where, "share", 0.0),
+    )
+
+
+def read(text: str) -> api.Settings:
+    """The settings out of a START line; raises SettingsError where one is missing or senseless."""
+    try:
+        raw = json.loads(text)
+    except (ValueError, RecursionError) as err:
+        raise api.SettingsError(f"boot-info is not JSON: {err}") from None
+    if not isinstance(raw, dict):
+        raise api.SettingsError("boot-info is not an object")
+    return parse(raw)
+
+
+def parse(raw: Table) -> api.Settings:
+    """The settings out of their JSON object, as a START line or a node's configuration holds it.
+
+    Left out on purpose, as they say nothing that a decision could use: `family`, `stages` and `tier` (an
+    instance sends to one tier only). Unknown keys are skipped.
+    """
+    limits, rules, load = _table(raw, "limits"), _table(raw, "rules"), _table(raw, "load-info")
+    charges, blend, family = _table(raw, "charges"), _table(raw, "blend"), _table(raw, "family-info")
+    classes = _rows(raw, "request-classes")
+    if not classes:
+        raise api.SettingsError("request-classes is missing")
+    group_size = _whole(raw, "", "group-size", 1, 1)
+    me = _whole(raw, "", "me", 0, 0)
+    heeded = _flag(limits, "limits.", "retry-after", False)
+    ramp_time = _number(rules, "rules.", "ramp-time", 60_000.0)
+    cold_share = _number(rules, "rules.", "cold-share", 0.0)
+    if cold_share > 1:
+        raise _fault("rules.", "cold-share", cold_share)
+    return api.Settings(
+        classes=tuple(_class(table, index) for index, table in enumerate(classes)),
+        me=me,
+        group_size=group_size,
+        zone=_text(raw, "", "zone", ""),
+        tick=_number(raw, "", "granularity", 1.0),
+        tenants=tuple(_tenant(table, index) for index, table in enumerate(_rows(raw, "projects"))),
+        charges=api.Charges(
+            **{
+                name.replace("-", "_"): _number(charges, "charges.", name, 0.0)
+                for name in _CHARGES
+            }
+        ),
+        blend=api.Blend(
+            whole=_number(blend, "blend.", "whole", 1.0),
+            worst_window=_number(blend, "blend.", "worst-window", 0.0),
+            worst_class=_number(blend, "blend.", "worst-class", 0.0),
+            worst_tenant=_number(blend, "blend.", "worst-tenant", 0.0),
+            nines=_number(blend, "blend.", "nines", 0.0),
+            top_nines=_number(blend, "blend.", "top-nines", 3.0),
+            slow_end=_number(blend, "blend.", "slow-end", 0.0),
+            miss_allowed=_number(blend, "blend.", "miss-allowed", 0.0),
+        ),
+        over_share_worth=_number(raw, "", "over-share-worth", 1.0),
+        worth_by_work=_choice(raw, "", "worth-by", {"request": False, "work": True}, "request"),
+        must_ask=_choice(raw, "", "discovery", {"automatic": False, "subscribe": True}, "subscribe"),
+        reports=_choice(load, "load-info.", "how", _REPORTS, "off"),
+        report_fields=_texts(load, "load-info.", "names"),
+        probing=_flag(limits, "limits.", "probing", False),
+        may_cancel=_flag(limits, "limits.", "cancel", False),
+        second_copies=_flag(limits, "limits.", "second-copies", False),
+        max_attempts=_whole(limits, "limits.", "most-tries", 1, 1),
+        max_retry_after=_number(limits, "limits.", "max-retry-after", 0.0) if heeded else 0.0,
+        answer_slack=_number(rules, "rules.", "answer-slack", 0.0),
+        ask_within=_number(rules, "rules.", "ask-within", 10_000.0),
+        drain_grace=_number(rules, "rules.", "drain-grace", 0.0),
+        cold_share=cold_share,
+        ramp_time=ramp_time,
+        fall_window=_number(rules, "rules.", "fall", 1_000.0),
+        fall_multiple=_number(rules, "rules.", "fall-multiple", 1.0),
+        weighted=_choice(raw, "", "weight-source", _WEIGHTS, "off"),
+        live_weights=raw.get("weight-source") == "live",
+        connect_timeout=_number(limits, "limits.", "connect-timeout", 250.0),
+        zones=_texts(raw, "", "failure-domains"),
+        kinds=_texts(raw, "", "kinds"),
+        retries_marked=_flag(_table(raw, "client-habits"), "client-habits.", "marks-retry", False),
+        warm_keys=_flag(family, "family-info.", "warm-keys", False),
+        passes_deadline=_flag(family, "family-info.", "passes-deadline", False),
+        peers=_flag(limits, "limits.", "peers", False),
+        conn_idle=_number(limits, "limits.", "conn-idle", 0.0),
+        streams_per_conn=_whole(limits, "limits.", "streams-per-conn", 1, 1),
+        max_open=_whole(limits, "limits.", "max-open", 20_000, 1),
+        cpu_us_per_s=_number(limits, "limits.", "cpu-us-per-s", 0.0),
+        cpu_us_per_request=_number(limits, "limits.", "cpu-us-per-request", 0.0),
+    )
--- a/dillport/simhost.py
+++ b/dillport/simhost.py
@@ -9,6 +9,7 @@
 from dillport import wire
 from dillport.interface import CallError, Event, Settings, SettingsError
 from dillport.policy import Balancer
+from dillport.settings import read
 
 
 class Host:
@@ -65,7 +66,7 @@
         parts = line.split(" ", 2)
         if who < 0 or len(parts) != 3 or not parts[1].isdecimal():
             raise wire.WireError(f"malformed line: {line[:120]!r}")
-        settings = wire.settings(parts[2])
+        settings = read(parts[2])
         self.instances[who] = (Balancer(settings, int(parts[1])), settings)
 
     @staticmethod
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -23,6 +24,16 @@
     fall_multiple=3.0,
     reports=api.Reports.ANSWERS,
 )
+INFO: dict[str, Any] = {
+    "request-classes": [
+        {"name": "read", "effect": "retryable", "give-up": 1000.0, "objective": 400.0, "value": 2}
+    ],
+    "limits": {"cancel": True, "most-tries": 3, "second-copies": True, "probing": False},
+    "rules": {"answer-slack": 5.0, "cold-share": 0.2, "ramp-time": 9000.0, "fall": 1000.0},
+    "load-info": {"how": "inline", "names": ["waiting", "active"]},
+    "unknown-key": {"x": 1},
+}
+BOOT = json.dumps(INFO)
 LOOKING = replace(BASE, reports=api.Reports.PROBES, probing=True, charges=api.Charges(probe=0.001))
 
 
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,82 @@
+"""The platform's settings: what is read, what is named as senseless, what holds where nothing is told."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from dillport import interface as api
+from dillport import settings
+from tests.helpers import BOOT, INFO
+
+
+def test_settings_read_and_unknown_keys_skipped() -> None:
+    got = settings.read(BOOT)
+    assert got.classes[0].aim == 400.0 and got.max_attempts == 3
+    assert got.report_fields == ("waiting", "active")
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"request-classes": []}, "request-classes is missing"),
+        ({"request-classes": [{"name": "x", "effect": "odd", "give-up": 1}]}, r"effect.*'odd'"),
+        ({"request-classes": [{"name": "x", "effect": "dedup"}]}, r"request-classes\[0\].give-up is missing"),
+        ({"rules": {"ramp-time": -1}}, "rules.ramp-time makes no sense: -1"),
+        ({"group-size": 0}, "group-size makes no sense: 0"),
+        ({"group-size": 2.5}, "group-size makes no sense: 2.5"),
+        ({"me": "x"}, "me makes no sense: 'x'"),
+        ({"request-classes": 5}, "request-classes makes no sense: 5"),
+        ({"request-classes": [7]}, r"request-classes\[0\] makes no sense: 7"),
+        ({"request-classes": [{"name": "x", "effect": 3, "give-up": 1}]}, r"effect makes no sense: 3"),
+        ({"request-classes": [{"name": "x", "effect": "dedup", "give-up": 0}]}, "give-up makes no sense: 0"),
+        ({"limits": [1]}, r"limits makes no sense: \[1\]"),
+        ({"limits": {"cancel": "yes"}}, "limits.cancel makes no sense: 'yes'"),
+        ({"rules": {"cold-share": 1.5}}, "rules.cold-share makes no sense: 1.5"),
+        ({"granularity": float("nan")}, "granularity makes no sense: nan"),
+        ({"rules": {"fall": float("inf")}}, "rules.fall makes no sense: inf"),
+        ({"charges": {"probe": True}}, "charges.probe makes no sense: True"),
+        ({"projects": [{"quota-per-s": 3}]}, r"projects\[0\].name is missing"),
+        ({"projects": ["t"]}, r"projects\[0\] makes no sense: 't'"),
+        ({"load-info": {"how": "inline", "names": "active"}}, "load-info.names makes no sense: 'active'"),
+        ({"discovery": "guess"}, "discovery makes no sense: 'guess'"),
+        ({"weight-source": "odd"}, "weight-source makes no sense: 'odd'"),
+        ({"zone": 4}, "zone makes no sense: 4"),
+    ],
+)
+def test_senseless_settings_are_named(change: dict[str, object], named: str) -> None:
+    with pytest.raises(api.SettingsError, match=named):
+        settings.read(json.dumps(INFO | change))
+
+
+def test_every_setting_of_the_wire_page_arrives() -> None:
+    told = INFO | {
+        "blend": {"nines": 0.2, "top-nines": 4.0, "slow-end": 0.3, "miss-allowed": 0.02, "whole": 0.5},
+        "charges": {"peer": 0.01, "moves": 0.02, "origin": 0.03, "fleet": 0.04, "discovery": 0.05},
+        "client-habits": {"marks-retry": True},
+        "family-info": {"warm-keys": True, "passes-deadline": True},
+        "kinds": ["k"], "failure-domains": ["a", "b"],
+    }  # fmt: skip
+    told["limits"] = {
+        "conn-idle": 5000.0, "streams-per-conn": 7, "max-open": 9, "cpu-us-per-s": 8000,
+        "cpu-us-per-request": 2.5, "peers": True, "retry-after": True, "max-retry-after": 250.0,
+    }  # fmt: skip
+    got = settings.read(json.dumps(told))
+    assert (got.blend.nines, got.blend.top_nines, got.blend.slow_end, got.blend.miss_allowed) == (
+        0.2, 4.0, 0.3, 0.02)  # fmt: skip
+    charges = got.charges
+    assert (charges.peer, charges.moves, charges.origin, charges.fleet, charges.discovery) == (
+        0.01, 0.02, 0.03, 0.04, 0.05)  # fmt: skip
+    assert got.retries_marked and got.warm_keys and got.passes_deadline and got.peers
+    assert got.kinds == ("k",) and got.zones == ("a", "b")
+    assert (got.conn_idle, got.streams_per_conn, got.max_open) == (5000.0, 7, 9)
+    assert (got.cpu_us_per_s, got.cpu_us_per_request, got.max_retry_after) == (8000.0, 2.5, 250.0)
+
+
+def test_what_is_not_told_is_read_with_caution() -> None:
+    bare = settings.read(json.dumps({"request-classes": INFO["request-classes"]}))
+    assert bare.cold_share < 1 and bare.ramp_time > 0 and bare.fall_multiple <= 1
+    assert bare.classes[0].group is api.Group.CELL and bare.classes[0].memory_span == 0
+    assert not (bare.probing or bare.may_cancel or bare.second_copies or bare.peers)
+    assert bare.max_attempts == 1 and bare.must_ask
