Move Address, Member and the list's checks out of net/config.py into members.py

What a list says of a backend is no matter of sockets: the membership decisions and every source of a list need it, and they may not import net.

--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,13 +10,9 @@
 
 from dillport import interface as api
 from dillport import settings as platform
+from dillport.members import Address, ListError, Listing, address, listing
 
 PREFIX = "PROXY_"
-PHASES = {
-    "in_service": api.Phase.UP,
-    "terminating": api.Phase.DRAINING,
-    "terminated": api.Phase.GONE,
-}
 SPARE = 32  # descriptors kept for the listener, discovery, the loop and the log
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 
@@ -27,30 +21,6 @@
     """The configuration is missing or makes no sense; the text names the field."""
 
 
-class ListError(ValueError):
-    """An entry or a line of the list makes no sense."""
-
-
-Address = tuple[str, int]
-
-
-@dataclass(slots=True, frozen=True)
-class Member:
-    """One backend as discovery lists it: the module's entry and where it listens."""
-
-    entry: api.Entry
-    address: Address
-
-
-@dataclass(slots=True, frozen=True)
-class News:
-    """One list, or one line of a watch."""
-
-    revision: int
-    complete: bool
-    members: tuple[Member, ...]
-
-
 @dataclass(slots=True, frozen=True)
 class Config:
     """All that a node is told."""
@@ -60,58 +30,11 @@
     discovery: Address
     seed: int
     settings: api.Settings
-    known: News
+    known: Listing
     client_sockets: int
     upstream_sockets: int
 
 
-def address(value: object) -> Address:
-    """`HOST:PORT` with a literal address, as there is no DNS; raises ValueError."""
-    if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not text")
-    host, _, port = value.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    ipaddress.ip_address(host)
-    if not port.isdecimal() or not 0 <= int(port) < 65536:
-        raise ValueError(f"{value!r} has no port")
-    return host, int(port)
-
-
-def _member(row: object) -> Member:
-    if not isinstance(row, dict):
-        raise ListError(f"not an object: {row!r:.120}")
-    try:
-        name, weight, started = row["id"], row.get("size", 1.0), row.get("up_since_ms", 0)
-        if not isinstance(name, str) or not name:
-            raise ValueError("id")
-        if isinstance(weight, bool) or not isinstance(weight, (int, float)) or not 0 <= weight < math.inf:
-            raise ValueError("size")
-        if isinstance(started, bool) or not isinstance(started, (int, float)) or not 0 <= started < math.inf:
-            raise ValueError("up_since_ms")
-        entry = api.Entry(
-            backend=name,
-            zone=str(row.get("locality", "")),
-            cell=int(row.get("cell", -1)),
-            weight=float(weight),
-            phase=PHASES[row["phase"]],
-            started_at=float(started),
-            kind=str(row.get("flavor", "")),
-        )
-        return Member(entry, address(row["host_port"]))
-    except (KeyError, TypeError, ValueError) as err:
-        raise ListError(f"bad entry ({err}): {row!r:.120}") from None
-
-
-def news(raw: object) -> News:
-    """A list in discovery's form; raises ListError."""
-    if not isinstance(raw, dict) or not isinstance(raw.get("members"), list):
-        raise ListError(f"not a list: {raw!r:.120}")
-    revision, complete = raw.get("revision"), raw.get("complete", False)
-    if isinstance(revision, bool) or not isinstance(revision, int) or not isinstance(complete, bool):
-        raise ListError(f"not a list: {raw!r:.120}")
-    return News(revision, complete, tuple(map(_member, raw["members"])))
-
-
 def _at(raw: Mapping[str, Any], env: Mapping[str, str], name: str, again: bool) -> Address:
     told = env.get(PREFIX + name.upper())
     value = raw.get(name) or told if again else told or raw.get(name)
@@ -155,7 +78,7 @@
     except (TypeError, ValueError):
         raise ConfigError(f"seed makes no sense: {seed!r:.120}") from None
     try:
-        known = news(raw.get("known", {"revision": 0, "complete": True, "members": []}))
+        known = listing(raw.get("known", {"revision": 0, "complete": True, "members": []}))
     except ListError as err:
         raise ConfigError(f"known: {err}") from None
     clients = int((sockets - SPARE) * CLIENT_PART)
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -11,7 +11,7 @@
 import httptools
 
 from dillport import interface as api
-from dillport.net.config import Address, ListError, News, news
+from dillport.members import Address, ListError, Listing, listing
 from dillport.net.node import Node
 
 log = logging.getLogger(__name__)
@@ -95,14 +95,14 @@
         if self.ended or not line.strip():
             return
         try:
-            update = news(json.loads(line))
+            update = listing(json.loads(line))
         except (ListError, ValueError, RecursionError) as err:
             log.warning("discovery: bad line: %.200s", err)
             # What it said is lost, and later changes do not repeat it: only the whole list will do.
             self.owner.revision = None
             self.close()
             return
-        self.owner.news(update)
+        self.owner.listed(update)
 
     def on_message_complete(self) -> None:
         """The end of a whole list, or of a watch."""
@@ -200,7 +200,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def news(self, update: News) -> None:
+    def listed(self, update: Listing) -> None:
         """Apply a line by its revision: a change that is not newer than the list held is an old one."""
         self.wait = WAIT_FIRST
         if update.complete:
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -13,7 +13,7 @@
 
 from dillport import interface as api
 from dillport.interface import Effect
-from dillport.net.config import Address
+from dillport.members import Address
 from dillport.net.node import Node
 
 log = logging.getLogger(__name__)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -11,7 +11,8 @@
 from typing import Protocol
 
 from dillport import interface as api
-from dillport.net.config import Config, News
+from dillport.members import Listing
+from dillport.net.config import Config
 from dillport.net.upstream import Answer, Attempt, Pool
 from dillport.policy import Balancer
 
@@ -140,10 +141,10 @@
             self._close(name, request)
             self.event(api.ClientGone(name))
 
-    def list(self, news: News, kind: api.ListKind) -> None:
+    def list(self, listing: Listing, kind: api.ListKind) -> None:
         """The list, or a change of it."""
-        self.pool.update(news.members, kind is not api.ListKind.CHANGES)
-        self.event(api.ListUpdate(kind, [m.entry for m in news.members], news.revision))
+        self.pool.update(listing.members, kind is not api.ListKind.CHANGES)
+        self.event(api.ListUpdate(kind, [m.entry for m in listing.members], listing.revision))
         self.ready = self.ready or any(host.up for host in self.pool.hosts.values())
 
     def list_failed(self) -> None:
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -15,7 +15,7 @@
 
 from dillport import interface as api
 from dillport.interface import Status
-from dillport.net.config import Address, Member
+from dillport.members import Address, Member
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,8 @@
 
 from dillport.interface import Arrival, Effect, ListKind, Settings, Status
 from dillport.interface import RequestClass as Class
-from dillport.net.config import ListError, load, news
+from dillport.members import ListError, listing
+from dillport.net.config import load
 from dillport.net.front import Front
 from dillport.net.node import Node
 from dillport.net.upstream import Answer, Pool, parse_report
@@ -155,7 +156,7 @@
 
 def _list(name: str, port: int, **over: Any) -> Any:
     row = {"id": name, "host_port": f"127.0.0.1:{port}", "phase": "in_service"} | over
-    return news({"revision": 1, "complete": True, "members": [row]}).members
+    return listing({"revision": 1, "complete": True, "members": [row]}).members
 
 
 async def _attempt(pool: Pool, data: bytes, meanwhile: Callable[[], Any] = lambda: None) -> Answer:
@@ -634,7 +635,7 @@
 def test_bad_entries_are_named(row: dict[str, Any]) -> None:
     good = {"id": "b0", "host_port": "127.0.0.1:1", "phase": "in_service"}
     with pytest.raises(ListError):
-        news({"revision": 1, "complete": True, "members": [good | row if row else "b0"]})
+        listing({"revision": 1, "complete": True, "members": [good | row if row else "b0"]})
 
 
 # --- bad input
