--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -11,11 +11,13 @@
 
 import uvloop
 
-from dillport.interface import ListKind
+from dillport.decide.membership import Listed, Source
 from dillport.net.config import Config, ConfigError, load
-from dillport.net.discovery import Discovery
+from dillport.net.fleet import Fleet
 from dillport.net.front import Front
 from dillport.net.node import Node
+from dillport.net.sources import platform
+from dillport.net.sources.platform import PlatformSource
 
 LOG_LINES, LOG_TIME = 50, 10.0  # at most so many lines in so many seconds
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
@@ -40,7 +42,7 @@
         return self.lines <= LOG_LINES
 
 
-def reload(discovery: Discovery) -> None:
+def reload(discovery: PlatformSource) -> None:
     """Read the configuration again: discovery may have moved. All else holds until the next start."""
     try:
         config = load(os.environ, again=True)
@@ -55,13 +57,17 @@
     """Run until SIGTERM or SIGINT, then answer what was taken and return; SIGHUP reads the file again."""
     loop = asyncio.get_running_loop()
     node = Node(config)
-    node.discovery = discovery = Discovery(node, config.discovery, config.known.revision)
+    fleet = Fleet(node, [Source(platform.NAME)])
+    node.discovery = discovery = PlatformSource(
+        config.discovery, config.settings.must_ask, node.now, fleet.hand,
+        lambda: fleet.resume(platform.NAME), node.list_failed,
+    )  # fmt: skip
     front = Front(node, config.client_sockets)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload, discovery)
-    node.list(config.known, ListKind.SAVED)
+    fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
     if not config.settings.must_ask:
         discovery.watch(True)
     await front.listen(config.listen)
--- /dev/null
+++ b/dillport/decide/membership.py
@@ -0,0 +1,525 @@
+"""Several sources of the list of backends, one view out that never goes back.
+
+Each source has an order of its own: an identity (the platform's is its address, etcd's its cluster id) and
+revisions in it. What is not newer than what was seen in that order is not applied, whole lists included. A
+new identity begins a new order, by a whole list only.
+
+The view of one backend, over all sources:
+
+- gone, if a source that may remove has removed it and has not listed it anew;
+- draining, if a source that may remove says so;
+- else up, if a source that may add lists it. Its address, zone, cell, kind and weight are those of the first
+  such source in the order given; its start time is the latest that any of them names, as one that may be cold
+  is to be treated as cold.
+
+`Membership.handle` takes an event and a clock time and returns actions. Nothing here does I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from itertools import islice
+from typing import Any
+
+from dillport.interface import ListKind, Phase
+from dillport.members import Address, Fault, Listing, Member
+
+SLICE = 1000  # entries of a whole list that are looked at in one go
+MAX_REMOVED = 20_000  # removals remembered a source, while there are others; the oldest is forgotten first
+MAX_FAULTS = 1000  # unreadable entries shown a source; further ones are counted
+LOUD_LEAST = 4  # removals at once, over half of what the source listed, that are worth a line of their own
+
+
+class Role(Enum):
+    """What a source's word may do."""
+
+    FULL = "full"  # add, drain and remove
+    ADD = "add"  # add, and withdraw what it added; it takes away nothing that another source lists
+    REMOVE = "remove"  # drain and remove what others list
+
+
+class State(Enum):
+    """How far a source is to be believed."""
+
+    UNHEARD = "unheard"  # nothing of it has come
+    SYNCING = "syncing"  # its whole list is needed
+    IN_SYNC = "in sync"
+    SILENT = "silent"  # out of reach, or cannot show that it is current: its last word stays in force
+    REFUSED = "refused"  # it answers, and what it says must not be used
+
+
+# --- events
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """A source listed: a whole list or changes, with a revision in the order of `identity`."""
+
+    source: str
+    identity: str
+    listing: Listing
+    saved: bool = False  # out of what the node was given at its start
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """A source showed that it lives and that what it said last is current."""
+
+    source: str
+
+
+@dataclass(slots=True, frozen=True)
+class Spoiled:
+    """Something came that could not be read at all; what it said is lost."""
+
+    source: str
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Silenced:
+    """A source is out of reach, or cannot show that it is current."""
+
+    source: str
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """A source answers, and what it says must not be used: it went back for good, or lets nobody in."""
+
+    source: str
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Moved:
+    """A source is another one from now on: its order begins anew, by a whole list."""
+
+    source: str
+    identity: str
+
+
+@dataclass(slots=True, frozen=True)
+class Continued:
+    """The turn of the loop that `Continue` asked for has come."""
+
+
+Event = Listed | Heard | Spoiled | Silenced | Refused | Moved | Continued
+
+# --- actions
+
+
+@dataclass(slots=True, frozen=True)
+class Apply:
+    """Take changes of the view: `members` are up or draining, `removed` are the last entries of those gone.
+
+    `revision` counts the changes of the view; it has nothing to do with any source's.
+    """
+
+    kind: ListKind
+    members: tuple[Member, ...]
+    removed: tuple[Member, ...]
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class Continue:
+    """Hand in `Continued` at the loop's next turn: the rest of a whole list waits."""
+
+
+@dataclass(slots=True, frozen=True)
+class Reject:
+    """What the source listed was not applied; it should be asked again, elsewhere if it can be."""
+
+    source: str
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Say:
+    """A line for the people on call."""
+
+    text: str
+    loud: bool = False
+
+
+Action = Apply | Continue | Reject | Say
+
+
+@dataclass(slots=True)
+class Source:
+    """One source, as data. `revision` is None until a whole list of the present order has been taken."""
+
+    name: str
+    role: Role = Role.FULL
+    pieces: bool = False  # changes of one revision may come in several pieces
+    identity: str | None = None
+    revision: int | None = None
+    state: State = State.UNHEARD
+    spoiled: bool = False  # a line was lost: only a whole list will do
+    heard_ms: float | None = None
+    reason: str = ""  # why it is silent or refused
+    members: dict[str, Member] = field(default_factory=dict, repr=False)
+    removed: dict[str, None] = field(default_factory=dict, repr=False)  # until it lists them anew
+    faults: dict[str, Fault] = field(default_factory=dict, repr=False)
+    unreadable: int = 0  # entries that could not be read, ever
+    old: int = 0  # listings that were not applied, as they were not newer
+    pending: dict[str, Member] = field(default_factory=dict, repr=False)  # the rest of a whole list
+
+    @property
+    def whole(self) -> bool:
+        """Whether changes can be applied to what is held."""
+        return self.revision is not None and not self.spoiled
+
+
+class Membership:
+    """The merge. `sources` are in the order of their precedence."""
+
+    def __init__(self, sources: Sequence[Source]) -> None:
+        self.sources = {s.name: s for s in sources}
+        if len(self.sources) != len(sources):
+            raise ValueError(f"two sources of one name: {[s.name for s in sources]}")
+        self.view: dict[str, Member] = {}  # in force: up or draining
+        self.revision = 0  # of the view
+        self.shadowed: set[str] = set()  # listed, up, and left out: another is up at the same address
+        self._at: dict[Address, tuple[str, ...]] = {}  # who is up at an address, in the order they came
+        self._where: dict[str, Address] = {}  # and the other way round
+        self._fresh: dict[str, Member] = {}  # changes that wait for the end of a whole list to be told
+        self._now_ms = 0.0
+        self._out: list[Action] = []
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """Decide on one event at the clock time `now_ms`."""
+        self._now_ms, self._out = now_ms, []
+        match event:
+            case Continued():
+                self._continue()
+            case Listed():
+                self._listed(self.sources[event.source], event)
+            case Heard():
+                self._heard(self.sources[event.source])
+            case Spoiled():
+                source = self.sources[event.source]
+                source.spoiled = True
+                source.state = State.SYNCING
+                self._out.append(Say(f"{source.name}: bad line: {event.reason}"))
+            case Silenced():
+                self._lost(self.sources[event.source], State.SILENT, event.reason)
+            case Refused():
+                self._lost(self.sources[event.source], State.REFUSED, event.reason)
+            case Moved():
+                source = self.sources[event.source]
+                if source.identity != event.identity:
+                    self._begin(source, event.identity)
+        return self._out
+
+    def resume(self, name: str) -> int | None:
+        """The revision to watch a source from, or None where only its whole list will do."""
+        source = self.sources[name]
+        return source.revision if source.whole else None
+
+    # --- order
+
+    def _listed(self, source: Source, event: Listed) -> None:
+        listing = event.listing
+        source.heard_ms = self._now_ms
+        if event.identity != source.identity:
+            if not listing.complete:
+                self._old(source, "changes of an order that has not begun here")
+                return
+            if source.identity is not None:
+                text = f"{source.name}: a new order begins: {event.identity} in place of {source.identity}"
+                self._out.append(Say(text, loud=True))
+            self._begin(source, event.identity)
+        newer = source.revision is None or listing.revision > source.revision
+        if listing.complete:
+            if newer or (listing.revision == source.revision and source.spoiled):
+                self._whole(source, listing, event.saved)
+            elif listing.revision == source.revision:
+                self._current(source)
+                self._apply([], ListKind.CHANGES)
+            else:
+                what = f"its whole list is of revision {listing.revision}, older than {source.revision}"
+                source.old += 1
+                if source.state is not State.IN_SYNC:  # else a call that was overtaken by the watch
+                    self._lost(source, State.REFUSED, what)
+                self._out.append(Reject(source.name, what))
+        elif not source.whole:
+            self._old(source, "changes, where the whole list is needed")
+        elif newer or (source.pieces and listing.revision == source.revision):
+            self._changes(source, listing)
+        else:
+            source.old += 1  # said before: a watch that was taken up again may repeat some
+            self._heard(source)
+
+    def _begin(self, source: Source, identity: str) -> None:
+        """A new order: what the old one said stays in force until the new one's whole list is here."""
+        source.identity, source.revision, source.spoiled = identity, None, False
+        source.state = State.SYNCING
+
+    def _old(self, source: Source, what: str) -> None:
+        source.old += 1
+        self._out += [Say(f"{source.name}: not applied: {what}"), Reject(source.name, what)]
+
+    def _heard(self, source: Source) -> None:
+        source.heard_ms = self._now_ms
+        if source.whole:
+            self._current(source)
+
+    def _current(self, source: Source) -> None:
+        if source.state in (State.SILENT, State.REFUSED):
+            self._out.append(Say(f"{source.name}: in sync again"))
+        source.state, source.reason = State.IN_SYNC, ""
+
+    def _lost(self, source: Source, state: State, reason: str) -> None:
+        """The view stays: a source that says nothing has taken nothing back."""
+        if (source.state, source.reason) != (state, reason):
+            text = f"{source.name} is {state.value}: {reason}; its last word stays in force"
+            self._out.append(Say(text, loud=state is State.REFUSED))
+        source.state, source.reason = state, reason
+
+    # --- what was listed
+
+    def _whole(self, source: Source, listing: Listing, saved: bool) -> None:
+        """Removals and drains at once; the rest in slices, as one of thousands would hold the loop."""
+        named = {m.entry.backend: m for m in listing.members}
+        unread = {fault.key for fault in listing.faults}
+        listed = source.members | source.pending
+        gone = [name for name in listed if name not in named and name not in unread]
+        gone += [name for name in listing.removed if name not in listed]
+        source.revision, source.spoiled, source.faults = listing.revision, False, {}
+        self._take(source, [last for name, last in source.pending.items() if name in unread])
+        source.pending, before = {}, len(listed)
+        touched = self._remove(source, gone)
+        touched += self._unreadable(source, listing.faults)
+        for name, member in named.items():
+            if member.entry.phase is not Phase.UP:
+                source.members[name] = member
+                source.removed.pop(name, None)
+                touched.append(name)
+        self._mass(source, len(gone), before)
+        self._current(source)
+        if saved:
+            source.state = State.UNHEARD
+            source.spoiled = bool(listing.faults)  # whoever was left out may be readable at the source
+            self._take(source, named.values())
+            self._apply(named, ListKind.SAVED)
+            return
+        if touched:
+            self._apply(touched, ListKind.CHANGES)
+        source.pending = named
+        self._continue()
+
+    def _continue(self) -> None:
+        """Look at the next slice of whatever whole list waits; what changed is applied once all was seen."""
+        for source in self.sources.values():
+            if not source.pending:
+                continue
+            names = list(islice(source.pending, SLICE))
+            self._take(source, [source.pending.pop(name) for name in names])
+            for name in names:
+                self._settle(name, self._fresh)
+            if any(source.pending for source in self.sources.values()):
+                self._out.append(Continue())
+                return
+        self._flush()
+
+    def _take(self, source: Source, members: Iterable[Member]) -> None:
+        for member in members:
+            name = member.entry.backend
+            source.members[name] = member
+            source.removed.pop(name, None)
+            source.faults.pop(name, None)
+
+    def _changes(self, source: Source, listing: Listing) -> None:
+        source.revision = listing.revision
+        before = len(source.members)
+        touched = self._remove(source, listing.removed)
+        touched += self._unreadable(source, listing.faults)
+        self._take(source, listing.members)
+        touched += [m.entry.backend for m in listing.members]
+        for name in touched:
+            source.pending.pop(name, None)  # older than what has just been said
+        self._mass(source, len(listing.removed), before)
+        self._current(source)
+        self._apply(touched, ListKind.CHANGES)
+
+    def _remove(self, source: Source, names: Iterable[str]) -> list[str]:
+        out = []
+        for name in names:
+            source.members.pop(name, None)
+            source.faults.pop(name, None)
+            if source.role is not Role.ADD and len(self.sources) > 1:
+                source.removed.pop(name, None)
+                source.removed[name] = None
+            out.append(name)
+        while len(source.removed) > MAX_REMOVED:
+            del source.removed[next(iter(source.removed))]
+        return out
+
+    def _unreadable(self, source: Source, faults: Iterable[Fault]) -> list[str]:
+        """An entry that cannot be read costs nothing but itself; that it drains is obeyed all the same."""
+        touched = []
+        for fault in faults:
+            source.unreadable += 1
+            source.faults.pop(fault.key, None)
+            if len(source.faults) < MAX_FAULTS:
+                source.faults[fault.key] = fault
+            self._out.append(Say(f"{source.name}: entry {fault.key!r:.300} left out: {fault.reason:.300}"))
+            if not fault.leaving:
+                continue
+            if (last := source.members.get(fault.key)) is not None:
+                entry = replace(last.entry, phase=Phase.DRAINING)
+                source.members[fault.key] = Member(entry, last.address)
+                touched.append(fault.key)
+            else:
+                touched += self._remove(source, [fault.key])
+        return touched
+
+    def _mass(self, source: Source, gone: int, before: int) -> None:
+        if gone >= LOUD_LEAST and 2 * gone > before:
+            text = f"{source.name}: {gone} of {before} backends removed at once; obeyed"
+            self._out.append(Say(text, loud=True))
+
+    # --- the view
+
+    def _resolve(self, name: str) -> Member | None:
+        """What holds of a backend over all sources; None: it is not to be used."""
+        found: Member | None = None
+        drains, started = False, 0.0
+        for source in self.sources.values():
+            if name in source.removed:
+                return None
+            if (said := source.members.get(name)) is None:
+                continue
+            leaving = said.entry.phase is not Phase.UP
+            if source.role is Role.REMOVE:
+                drains = drains or leaving
+                continue
+            if source.role is Role.FULL:
+                drains = drains or leaving
+            started = max(started, said.entry.started_at)
+            if found is None or (found.entry.phase is not Phase.UP and not leaving and not drains):
+                found = said
+        if found is None:
+            return None
+        phase = Phase.DRAINING if drains else found.entry.phase
+        if phase is not found.entry.phase or started != found.entry.started_at:
+            found = Member(replace(found.entry, phase=phase, started_at=started), found.address)
+        return found
+
+    def _settle(self, name: str, changes: dict[str, Member]) -> None:
+        """Bring the view of one backend up to date, and of whoever shares its address; note what changed."""
+        now = self._resolve(name)
+        up = now.address if now is not None and now.entry.phase is Phase.UP else None
+        was, contested = self._where.get(name), []
+        if was is not None and was != up:
+            del self._where[name]
+            self.shadowed.discard(name)
+            if left := tuple(other for other in self._at[was] if other != name):
+                self._at[was] = left
+                contested.append(was)
+            else:
+                del self._at[was]
+        if up is not None:
+            names = self._at.get(up, ())
+            if name not in names:
+                names = self._at[up] = (*names, name)
+                self._where[name] = up
+            if len(names) > 1:
+                contested.append(up)
+        if up is None or up not in contested:
+            self._put(name, now, changes)
+        for address in contested:
+            self._share(address, changes)
+
+    def _share(self, address: Address, changes: dict[str, Member]) -> None:
+        """Of several that are up at one address one is used: the latest start, then whoever came last.
+
+        There is one process, and it would get the work, and the cold start's budget, of each of its names.
+        """
+        resolved = [(name, self._resolve(name)) for name in self._at[address]]
+        found = [(n, r) for n, r in resolved if r and r.address == address and r.entry.phase is Phase.UP]
+        if not found:
+            return  # all of them leave; the others' turn comes
+        winner = max(enumerate(found), key=lambda item: (item[1][1].entry.started_at, item[0]))[1][0]
+        for name, now in found:
+            if name == winner:
+                self.shadowed.discard(name)
+                self._put(name, now, changes)
+                continue
+            if name not in self.shadowed:
+                self.shadowed.add(name)
+                text = f"{name!r:.300} left out: {winner!r:.300} is up at the same address"
+                self._out.append(Say(f"{text} {address[0]}:{address[1]}"))
+            self._put(name, None, changes)
+
+    def _put(self, name: str, now: Member | None, changes: dict[str, Member]) -> None:
+        held = self.view.get(name)
+        if now is not None:
+            if held != now:
+                self.view[name] = changes[name] = now
+        elif held is not None:
+            del self.view[name]
+            changes[name] = Member(replace(held.entry, phase=Phase.GONE), held.address)
+
+    def _apply(self, touched: Iterable[str], kind: ListKind) -> None:
+        touched = list(touched)
+        # Those of a whole list that is under way are in the view, and not yet told.
+        changes = {name: self._fresh.pop(name) for name in touched if name in self._fresh}
+        for name in touched:
+            self._settle(name, changes)
+        for name in changes.keys() & self._fresh.keys():
+            del self._fresh[name]
+        self._tell(changes, kind)
+
+    def _flush(self) -> None:
+        changes, self._fresh = self._fresh, {}
+        self._tell(changes, ListKind.CHANGES)
+
+    def _tell(self, changes: dict[str, Member], kind: ListKind) -> None:
+        self.revision += bool(changes)
+        gone = tuple(m for m in changes.values() if m.entry.phase is Phase.GONE)
+        drain = [m for m in changes.values() if m.entry.phase is Phase.DRAINING]
+        rest = [m for m in changes.values() if m.entry.phase is Phase.UP]
+        self._out.append(Apply(kind, (*drain, *rest), gone, self.revision))
+
+    # --- for operators
+
+    def report(self) -> dict[str, Any]:
+        """What each source says of whom, and the view; plain values for a table or JSON."""
+        sources = [
+            {
+                "name": s.name, "role": s.role.value, "state": s.state.value, "reason": s.reason,
+                "identity": s.identity, "revision": s.revision, "members": len(s.members),
+                "removed": len(s.removed), "unreadable": s.unreadable, "not_applied": s.old,
+                "silent_for_ms": None if s.heard_ms is None else round(self._now_ms - s.heard_ms),
+                "faults": {key: fault.reason for key, fault in s.faults.items()},
+            }
+            for s in self.sources.values()
+        ]  # fmt: skip
+        names = dict.fromkeys(self.view)
+        for s in self.sources.values():
+            names.update(dict.fromkeys(s.members))
+        servers = [self._row(name) for name in names]
+        return {"revision": self.revision, "sources": sources, "servers": servers}
+
+    def _row(self, name: str) -> dict[str, Any]:
+        says = {}
+        for s in self.sources.values():
+            if name in s.members:
+                says[s.name] = s.members[name].entry.phase.value
+            elif name in s.removed:
+                says[s.name] = "removed"
+        held = self.view.get(name)
+        used = "shadowed" if name in self.shadowed else "gone" if held is None else held.entry.phase.value
+        shown = held or next(s.members[name] for s in self.sources.values() if name in s.members)
+        host, port = shown.address
+        return {
+            "id": name, "address": f"[{host}]:{port}" if ":" in host else f"{host}:{port}", "view": used,
+            "zone": shown.entry.zone, "weight": shown.entry.weight, "started_at_ms": shown.entry.started_at,
+            "says": says,
+        }  # fmt: skip
--- a/dillport/members.py
+++ b/dillport/members.py
@@ -5,6 +5,7 @@
 import ipaddress
 import math
 from dataclasses import dataclass
+from functools import lru_cache
 
 from dillport import interface as api
 
@@ -13,6 +14,7 @@
     "terminating": api.Phase.DRAINING,
     "terminated": api.Phase.GONE,
 }
+MAX_TEXT = 256  # characters of an id, a zone or a kind: what a list holds has a bound
 
 
 class ListError(ValueError):
@@ -24,63 +26,157 @@
 
 @dataclass(slots=True, frozen=True)
 class Member:
-    """One backend as discovery lists it: the module's entry and where it listens."""
+    """One backend as a list names it: the module's entry, never changed once made, and where it listens."""
 
     entry: api.Entry
     address: Address
 
+    @property
+    def id(self) -> str:
+        """Its name, the same at every node and in every source."""
+        return self.entry.backend
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """An entry that cannot be read. `key` is its id as far as it has one, else its place in the list.
+
+    `leaving` says that the entry, unreadable as it is, names a backend that drains: that much is obeyed.
+    """
+
+    key: str
+    reason: str
+    leaving: bool = False
+
 
 @dataclass(slots=True, frozen=True)
 class Listing:
-    """One list, or one line of a watch."""
+    """A whole list (`complete`), or the changes since the one before.
+
+    `members` are up or draining, `removed` are gone; a whole list removes whoever it does not name. Entries
+    that cannot be read are `faults`: they cost nothing but themselves.
+    """
 
     revision: int
     complete: bool
     members: tuple[Member, ...]
+    removed: tuple[str, ...] = ()
+    faults: tuple[Fault, ...] = ()
 
 
 def address(value: object) -> Address:
     """`HOST:PORT` with a literal address, as there is no DNS; raises ValueError."""
     if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not text")
+        raise ValueError(f"{value!r:.120} is not text")
     host, _, port = value.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
-    ipaddress.ip_address(host)
+    _literal(host)
     if not port.isdecimal() or not 0 <= int(port) < 65536:
-        raise ValueError(f"{value!r} has no port")
+        raise ValueError(f"{value!r:.120} has no port")
     return host, int(port)
 
 
-def _member(row: object) -> Member:
+@lru_cache(maxsize=1024)  # many members share a host, and this check is most of what an entry costs
+def _literal(host: str) -> None:
+    ipaddress.ip_address(host)
+
+
+def _text(value: object, what: str) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{what} is not text: {value!r:.120}")
+    if len(value) > MAX_TEXT:
+        raise ValueError(f"{what} is longer than {MAX_TEXT} characters")
+    return value
+
+
+def _number(value: object, what: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < math.inf:
+        raise ValueError(f"{what} is no number from 0 on: {value!r:.120}")
+    return float(value)
+
+
+def member(row: object, name: str | None = None) -> Member:
+    """An entry in discovery's form; `name` is its id where the list has it elsewhere. Raises ListError."""
     if not isinstance(row, dict):
         raise ListError(f"not an object: {row!r:.120}")
     try:
-        name, weight, started = row["id"], row.get("size", 1.0), row.get("up_since_ms", 0)
-        if not isinstance(name, str) or not name:
-            raise ValueError("id")
-        if isinstance(weight, bool) or not isinstance(weight, (int, float)) or not 0 <= weight < math.inf:
-            raise ValueError("size")
-        if isinstance(started, bool) or not isinstance(started, (int, float)) or not 0 <= started < math.inf:
-            raise ValueError("up_since_ms")
+        told = row.get("id", name)
+        if not isinstance(told, str) or not told:
+            raise ValueError(f"id is {told!r:.120}")
+        if name is not None and told != name:
+            raise ValueError(f"id {told!r:.120} is not that of its key")
+        if "phase" not in row or row["phase"] not in PHASES:
+            raise ValueError(f"phase is {row.get('phase')!r:.120}, not one of {', '.join(PHASES)}")
+        cell = row.get("cell", -1)
+        if isinstance(cell, bool) or not isinstance(cell, int):
+            raise ValueError(f"cell is no whole number: {cell!r:.120}")
         entry = api.Entry(
-            backend=name,
-            zone=str(row.get("locality", "")),
-            cell=int(row.get("cell", -1)),
-            weight=float(weight),
+            backend=_text(told, "id"),
+            zone=_text(row.get("locality", ""), "locality"),
+            cell=cell,
+            weight=_number(row.get("size", 1.0), "size"),
             phase=PHASES[row["phase"]],
-            started_at=float(started),
-            kind=str(row.get("flavor", "")),
+            started_at=_number(row.get("up_since_ms", 0), "up_since_ms"),
+            kind=_text(row.get("flavor", ""), "flavor"),
         )
-        return Member(entry, address(row["host_port"]))
-    except (KeyError, TypeError, ValueError) as err:
-        raise ListError(f"bad entry ({err}): {row!r:.120}") from None
+        where = address(row.get("host_port"))
+        if not where[1]:
+            raise ValueError("host_port has port 0")
+        return Member(entry, where)
+    except (TypeError, ValueError) as err:
+        raise ListError(str(err)) from None
+
+
+class ListingBuilder:
+    """Reads a list piece by piece, so that one of thousands of entries need not be read in one go."""
+
+    def __init__(self, raw: object) -> None:
+        """`raw` is a list in discovery's form; raises ListError where that much cannot be read."""
+        if not isinstance(raw, dict) or not isinstance(raw.get("members"), list):
+            raise ListError(f"not a list: {raw!r:.120}")
+        revision, complete = raw.get("revision"), raw.get("complete", False)
+        if isinstance(revision, bool) or not isinstance(revision, int) or not isinstance(complete, bool):
+            raise ListError(f"not a list: {raw!r:.120}")
+        self.revision, self.complete = revision, complete
+        self._rows: list[object] = raw["members"]
+        self._next = 0
+        self._members: dict[str, Member] = {}
+        self._removed: dict[str, None] = {}
+        self._faults: list[Fault] = []
+
+    def read(self, count: int) -> bool:
+        """Read up to `count` further entries; whether the list is whole by now."""
+        end = min(self._next + count, len(self._rows))
+        for index in range(self._next, end):
+            self._entry(index, self._rows[index])
+        self._next = end
+        return end == len(self._rows)
+
+    def _entry(self, index: int, row: object) -> None:
+        name = row.get("id") if isinstance(row, dict) else None
+        if isinstance(row, dict) and isinstance(name, str) and name and row.get("phase") == "terminated":
+            self._removed[name] = None
+            self._members.pop(name, None)
+            return
+        try:
+            found = member(row)
+        except ListError as err:
+            leaving = isinstance(row, dict) and row.get("phase") == "terminating"
+            key = name if isinstance(name, str) and name else f"entry {index}"
+            self._faults.append(Fault(key, str(err), leaving))
+            return
+        self._removed.pop(found.id, None)
+        self._members[found.id] = found  # named twice: the later entry holds
+
+    def listing(self) -> Listing:
+        """What was read."""
+        members, removed, faults = tuple(self._members.values()), tuple(self._removed), tuple(self._faults)
+        return Listing(self.revision, self.complete, members, removed, faults)
 
 
 def listing(raw: object) -> Listing:
-    """A list in discovery's form; raises ListError."""
-    if not isinstance(raw, dict) or not isinstance(raw.get("members"), list):
-        raise ListError(f"not a list: {raw!r:.120}")
-    revision, complete = raw.get("revision"), raw.get("complete", False)
-    if isinstance(revision, bool) or not isinstance(revision, int) or not isinstance(complete, bool):
-        raise ListError(f"not a list: {raw!r:.120}")
-    return Listing(revision, complete, tuple(map(_member, raw["members"])))
+    """A list in discovery's form, in one go; raises ListError where not even its frame can be read."""
+    builder = ListingBuilder(raw)
+    while not builder.read(1000):
+        pass
+    return builder.listing()
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -88,7 +88,7 @@
         discovery=_at(raw, env, "discovery", again),
         seed=number,
         settings=settings,
-        known=known,
+        known=replace(known, complete=True),
         client_sockets=clients,
         upstream_sockets=sockets - SPARE - clients,
     )
--- /dev/null
+++ b/dillport/net/fleet.py
@@ -0,0 +1,52 @@
+"""The fleet as the node sees it: one view, merged from the sources of its list, handed on to the node."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any, Protocol
+
+from dillport.decide import membership
+from dillport.decide.membership import Membership, Source
+
+log = logging.getLogger(__name__)
+
+
+class ViewSink(Protocol):
+    """Who is told of changes of the view."""
+
+    def now(self) -> float:
+        """Milliseconds; never goes back."""
+
+    def apply(self, change: membership.Apply) -> None:
+        """Take a change."""
+
+
+class Fleet:
+    """Runs the merge: events of sources in, changes of the view out. It decides nothing."""
+
+    def __init__(self, sink: ViewSink, sources: list[Source]) -> None:
+        self.sink = sink
+        self.membership = Membership(sources)
+        self.loop = asyncio.get_running_loop()
+
+    def hand(self, event: membership.Event) -> None:
+        """An event of a source."""
+        for action in self.membership.handle(self.sink.now(), event):
+            match action:
+                case membership.Apply():
+                    self.sink.apply(action)
+                case membership.Continue():
+                    self.loop.call_soon(self.hand, membership.Continued())
+                case membership.Say():
+                    log.log(logging.WARNING if action.loud else logging.INFO, "%s", action.text)
+                case membership.Reject():
+                    pass  # the sources find out by `resume`, and ask again when their time comes
+
+    def resume(self, name: str) -> int | None:
+        """The revision to watch a source from; None: only its whole list will do."""
+        return self.membership.resume(name)
+
+    def report(self) -> dict[str, Any]:
+        """What the sources say of whom, for operators."""
+        return self.membership.report()
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from dillport import interface as api
-from dillport.members import Listing
+from dillport.decide.membership import Apply
 from dillport.net.config import Config
 from dillport.net.upstream import Answer, Attempt, Pool
 from dillport.policy import Balancer
@@ -141,10 +141,11 @@
             self._close(name, request)
             self.event(api.ClientGone(name))
 
-    def list(self, listing: Listing, kind: api.ListKind) -> None:
-        """The list, or a change of it."""
-        self.pool.update(listing.members, kind is not api.ListKind.CHANGES)
-        self.event(api.ListUpdate(kind, [m.entry for m in listing.members], listing.revision))
+    def apply(self, change: Apply) -> None:
+        """A change of the view: what leaves first, then who drains, then the rest."""
+        self.pool.update(change.members, [m.entry.backend for m in change.removed])
+        entries = [m.entry for m in (*change.removed, *change.members)]
+        self.event(api.ListUpdate(change.kind, entries, change.revision))
         self.ready = self.ready or any(host.up for host in self.pool.hosts.values())
 
     def list_failed(self) -> None:
--- /dev/null
+++ b/dillport/net/sources/platform.py
@@ -0,0 +1,242 @@
+"""The platform's discovery as a source of the list: its calls, on connections of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+from dillport.decide import membership, platform_follow
+from dillport.decide.platform_follow import PlatformFollow
+from dillport.members import Address, ListError, Listing, ListingBuilder
+from dillport.proto import platform_list
+from dillport.proto.platform_list import ListCall
+
+log = logging.getLogger(__name__)
+
+NAME = "platform"
+SILENCE = 5.0  # s without a byte after which a watch is dead: an empty line comes every 2 s
+CONNECT = 2.0  # s for a connection to come up
+SLICE = 500  # entries of a list that are checked in one turn of the loop
+
+
+def identity(address: Address) -> str:
+    """The order that revisions at this address belong to."""
+    return f"{address[0]}:{address[1]}"
+
+
+class Call(asyncio.Protocol):
+    """One call: a watch that goes on until its connection ends, or the whole list once."""
+
+    def __init__(self, owner: PlatformSource, target: str, watch: bool) -> None:
+        self.owner, self.address, self.target, self.watch = owner, owner.address, target, watch
+        self.parser = ListCall(watch)
+        self.transport: asyncio.Transport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.lines: deque[bytes] = deque()
+        self.builder: ListingBuilder | None = None  # of a long list that is read over several turns
+        self.whole = self.over = self.dropped = False
+        self.loop = asyncio.get_running_loop()
+
+    async def dial(self) -> None:
+        """Connect; `connection_lost` or this ends the call."""
+        try:
+            async with asyncio.timeout(CONNECT):
+                await self.loop.create_connection(lambda: self, *self.address)
+        except (OSError, TimeoutError) as err:
+            if not self.dropped:
+                log.warning("discovery: no connection: %s", err or "timed out")
+            self.over = True
+            self._end()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Ask."""
+        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        if self.dropped:
+            self.transport.abort()
+            return
+        host, port = self.address
+        name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        self.transport.write(platform_list.request(name, self.target, self.watch))
+        self._awake()
+
+    def _awake(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(SILENCE, self._silent)
+
+    def _silent(self) -> None:
+        """Guards against a discovery that is cut off: nothing closes its connection, it says no more."""
+        log.warning("discovery is silent")
+        self.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Read."""
+        self._take(self.parser.receive(data))
+
+    def eof_received(self) -> None:
+        """A list without a length ends with its connection."""
+        self._take(self.parser.eof())
+
+    def _take(self, messages: list[platform_list.Message]) -> None:
+        for message in messages:
+            if self.dropped:
+                return
+            match message:
+                case platform_list.Beat():
+                    self._awake()
+                    self.owner.beat()
+                case platform_list.Line():
+                    self.lines.append(message.text)
+                case platform_list.Finished():
+                    self.whole = message.whole
+                    self.close()
+                case platform_list.Broken():
+                    log.warning("discovery: %s", message.reason)
+                    self.close()
+        self._read()
+
+    def _read(self) -> None:
+        """Read the lines in order, a long one over several turns of the loop."""
+        while not self.dropped and (self.builder is not None or self.lines):
+            try:
+                if self.builder is None:
+                    self.builder = ListingBuilder(json.loads(self.lines.popleft()))
+                if not self.builder.read(SLICE):
+                    self.loop.call_soon(self._read)
+                    return
+            except (ListError, ValueError, RecursionError) as err:
+                # What it said is lost, and later changes do not repeat it: only the whole list will do.
+                self.whole = False
+                self.lines.clear()
+                self.builder = None
+                self.owner.spoiled(f"{err}"[:200])
+                self.close()
+                break
+            listing, self.builder = self.builder.listing(), None
+            self.owner.listed(listing)
+        if not self.dropped:
+            self._end()
+
+    def close(self) -> None:
+        """End the call; what it has brought is still read."""
+        self.over = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def drop(self) -> None:
+        """End the call and say nothing of it: its owner no longer wants to know."""
+        self.dropped = True
+        self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The answer is over, whole or not."""
+        self.close()
+        self._end()
+
+    def _end(self) -> None:
+        """Tell the owner, once all that came was read."""
+        if self.over and not self.dropped and self.builder is None and not self.lines:
+            self.dropped = True
+            self.owner.ended(self)
+
+
+class PlatformSource:
+    """Follows the list. `hand` takes what the merge has to know, `resume` is where to watch from."""
+
+    def __init__(
+        self,
+        address: Address,
+        must_ask: bool,
+        now_ms: Callable[[], float],
+        hand: Callable[[membership.Event], None],
+        resume: Callable[[], int | None],
+        failed: Callable[[], None],
+    ) -> None:
+        self.address, self.now_ms, self.hand, self.resume, self.failed = address, now_ms, hand, resume, failed
+        self.follow = PlatformFollow(random.Random(), must_ask)
+        self.following: Call | None = None  # the watch, or the whole list that a watch goes on from
+        self.fetching: set[Call] = set()
+        self.retry: asyncio.TimerHandle | None = None
+        self.loop = asyncio.get_running_loop()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def watch(self, on: bool) -> None:
+        """Start or stop the watch."""
+        self._follow(platform_follow.Wanted(on))
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+        self.fetching.add(self._call("/discovery/hosts", False))
+
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on. Its revisions are its own: the whole list comes first."""
+        if address != self.address:
+            self.address = address
+            self.hand(membership.Moved(NAME, identity(address)))
+            self._follow(platform_follow.Relocated())
+
+    # --- what calls say
+
+    def beat(self) -> None:
+        """Something came."""
+        self.hand(membership.Heard(NAME))
+
+    def listed(self, listing: Listing) -> None:
+        """A list, or a line of the watch."""
+        self._follow(platform_follow.Answered())
+        self.hand(membership.Listed(NAME, identity(self.address), listing))
+
+    def spoiled(self, reason: str) -> None:
+        """A line that could not be read at all."""
+        self.hand(membership.Spoiled(NAME, reason))
+
+    def ended(self, call: Call) -> None:
+        """A call is over."""
+        self.fetching.discard(call)
+        extra = call is not self.following
+        if not extra:
+            self.following = None
+        if not call.whole:
+            self.hand(membership.Silenced(NAME, f"no answer from discovery at {identity(call.address)}"))
+        self._follow(platform_follow.Ended(call.whole, extra))
+
+    # --- what was decided
+
+    def _follow(self, event: platform_follow.Event) -> None:
+        for action in self.follow.handle(self.now_ms(), event, self.resume()):
+            match action:
+                case platform_follow.AskWhole():
+                    self.following = self._call("/discovery/hosts", False)
+                case platform_follow.WatchFrom():
+                    self.following = self._call(f"/discovery/hosts?watch=1&from={action.revision}", True)
+                case platform_follow.Drop():
+                    self._drop()
+                case platform_follow.Wait():
+                    wait = max(0.0, action.until_ms - self.now_ms()) / 1000
+                    self.retry = self.loop.call_later(wait, self._follow, platform_follow.Due())
+                case platform_follow.TellFailed():
+                    self.failed()
+
+    def _call(self, target: str, watch: bool) -> Call:
+        call = Call(self, target, watch)
+        task = self.loop.create_task(call.dial())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return call
+
+    def _drop(self) -> None:
+        if self.retry is not None:
+            self.retry.cancel()
+            self.retry = None
+        for call in [self.following, *self.fetching]:
+            if call is not None:
+                call.drop()
+        self.following = None
+        self.fetching.clear()
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -7,7 +7,7 @@
 import logging
 import math
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import cast
 
@@ -305,17 +305,14 @@
         self.sweeper: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
 
-    def update(self, members: tuple[Member, ...], complete: bool) -> None:
-        """Take the news of the list: idle connections to what leaves or moves go."""
-        if complete:
-            for name in self.hosts.keys() - {m.entry.backend for m in members}:
-                self._remove(name)
+    def update(self, members: Iterable[Member], removed: Iterable[str] = ()) -> None:
+        """Take the changes of the view: idle connections to what leaves or moves go."""
+        for name in removed:
+            self._remove(name)
         for member in members:
             name = member.entry.backend
-            if member.entry.phase is api.Phase.GONE:
-                self._remove(name)
-                continue
-            host = self.hosts.setdefault(name, Host(member.address))
+            if (host := self.hosts.get(name)) is None:
+                host = self.hosts[name] = Host(member.address)
             host.up = member.entry.phase is api.Phase.UP
             if not host.up or host.address != member.address:
                 self.close_idle(name)
--- /dev/null
+++ b/dillport/proto/__init__.py
@@ -0,0 +1,5 @@
+"""Bytes to messages and back, one module a protocol: no sockets, no clock, no loop, no decision.
+
+- `platform_list`: discovery's answers, a whole list or the lines of a watch.
+- `etcd_watch`: etcd v3's JSON gateway, its range, watch, status and auth calls.
+"""
--- /dev/null
+++ b/dillport/proto/platform_list.py
@@ -0,0 +1,101 @@
+"""Discovery's answers: HTTP/1.1 bytes in, the lines of a list or a watch out.
+
+One `ListCall` a connection. A whole list is one JSON object; a watch is one a line, with empty lines while
+nothing changes. What a line says is for `members.ListingBuilder`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import httptools
+
+MAX_LINE = 4 * 1024 * 1024  # bytes of one line: some 27,000 backends
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """One line that says something."""
+
+    text: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Beat:
+    """Something came: discovery lives."""
+
+
+@dataclass(slots=True, frozen=True)
+class Finished:
+    """The answer is over; `whole` says that it was a 200."""
+
+    whole: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """What came is no such answer."""
+
+    reason: str
+
+
+Message = Line | Beat | Finished | Broken
+
+
+def request(host: str, target: str, watch: bool) -> bytes:
+    """A call's bytes."""
+    keep = "keep-alive" if watch else "close"
+    return f"GET {target} HTTP/1.1\r\nHost: {host}\r\nConnection: {keep}\r\n\r\n".encode("ascii")
+
+
+class ListCall:
+    """The answer to one call. After `Finished` or `Broken` it says nothing more."""
+
+    def __init__(self, watch: bool) -> None:
+        self.watch, self.over = watch, False
+        self._parser = httptools.HttpResponseParser(self)
+        self._rest = bytearray()
+        self._out: list[Message] = []
+
+    def receive(self, data: bytes) -> list[Message]:
+        """Bytes as they come, cut anywhere."""
+        if self.over:
+            return []
+        self._out = [Beat()]
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
+            self._end(Broken(f"broken answer: {err}"))
+        if not self.over and len(self._rest) > MAX_LINE:
+            self._end(Broken(f"line too long: over {MAX_LINE} bytes"))
+        return self._out
+
+    def eof(self) -> list[Message]:
+        """The connection has ended: so does a list without a length."""
+        self._out = []
+        if not self.over and not self.watch and self._rest:
+            self.on_message_complete()
+        return self._out
+
+    def _end(self, message: Message) -> None:
+        self.over = True
+        self._out.append(message)
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of it."""
+        if self.over or self._parser.get_status_code() != 200:
+            return
+        self._rest += body
+        if self.watch and b"\n" in body:
+            *lines, rest = self._rest.split(b"\n")
+            self._rest = bytearray(rest)
+            self._out += [Line(bytes(line)) for line in lines if line.strip()]
+
+    def on_message_complete(self) -> None:
+        """The end of a whole list, or of a watch."""
+        if self.over:
+            return
+        whole = not self.watch and self._parser.get_status_code() == 200
+        if whole and self._rest.strip():
+            self._out.append(Line(bytes(self._rest)))
+        self._end(Finished(whole))
--- /dev/null
+++ b/tests/decide/test_membership.py
@@ -0,0 +1,536 @@
+"""The merge of sources: who wins on what, what is never applied, what a table and a naive model say."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dillport.decide import membership as m
+from dillport.decide.membership import Membership, Role, Source, State
+from dillport.interface import Entry, ListKind, Phase
+from dillport.members import Fault, Listing, Member
+
+UP, DRAINING, GONE = Phase.UP, Phase.DRAINING, Phase.GONE
+
+
+def member(name: str, phase: Phase = UP, port: int = 0, **over: Any) -> Member:
+    """An entry; its port follows from its name."""
+    table: dict[str, Any] = {
+        "backend": name, "zone": "a", "cell": 0, "weight": 1.0, "phase": phase, "started_at": 0.0,
+    }  # fmt: skip
+    return Member(Entry(**(table | over)), ("127.0.0.1", port or 1000 + sum(map(ord, name))))
+
+
+def whole(revision: int, *members: Member, **over: Any) -> Listing:
+    """A whole list."""
+    return Listing(revision, True, members, **over)
+
+
+def changes(revision: int, *members: Member, removed: tuple[str, ...] = (), **over: Any) -> Listing:
+    """Changes."""
+    return Listing(revision, False, members, removed, **over)
+
+
+class Rig:
+    """A membership, and the view as whoever is told of it has it."""
+
+    def __init__(self, *sources: Source) -> None:
+        self.membership = Membership(sources or (Source("platform"), Source("etcd", pieces=True)))
+        self.now_ms = 0.0
+        self.told: dict[str, Member] = {}
+        self.kinds: list[ListKind] = []
+        self.lines: list[m.Say] = []
+        self.rejected: list[m.Reject] = []
+        self.waiting = False
+        self.revision = 0
+
+    def hand(self, event: m.Event) -> None:
+        """One event, and what it brings."""
+        self.now_ms += 1.0
+        for action in self.membership.handle(self.now_ms, event):
+            match action:
+                case m.Apply():
+                    self.kinds.append(action.kind)
+                    assert action.revision >= self.revision
+                    self.revision = action.revision
+                    for gone in action.removed:
+                        assert gone.entry.phase is GONE
+                        self.told.pop(gone.entry.backend, None)
+                    for one in action.members:
+                        self.told[one.entry.backend] = one
+                case m.Continue():
+                    self.waiting = True
+                case m.Say():
+                    self.lines.append(action)
+                case m.Reject():
+                    self.rejected.append(action)
+
+    def turn(self) -> None:
+        """The loop's next turns, until nothing waits."""
+        while self.waiting:
+            self.waiting = False
+            self.hand(m.Continued())
+
+    def list(self, source: str, listing: Listing, identity: str = "one", **over: Any) -> None:
+        """A source lists, and the loop turns."""
+        self.hand(m.Listed(source, identity, listing, **over))
+        self.turn()
+
+    def state(self, name: str) -> State:
+        """How far a source is believed."""
+        return self.membership.sources[name].state
+
+    @property
+    def view(self) -> dict[str, str]:
+        """Who is told to be what."""
+        assert self.told == self.membership.view
+        return {name: one.entry.phase.value for name, one in self.told.items()}
+
+
+# --- order
+
+
+def test_an_older_whole_list_does_not_replace_a_newer_one() -> None:
+    """The fault that was measured: after revision 60 {B} a whole revision 50 {A} took all traffic to A."""
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(60, member("b")))
+    rig.list("platform", whole(50, member("a")))
+    assert rig.view == {"b": "up"} and len(rig.rejected) == 1
+    rig.list("platform", changes(55, member("a")))
+    assert rig.view == {"b": "up"}
+    rig.list("platform", changes(61, member("c")))
+    assert rig.view == {"b": "up", "c": "up"}
+
+
+@pytest.mark.parametrize("revision", [59, 60])
+def test_changes_that_are_not_newer_are_not_applied(revision: int) -> None:
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(60, member("b")))
+    rig.list("platform", changes(revision, removed=("b",)))
+    assert rig.view == {"b": "up"}
+    assert rig.membership.sources["platform"].old == 1
+
+
+def test_pieces_of_one_revision_are_applied_where_a_source_sends_them() -> None:
+    rig = Rig(Source("etcd", pieces=True))
+    rig.list("etcd", whole(5, member("a"), member("b")))
+    rig.list("etcd", changes(6, removed=("a",)))
+    rig.list("etcd", changes(6, removed=("b",)))
+    assert rig.view == {}
+
+
+def test_changes_without_a_whole_list_are_not_applied() -> None:
+    rig = Rig(Source("platform"))
+    rig.list("platform", changes(3, member("a")))
+    assert rig.view == {} and rig.rejected
+    assert rig.membership.resume("platform") is None
+
+
+def test_an_equal_whole_list_is_taken_only_after_something_could_not_be_read() -> None:
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(5, member("a")))
+    rig.list("platform", whole(5, member("b")))
+    assert rig.view == {"a": "up"} and rig.membership.resume("platform") == 5
+    rig.hand(m.Spoiled("platform", "no JSON"))
+    assert rig.membership.resume("platform") is None
+    rig.list("platform", changes(6, member("c")))
+    assert rig.view == {"a": "up"}
+    rig.list("platform", whole(5, member("b")))
+    assert rig.view == {"b": "up"} and rig.membership.resume("platform") == 5
+
+
+def test_a_move_begins_a_new_order_by_a_whole_list_only() -> None:
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(60, member("a")), "10.0.0.1:1")
+    rig.hand(m.Moved("platform", "10.0.0.2:1"))
+    assert rig.view == {"a": "up"} and rig.membership.resume("platform") is None
+    rig.list("platform", changes(61, member("c")), "10.0.0.2:1")
+    assert rig.view == {"a": "up"}
+    rig.list("platform", whole(3, member("b")), "10.0.0.2:1")
+    assert rig.view == {"b": "up"} and rig.membership.resume("platform") == 3
+    rig.hand(m.Moved("platform", "10.0.0.2:1"))  # no move at all
+    assert rig.membership.resume("platform") == 3
+
+
+def test_a_new_cluster_begins_a_new_order_and_is_said_loudly() -> None:
+    rig = Rig(Source("etcd"))
+    rig.list("etcd", whole(900, member("a"), member("b")), "7/0")
+    rig.list("etcd", changes(901, removed=("a",)), "8/0")
+    assert rig.view == {"a": "up", "b": "up"}
+    rig.list("etcd", whole(2, member("b")), "8/0")
+    assert rig.view == {"b": "up"}
+    assert any(line.loud and "8/0" in line.text for line in rig.lines)
+
+
+def test_what_was_saved_counts_as_seen() -> None:
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(41, member("a")), saved=True)
+    assert rig.kinds == [ListKind.SAVED] and rig.view == {"a": "up"}
+    assert rig.state("platform") is State.UNHEARD
+    assert rig.membership.resume("platform") == 41
+    rig.list("platform", whole(40, member("b")))
+    assert rig.view == {"a": "up"} and rig.state("platform") is State.REFUSED
+    rig.list("platform", whole(42, member("b")))
+    assert rig.view == {"b": "up"} and rig.state("platform") is State.IN_SYNC
+
+
+def test_a_saved_list_with_an_entry_that_cannot_be_read_asks_for_the_whole_one() -> None:
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(41, member("a"), faults=(Fault("b", "no port"),)), saved=True)
+    assert rig.view == {"a": "up"} and rig.membership.resume("platform") is None
+    rig.list("platform", whole(41, member("a"), member("b")))
+    assert rig.view == {"a": "up", "b": "up"}
+
+
+def test_a_source_that_is_silent_or_refused_takes_nothing_back() -> None:
+    rig = Rig()
+    rig.list("etcd", whole(5, member("a")))
+    for event in (m.Silenced("etcd", "frozen"), m.Refused("etcd", "went back"), m.Silenced("etcd", "frozen")):
+        rig.hand(event)
+        rig.hand(event)  # said once
+        assert rig.view == {"a": "up"}
+    assert len(rig.lines) == 3
+    rig.hand(m.Heard("etcd"))
+    assert rig.state("etcd") is State.IN_SYNC
+
+
+# --- several sources
+
+SAYS = ("nothing", "up", "draining", "removed")
+# What holds where the first source and the second say so, by the role of the second (the first may do all).
+TABLE = {
+    Role.FULL: {
+        ("nothing", "nothing"): None, ("nothing", "up"): "up",
+        ("nothing", "draining"): "draining", ("nothing", "removed"): None,
+        ("up", "nothing"): "up", ("up", "up"): "up", ("up", "draining"): "draining", ("up", "removed"): None,
+        ("draining", "nothing"): "draining", ("draining", "up"): "draining",
+        ("draining", "draining"): "draining", ("draining", "removed"): None,
+        ("removed", "nothing"): None, ("removed", "up"): None,
+        ("removed", "draining"): None, ("removed", "removed"): None,
+    },
+    Role.ADD: {
+        ("nothing", "nothing"): None, ("nothing", "up"): "up",
+        ("nothing", "draining"): "draining", ("nothing", "removed"): None,
+        ("up", "nothing"): "up", ("up", "up"): "up", ("up", "draining"): "up", ("up", "removed"): "up",
+        ("draining", "nothing"): "draining", ("draining", "up"): "draining",
+        ("draining", "draining"): "draining", ("draining", "removed"): "draining",
+        ("removed", "nothing"): None, ("removed", "up"): None,
+        ("removed", "draining"): None, ("removed", "removed"): None,
+    },
+    Role.REMOVE: {
+        ("nothing", "nothing"): None, ("nothing", "up"): None,
+        ("nothing", "draining"): None, ("nothing", "removed"): None,
+        ("up", "nothing"): "up", ("up", "up"): "up", ("up", "draining"): "draining", ("up", "removed"): None,
+        ("draining", "nothing"): "draining", ("draining", "up"): "draining",
+        ("draining", "draining"): "draining", ("draining", "removed"): None,
+        ("removed", "nothing"): None, ("removed", "up"): None,
+        ("removed", "draining"): None, ("removed", "removed"): None,
+    },
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("role", Role)
+@pytest.mark.parametrize(("first", "second"), list(itertools.product(SAYS, SAYS)))
+@pytest.mark.parametrize("order", [("platform", "etcd"), ("etcd", "platform")])
+def test_every_pair_of_words(role: Role, first: str, second: str, order: tuple[str, str]) -> None:
+    """Whichever of the two speaks last."""
+    rig = Rig(Source("platform"), Source("etcd", role))
+    said = {"platform": first, "etcd": second}
+    for name in order:
+        rig.list(name, whole(1, *([] if said[name] == "nothing" else [member("x")])))
+    for name in order:
+        if said[name] == "removed":
+            rig.list(name, changes(2, removed=("x",)))
+        elif said[name] == "draining":
+            rig.list(name, changes(2, member("x", DRAINING)))
+    assert rig.view.get("x") == TABLE[role][first, second]
+
+
+def test_what_one_source_removed_stays_so_until_it_lists_it_anew() -> None:
+    rig = Rig()
+    rig.list("platform", whole(1, member("x"), member("y")))
+    rig.list("etcd", whole(1, member("x")))
+    rig.list("etcd", whole(2))
+    assert rig.view == {"y": "up"}
+    rig.list("platform", changes(2, member("x")))  # whatever another source still says
+    rig.list("platform", whole(3, member("x"), member("y")))
+    assert rig.view == {"y": "up"}
+    rig.list("etcd", changes(3, member("x")))
+    assert rig.view == {"x": "up", "y": "up"}
+
+
+def test_a_removal_is_obeyed_of_a_backend_that_only_others_listed() -> None:
+    rig = Rig()
+    rig.list("platform", whole(1, member("x")))
+    rig.list("etcd", whole(1))
+    rig.list("etcd", changes(2, removed=("x",)))
+    assert rig.view == {}
+
+
+def test_address_weight_and_place_are_the_first_ones_and_the_latest_start_counts() -> None:
+    rig = Rig()
+    one = member("x", port=1, weight=0.4, zone="a", kind="m2", started_at=50.0)
+    two = member("x", port=2, weight=3.0, zone="b", kind="m9", started_at=90.0)
+    rig.list("etcd", whole(1, two))
+    assert rig.told["x"] == two
+    rig.list("platform", whole(1, one))
+    assert rig.told["x"] == Member(replace(one.entry, started_at=90.0), one.address)
+    rig.list("platform", whole(2))
+    assert rig.view == {}
+    rig.list("platform", changes(3, one))
+    rig.list("etcd", whole(2, member("x", port=2, started_at=10.0)))
+    assert rig.told["x"] == one
+
+
+def test_of_two_ids_at_one_address_the_later_start_is_used() -> None:
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(1, member("new", port=7, started_at=9.0), member("old", port=7)))
+    assert rig.view == {"new": "up"} and "left out" in rig.lines[-1].text
+    rig.list("platform", changes(2, member("new", DRAINING, port=7, started_at=9.0)))
+    assert rig.view == {"new": "draining", "old": "up"}
+    rig.list("platform", changes(3, member("new", port=7, started_at=9.0)))
+    rig.list("platform", changes(4, removed=("new",)))
+    assert rig.view == {"old": "up"}
+    rig.list("platform", changes(5, member("last", port=7)))
+    assert rig.view == {"last": "up"}
+    rig.list("platform", changes(6, member("last", port=8)))
+    assert rig.view == {"last": "up", "old": "up"}
+    assert not rig.membership.shadowed
+
+
+# --- what cannot be read
+
+
+def test_an_entry_that_cannot_be_read_costs_nothing_but_itself() -> None:
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(1, member("a"), member("b"), faults=(Fault("c", "phase is 'odd'"),)))
+    assert rig.view == {"a": "up", "b": "up"}
+    rig.list("platform", whole(2, member("b"), faults=(Fault("a", "no port"),)))
+    assert rig.view == {"a": "up", "b": "up"}  # the last good entry stays
+    report = rig.membership.report()["sources"][0]
+    assert report["unreadable"] == 2 and report["faults"] == {"a": "no port"}
+    assert [line.text for line in rig.lines] == [
+        "platform: entry 'c' left out: phase is 'odd'", "platform: entry 'a' left out: no port",
+    ]  # fmt: skip
+    rig.list("platform", changes(3, member("a", weight=2.0)))
+    assert rig.told["a"].entry.weight == 2.0 and not rig.membership.report()["sources"][0]["faults"]
+    rig.list("platform", whole(4, member("b")))
+    assert rig.view == {"b": "up"}
+
+
+def test_an_unreadable_entry_that_drains_is_obeyed() -> None:
+    rig = Rig()
+    rig.list("platform", whole(1, member("a"), member("b")))
+    rig.list("etcd", whole(1, member("a")))
+    rig.list("platform", changes(2, faults=(Fault("a", "no port", leaving=True),)))
+    assert rig.view == {"a": "draining", "b": "up"}
+    rig.list("etcd", changes(2, faults=(Fault("b", "no port", leaving=True),)))  # it never listed b
+    assert rig.view == {"a": "draining"}
+
+
+def test_a_removal_of_most_is_said_loudly_and_obeyed() -> None:
+    rig = Rig(Source("etcd"))
+    rig.list("etcd", whole(1, *(member(f"s{i}") for i in range(6))))
+    rig.list("etcd", changes(2, removed=tuple(f"s{i}" for i in range(6))))
+    assert rig.view == {}
+    assert any(line.loud and "6 of 6" in line.text for line in rig.lines)
+
+
+# --- bounds and size
+
+
+def test_what_is_remembered_of_the_removed_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(m, "MAX_REMOVED", 3)
+    rig = Rig()
+    rig.list("platform", whole(1, *(member(f"s{i}") for i in range(5))))
+    rig.list("etcd", whole(1, *(member(f"s{i}") for i in range(5))))
+    rig.list("etcd", whole(2))
+    assert list(rig.membership.sources["etcd"].removed) == ["s2", "s3", "s4"]
+    alone = Rig(Source("platform"))
+    alone.list("platform", whole(1, member("a")))
+    alone.list("platform", whole(2))
+    assert not alone.membership.sources["platform"].removed  # nobody else could list it
+
+
+def test_faults_shown_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(m, "MAX_FAULTS", 2)
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(1, faults=tuple(Fault(f"f{i}", "odd") for i in range(9))))
+    assert len(rig.membership.sources["platform"].faults) == 2
+    assert rig.membership.sources["platform"].unreadable == 9
+
+
+def test_a_large_list_comes_in_slices_removals_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(m, "SLICE", 10)
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(1, *(member(f"s{i}", port=i + 1) for i in range(95))))
+    assert len(rig.view) == 95
+    rest = [member(f"s{i}", DRAINING if i == 94 else UP, port=i + 1, weight=2.0) for i in range(5, 95)]
+    rig.hand(m.Listed("platform", "one", whole(2, *rest)))
+    assert len(rig.told) == 90 and rig.told["s94"].entry.phase is DRAINING  # before anything else
+    assert rig.waiting and rig.told["s50"].entry.weight == 1.0
+    rig.hand(m.Listed("platform", "one", changes(3, member("s60", port=61, weight=5.0), removed=("s61",))))
+    assert rig.told["s60"].entry.weight == 5.0
+    rig.turn()
+    assert rig.told["s60"].entry.weight == 5.0 and "s61" not in rig.told  # the newer word holds
+    assert rig.told["s50"].entry.weight == 2.0 and len(rig.view) == 89
+
+
+def test_a_move_in_the_middle_of_a_large_list_loses_nothing_that_was_said(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(m, "SLICE", 10)
+    rig = Rig(Source("platform"))
+    rig.hand(m.Listed("platform", "one", whole(1, *(member(f"s{i}", port=i + 1) for i in range(50)))))
+    rig.hand(m.Moved("platform", "two"))
+    rig.turn()
+    assert rig.membership.resume("platform") is None
+    assert rig.view == {f"s{i}": "up" for i in range(50)}
+
+
+def test_the_report_shows_who_says_what() -> None:
+    rig = Rig()
+    rig.list("platform", whole(4, member("a", port=7), member("b", port=7, started_at=3.0)))
+    rig.list("etcd", whole(9, member("a", DRAINING, port=7), member("c")), "77/0")
+    rig.list("etcd", changes(10, removed=("c",)), "77/0")
+    report = rig.membership.report()
+    rows = {row["id"]: (row["view"], row["says"]) for row in report["servers"]}
+    assert rows["a"] == ("draining", {"platform": "up", "etcd": "draining"})
+    assert rows["b"] == ("up", {"platform": "up"})
+    assert [s["revision"] for s in report["sources"]] == [4, 10]
+    assert "c" not in rows  # nobody lists it
+
+
+def test_a_backend_of_a_large_list_that_a_newer_one_leaves_out_counts_as_removed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a removal that is forgotten as the list it follows had not been looked through."""
+    monkeypatch.setattr(m, "SLICE", 1)
+    rig = Rig()
+    rig.hand(m.Listed("platform", "one", whole(1, member("a"), member("b"))))
+    rig.list("platform", whole(2, member("a")))
+    rig.list("etcd", whole(1, member("b")))
+    assert rig.view == {"a": "up"}
+
+
+def test_one_address_in_a_large_list_that_is_under_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against telling an older state after a newer one, of a backend that another pushed out."""
+    monkeypatch.setattr(m, "SLICE", 1)
+    rig = Rig(Source("platform"))
+    both = member("b", port=1), member("a", port=1)
+    rig.hand(m.Listed("platform", "one", whole(1, *both)))
+    rig.list("platform", changes(2, *reversed(both)))
+    assert len(rig.view) == 1
+
+
+# --- a naive model
+
+NAMES = ["a", "b", "c", "d"]
+PHASES = st.sampled_from([UP, UP, DRAINING])
+MEMBERS = st.dictionaries(
+    st.sampled_from(NAMES), st.tuples(PHASES, st.integers(1, 3), st.integers(0, 2)), max_size=4
+).map(lambda table: [member(n, p, port, started_at=float(at)) for n, (p, port, at) in table.items()])
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["platform", "etcd"]),
+        st.sampled_from(["whole", "changes", "spoiled", "new order", "silent", "turn"]),
+        st.integers(-1, 2),
+        MEMBERS,
+        st.lists(st.sampled_from(NAMES), max_size=2),
+    ),
+    max_size=25,
+)
+
+
+class Naive:
+    """What one source has said, kept in the most obvious way."""
+
+    def __init__(self) -> None:
+        self.identity = self.revision = 0
+        self.known = self.spoiled = False
+        self.says: dict[str, Member | None] = {}  # None: removed
+
+    def whole(self, revision: int, members: list[Member]) -> None:
+        """A whole list."""
+        if not self.known or revision > self.revision or (revision == self.revision and self.spoiled):
+            named = {one.entry.backend: one for one in members}
+            self.says |= dict.fromkeys(name for name, last in self.says.items() if last is not None)
+            self.says |= named
+            self.known, self.revision, self.spoiled = True, revision, False
+
+    def changes(self, revision: int, members: list[Member], removed: list[str]) -> None:
+        """Changes; removals come first."""
+        if self.known and not self.spoiled and revision > self.revision:
+            self.says |= dict.fromkeys(removed)
+            self.says |= {one.entry.backend: one for one in members}
+            self.revision = revision
+
+
+def expected(first: Naive, second: Naive) -> dict[str, tuple[Phase, int, float]]:
+    """The view, from the words of the page alone; two at one address are left out of the comparison."""
+    out = {}
+    for name in NAMES:
+        words = [source.says[name] for source in (first, second) if name in source.says]
+        if not words or None in words:
+            continue
+        entries = [word for word in words if word is not None]
+        drains = any(one.entry.phase is DRAINING for one in entries)
+        start = max(one.entry.started_at for one in entries)
+        out[name] = (DRAINING if drains else UP, entries[0].address[1], start)
+    return out
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(STEPS, st.sampled_from([1, 2, 1000]))
+def test_the_view_is_what_a_naive_model_says(steps: list[Any], size: int) -> None:
+    before, m.SLICE = m.SLICE, size
+    try:
+        rig, naive = Rig(Source("platform"), Source("etcd")), {"platform": Naive(), "etcd": Naive()}
+        for source, what, ahead, members, removed in steps:
+            model = naive[source]
+            revision = model.revision + ahead
+            removed = [name for name in removed if name not in {one.entry.backend for one in members}]
+            match what:
+                case "whole":
+                    model.whole(revision, members)
+                    rig.hand(m.Listed(source, str(model.identity), whole(revision, *members)))
+                case "changes":
+                    model.changes(revision, members, removed)
+                    listing = changes(revision, *members, removed=tuple(removed))
+                    rig.hand(m.Listed(source, str(model.identity), listing))
+                case "spoiled":
+                    model.spoiled = True
+                    rig.hand(m.Spoiled(source, "odd"))
+                case "new order":
+                    model.identity += 1
+                    model.known = model.spoiled = False
+                    rig.hand(m.Moved(source, str(model.identity)))
+                    model.whole(revision, members)
+                    rig.hand(m.Listed(source, str(model.identity), whole(revision, *members)))
+                case "silent":
+                    rig.hand(m.Silenced(source, "away"))
+                case _:
+                    rig.turn()
+        rig.turn()
+        want = expected(naive["platform"], naive["etcd"])
+        got = {n: (o.entry.phase, o.address[1], o.entry.started_at) for n, o in rig.told.items()}
+        assert rig.told == rig.membership.view
+        ports = [port for phase, port, _ in want.values() if phase is UP]
+        for name, (phase, port, _) in want.items():
+            if phase is DRAINING or ports.count(port) == 1:
+                assert got.pop(name) == want[name]
+        used = [port for phase, port, _ in got.values()]
+        assert len(used) == len(set(used)) == len({p for p in ports if ports.count(p) > 1})
+        assert not rig.membership._fresh
+    finally:
+        m.SLICE = before
+
+
+def test_a_second_source_of_one_name_is_refused() -> None:
+    with pytest.raises(ValueError, match="two sources"):
+        Membership([Source("etcd"), Source("etcd")])
