--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -102,12 +102,22 @@
     identity: str
 
 
+@dataclass(slots=True, frozen=True)
+class Configured:
+    """The operators set the sources anew, in this order of precedence.
+
+    One that is left out is as if it had never said a word; one that stays keeps all it said.
+    """
+
+    sources: tuple[Source, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class Continued:
     """The turn of the loop that `Continue` asked for has come."""
 
 
-Event = Listed | Heard | Spoiled | Silenced | Refused | Moved | Continued
+Event = Listed | Heard | Spoiled | Silenced | Refused | Moved | Configured | Continued
 
 # --- actions
 
@@ -175,13 +185,18 @@
         return self.revision is not None and not self.spoiled
 
 
+def _by_name(sources: Sequence[Source]) -> dict[str, Source]:
+    out = {s.name: s for s in sources}
+    if len(out) != len(sources):
+        raise ValueError(f"two sources of one name: {[s.name for s in sources]}")
+    return out
+
+
 class Membership:
     """The merge. `sources` are in the order of their precedence."""
 
     def __init__(self, sources: Sequence[Source]) -> None:
-        self.sources = {s.name: s for s in sources}
-        if len(self.sources) != len(sources):
-            raise ValueError(f"two sources of one name: {[s.name for s in sources]}")
+        self.sources = _by_name(sources)
         self.view: dict[str, Member] = {}  # in force: up or draining
         self.revision = 0  # of the view
         self.shadowed: set[str] = set()  # listed, up, and left out: another is up at the same address
@@ -194,33 +209,47 @@
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Decide on one event at the clock time `now_ms`."""
         self._now_ms, self._out = now_ms, []
+        if isinstance(event, Continued):
+            self._continue()
+        elif isinstance(event, Configured):
+            self._configure(_by_name(event.sources))
+        elif (source := self.sources.get(event.source)) is not None:
+            self._said(source, event)
+        return self._out
+
+    def _said(self, source: Source, event: Listed | Heard | Spoiled | Silenced | Refused | Moved) -> None:
         match event:
-            case Continued():
-                self._continue()
             case Listed():
-                self._listed(self.sources[event.source], event)
+                self._listed(source, event)
             case Heard():
-                self._heard(self.sources[event.source])
+                self._heard(source)
             case Spoiled():
-                source = self.sources[event.source]
-                source.spoiled = True
-                source.state = State.SYNCING
+                source.spoiled, source.state = True, State.SYNCING
                 self._out.append(Say(f"{source.name}: bad line: {event.reason}"))
             case Silenced():
-                self._lost(self.sources[event.source], State.SILENT, event.reason)
+                self._lost(source, State.SILENT, event.reason)
             case Refused():
-                self._lost(self.sources[event.source], State.REFUSED, event.reason)
-            case Moved():
-                source = self.sources[event.source]
-                if source.identity != event.identity:
-                    self._begin(source, event.identity)
-        return self._out
+                self._lost(source, State.REFUSED, event.reason)
+            case Moved() if source.identity != event.identity:
+                self._begin(source, event.identity)
 
     def resume(self, name: str) -> int | None:
         """The revision to watch a source from, or None where only its whole list will do."""
         source = self.sources[name]
         return source.revision if source.whole else None
 
+    def _configure(self, sources: dict[str, Source]) -> None:
+        before, self.sources = self.sources, {}
+        for name, source in sources.items():
+            self.sources[name] = kept = before.get(name, source)
+            kept.role, kept.pieces = source.role, source.pieces
+            if kept.role is Role.ADD:
+                kept.removed.clear()
+        touched = {*self.view, *self.shadowed}
+        for source in before.values():
+            touched |= source.members.keys() | source.removed.keys()
+        self._apply(sorted(touched), ListKind.CHANGES)
+
     # --- order
 
     def _listed(self, source: Source, event: Listed) -> None:
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -303,6 +303,30 @@
     assert not rig.membership.shadowed
 
 
+def test_a_source_that_operators_take_out_has_never_said_a_word() -> None:
+    rig = Rig()
+    rig.list("platform", whole(4, member("a"), member("b"), member("c")))
+    rig.list("etcd", whole(9, member("a", DRAINING), member("b"), member("d")))
+    rig.list("etcd", changes(10, removed=("b",)))
+    assert rig.view == {"a": "draining", "c": "up", "d": "up"}
+    rig.hand(m.Configured((Source("platform"), Source("etcd", Role.ADD))))
+    assert rig.view == {"a": "up", "b": "up", "c": "up", "d": "up"}
+    assert rig.membership.resume("etcd") == 10
+    rig.hand(m.Configured((Source("platform"),)))
+    assert rig.view == {"a": "up", "b": "up", "c": "up"}
+    rig.hand(m.Configured((Source("platform"), Source("etcd"))))
+    assert rig.membership.resume("etcd") is None and rig.membership.resume("platform") == 4
+
+
+def test_events_of_a_source_that_is_gone_say_nothing() -> None:
+    """Guards against a call that was on its way as the operators took its source out."""
+    rig = Rig(Source("platform"))
+    listed = m.Listed("etcd", "7/0", whole(1, member("a")))
+    for event in (m.Heard("etcd"), m.Silenced("etcd", "away"), listed):
+        rig.hand(event)
+    assert rig.view == {} and not rig.lines
+
+
 # --- what cannot be read
 
 
