--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -26,7 +26,7 @@
 from dillport.interface import ListKind, Phase
 from dillport.members import Address, Fault, Listing, Member
 
-SLICE = 1000  # entries of a whole list that are looked at in one go
+SLICE = 500  # entries of a whole list that are looked at in one go
 MAX_REMOVED = 20_000  # removals remembered a source, while there are others; the oldest is forgotten first
 MAX_FAULTS = 1000  # unreadable entries shown a source; further ones are counted
 LOUD_LEAST = 4  # removals at once, over half of what the source listed, that are worth a line of their own
