--- a/dillport/lab/judge.py
+++ b/dillport/lab/judge.py
@@ -467,7 +467,8 @@
     # --- what it was worth
 
     def _worth(self) -> None:
-        total = self.out.classes["all"] = Tally()
+        total = Tally()
+        self.out.classes = {c.name: Tally() for c in self.site.classes} | {"all": total}
         tries: dict[str, list[str]] = {}
         for name, request in self.requests.items():
             for asked in request.asked[:1]:
@@ -476,11 +477,10 @@
             if not isinstance(r, Wanted):
                 continue
             mine = [self.requests[name] for name in tries.get(r.request, [])]
-            for tally in (self.out.classes.setdefault(r.class_name, Tally()), total):
+            for tally in (self.out.classes[r.class_name], total):
                 self._count(tally, r, mine)
         for tally in self.out.classes.values():
             tally.took_ms.sort()
-        self.out.classes["all"] = self.out.classes.pop("all")  # last, as a sum stands
 
     @staticmethod
     def _count(tally: Tally, wanted: Wanted, tries: list[_Request]) -> None:
--- /dev/null
+++ b/dillport/lab/world.py
@@ -0,0 +1,324 @@
+"""A world: real node processes among stand-in servers, discovery and clients, all on loopback, on one seed.
+
+    async with World(directory, seed=1, nodes=2, servers=6) as world:
+        await world.play(rate=100, seconds=10, script=[Step(3, "s2 drains", lambda w: w.drain("s2"))])
+        verdict = world.verdict()
+
+Whoever adds a further source of the list appends it to `registries`, writes its `Told` to `journal`, and
+gives nodes what they need to find it by `node_args` and `node_env`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import inspect
+import json
+import os
+import random
+import re
+import signal
+import sys
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Protocol, Self
+
+import dillport
+from dillport.lab.clients import Clients, Front, Habits, draw
+from dillport.lab.discovery import Agent, Discovery
+from dillport.lab.judge import Verdict, judge
+from dillport.lab.records import HeldUp, Journal, NodeEnded, NodeSignalled, NodeStarted, now_ms
+from dillport.lab.servers import Fleet, Machine, Server
+from dillport.lab.site import Site
+
+ROOT = Path(dillport.__file__).parents[1]
+READY_S = 20.0  # that a node gets to say that it is up
+LOG_LINES = 2_000  # of a node's log that are kept
+TICK_MS, LATE_MS = 10.0, 5.0  # how often the loop is looked at, and the lateness worth a record
+
+
+class Registry(Protocol):
+    """A source of the list that servers are entered in."""
+
+    def publish(self, *entries: dict[str, Any]) -> object:
+        """Enter changes, in discovery's form."""
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """Something that happens at a time of a run, and the words for it."""
+
+    at_s: float
+    text: str
+    act: Callable[[World], Awaitable[object] | object]
+
+
+class Node:
+    """One real node: its process, its configuration, its log."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.world, self.number, self.name = world, number, f"n{number}"
+        self.path = world.directory / f"{self.name}.json"
+        self.host, self.port = f"127.{world.fleet.net}.250.{number + 1}", 0
+        self.process: asyncio.subprocess.Process | None = None
+        self.log: deque[str] = deque(maxlen=LOG_LINES)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._serves = asyncio.Event()
+
+    @property
+    def agent(self) -> Agent:
+        """Its discovery."""
+        return self.world.discovery.agents[self.name]
+
+    def configure(self) -> None:
+        """Write its configuration file, with the list as the node last had it."""
+        world = self.world
+        table = {
+            "name": self.name, "listen": f"{self.host}:{self.port}", "discovery": self.agent.identity,
+            "seed": f"{world.rng.getrandbits(64):016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": world.discovery.known(self.name),
+            "settings": world.site.settings(self.number, world.node_count),
+        }  # fmt: skip
+        self.path.write_text(json.dumps(table), encoding="utf-8")
+
+    async def start(self) -> None:
+        """Start the process, behind the same address as before, and wait until clients may come."""
+        world = self.world
+        self._serves.clear()
+        world.journal.add(NodeStarted(self.name, now_ms()))
+        self.configure()
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "DILLPORT_"))}
+        env |= {"PROXY_CONFIG": str(self.path), **world.node_env}
+        self.process = process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "dillport", *world.node_args, cwd=ROOT, env=env,
+            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE, limit=1 << 20,
+        )  # fmt: skip
+        self._keep(self._read(process))
+        self._keep(self._watch(process))
+        async with asyncio.timeout(READY_S):
+            await self._serves.wait()
+            if not self.port:
+                raise RuntimeError(f"{self.name} ended at its start: {list(self.log)[-3:]}")
+            while not await self._up():
+                await asyncio.sleep(0.02)
+        world.front.nodes[self.name] = (self.host, self.port)
+
+    def _keep(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        while line := (await process.stderr.readline()).decode(errors="replace").rstrip():
+            self.log.append(line)
+            if found := re.search(r"serves on \S+:(\d+)$", line):
+                self.port = int(found[1])
+                self._serves.set()
+        self._serves.set()
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        self.world.journal.add(NodeEnded(self.name, now_ms(), code))
+        await asyncio.sleep(self.world.notice_s)
+        if self.process is process:
+            self.world.front.nodes.pop(self.name, None)
+
+    async def _up(self) -> bool:
+        reader, writer = await asyncio.open_connection(self.host, self.port)
+        try:
+            writer.write(b"GET /up HTTP/1.1\r\nHost: up\r\nConnection: close\r\n\r\n")
+            return (await reader.readline()).split(b" ")[1:2] == [b"200"]
+        except ConnectionError:
+            return False
+        finally:
+            writer.close()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to its process."""
+        if self.process is not None and self.process.returncode is None:
+            self.world.journal.add(NodeSignalled(self.name, now_ms(), number.name))
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End it outright; the front goes on dealing connections to it until it notices."""
+        self.signal(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        """Begin a planned end."""
+        self.signal(signal.SIGTERM)
+
+    def reload(self) -> None:
+        """Write its configuration anew and have it read again."""
+        self.configure()
+        self.signal(signal.SIGHUP)
+
+    async def ended(self) -> int:
+        """Wait for its end; the exit code."""
+        assert self.process is not None
+        return await self.process.wait()
+
+    async def close(self) -> None:
+        """See that nothing of it is left."""
+        if self.process is not None:
+            self.kill()
+            await self.process.wait()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class World:
+    """All of it. `directory` takes the nodes' configurations; `notice_s` is how long the front does not see
+    that a node has died. On leaving, every process it started is gone.
+    """
+
+    def __init__(
+        self, directory: Path, *, site: Site | None = None, seed: int = 1, nodes: int = 1, servers: int = 6,
+        machine: Machine | None = None, habits: Habits | None = None, notice_s: float = 1.0,
+        node_args: Sequence[str] = (), node_env: Mapping[str, str] | None = None,
+    ) -> None:  # fmt: skip
+        self.directory, self.site, self.seed = directory, site or Site(), seed
+        self.node_count, self.server_count, self.machine = nodes, servers, machine
+        self.habits, self.notice_s = habits or Habits(), notice_s
+        self.node_args, self.node_env = tuple(node_args), dict(node_env or {})
+        self.rng = random.Random(f"world:{seed}")
+        self.journal = Journal()
+        self.fleet = Fleet(self.site, self.journal, seed)
+        self.front = Front()
+        self.clients = Clients(self.site, self.journal, self.front, seed, self.habits)
+        self.nodes: list[Node] = []
+        self.registries: list[Registry] = []
+        self.started_at_ms = 0.0
+        self._ticker: asyncio.TimerHandle | None = None
+        self._later: set[asyncio.TimerHandle] = set()
+
+    async def __aenter__(self) -> Self:
+        try:
+            await self.start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        await self.close()
+
+    async def start(self) -> None:
+        """Bring up servers, discovery and nodes."""
+        for number in range(1, self.server_count + 1):
+            await self.fleet.add(f"s{number}", self.machine).start()
+        self.discovery = Discovery(self.journal, self.fleet.members())
+        self.registries.append(self.discovery)
+        self._tick(now_ms())
+        self.nodes = [Node(self, number) for number in range(self.node_count)]
+        for node in self.nodes:
+            await self.discovery.agent(node.name)
+        async with asyncio.TaskGroup() as tasks:
+            for node in self.nodes:
+                tasks.create_task(node.start())
+
+    async def close(self) -> None:
+        """End it all."""
+        for handle in self._later:
+            handle.cancel()
+        self.clients.close()
+        for node in self.nodes:
+            with contextlib.suppress(ProcessLookupError):
+                await node.close()
+        if self._ticker is not None:
+            self._ticker.cancel()
+        if self.registries:
+            self.discovery.close()
+        self.fleet.stop()
+
+    def _tick(self, due_ms: float) -> None:
+        """Look whether the loop is late: what is recorded meanwhile has a time that is too late as well."""
+        at = now_ms()
+        if at - due_ms > LATE_MS:
+            self.journal.add(HeldUp(at, at - due_ms))
+        loop = asyncio.get_running_loop()
+        self._ticker = loop.call_later(TICK_MS / 1000, self._tick, at + TICK_MS)
+
+    # --- a run
+
+    async def play(
+        self, rate: float, seconds: float, script: Iterable[Step] = (),
+        tell: Callable[[float, str], None] | None = None,
+    ) -> None:  # fmt: skip
+        """Clients ask for so long, the script takes place; returns once the last client has its end."""
+        arrivals = draw(self.site, rate, seconds, self.seed, self.habits)
+        self.started_at_ms = now_ms()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.clients.play(arrivals))
+            tasks.create_task(self._script(sorted(script, key=lambda s: s.at_s), tell))
+
+    async def _script(self, steps: list[Step], tell: Callable[[float, str], None] | None) -> None:
+        for step in steps:
+            await asyncio.sleep(max(0.0, self.started_at_ms / 1000 + step.at_s - now_ms() / 1000))
+            if tell is not None:
+                tell(step.at_s, step.text)
+            done = step.act(self)
+            if inspect.isawaitable(done):
+                await done
+
+    def verdict(self) -> Verdict:
+        """What the judge says of all that was recorded so far."""
+        return judge(self.journal, self.site)
+
+    # --- what scripts do
+
+    def publish(self, *entries: dict[str, Any]) -> None:
+        """Enter changes in every registry."""
+        for registry in self.registries:
+            registry.publish(*entries)
+
+    def enter(self, *names: str, phase: str = "in_service") -> None:
+        """Enter servers as they are, in one change."""
+        self.publish(*(self.fleet[name].member(phase) for name in names))
+
+    def drain(self, *names: str) -> None:
+        """Servers are to finish what they have; they turn away what is new once the grace is over."""
+        self.enter(*names, phase="terminating")
+        for name in names:
+            self.later(self.site.rules.grace_ms / 1000, self.fleet[name].drain)
+
+    def remove(self, *names: str) -> None:
+        """Servers are taken off the list and end in order."""
+        self.enter(*names, phase="terminated")
+        for name in names:
+            self.fleet[name].drain()
+            self.later(self.site.rules.grace_ms / 1000, self.fleet[name].stop)
+
+    def die(self, *names: str, notice_s: float = 1.5) -> None:
+        """Servers' processes are killed; the list says so some time later."""
+        for name in names:
+            self.fleet[name].die()
+        self.later(notice_s, self._gone, names)
+
+    def _gone(self, names: tuple[str, ...]) -> None:
+        self.enter(*(name for name in names if not self.fleet[name].up), phase="terminated")
+
+    async def come(self, name: str) -> Server:
+        """A server starts cold, a new one or one that was there, and is entered in the list."""
+        server = self.fleet.servers.get(name) or self.fleet.add(name, self.machine)
+        await server.start(cold=True)
+        self.enter(name)
+        return server
+
+    def later(self, seconds: float, act: Callable[..., object], *args: object) -> None:
+        """Have something happen in a while, unless the world ends before."""
+
+        def due() -> None:
+            self._later.discard(handle)
+            act(*args)
+
+        handle = asyncio.get_running_loop().call_later(seconds, due)
+        self._later.add(handle)
