--- a/dillport/lab/world.py
+++ b/dillport/lab/world.py
@@ -5,7 +5,7 @@
         verdict = world.verdict()
 
 Whoever adds a further source of the list appends it to `registries`, writes its `Told` to `journal`, and
-gives nodes what they need to find it by `node_args` and `node_env`.
+gives each node the words and variables to find it by in `prepare`.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 import signal
 import sys
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from types import TracebackType
@@ -62,6 +62,8 @@
     def __init__(self, world: World, number: int) -> None:
         self.world, self.number, self.name = world, number, f"n{number}"
         self.path = world.directory / f"{self.name}.json"
+        self.args: list[str] = []  # further words of its command line
+        self.env: dict[str, str] = {}  # further variables of its environment
         self.host, self.port = f"127.{world.fleet.net}.250.{number + 1}", 0
         self.process: asyncio.subprocess.Process | None = None
         self.log: deque[str] = deque(maxlen=LOG_LINES)
@@ -74,13 +76,13 @@
         return self.world.discovery.agents[self.name]
 
     def configure(self) -> None:
-        """Write its configuration file, with the list as the node last had it."""
+        """Write its configuration file, with the list as its agent has it."""
         world = self.world
         table = {
             "name": self.name, "listen": f"{self.host}:{self.port}", "discovery": self.agent.identity,
             "seed": f"{world.rng.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": world.discovery.known(self.name),
+            "known": self.agent.known(),
             "settings": world.site.settings(self.number, world.node_count),
         }  # fmt: skip
         self.path.write_text(json.dumps(table), encoding="utf-8")
@@ -91,10 +93,11 @@
         self._serves.clear()
         world.journal.add(NodeStarted(self.name, now_ms()))
         self.configure()
+        self.agent.tell_known()
         env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "DILLPORT_"))}
-        env |= {"PROXY_CONFIG": str(self.path), **world.node_env}
+        env |= {"PROXY_CONFIG": str(self.path), **self.env}
         self.process = process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "dillport", *world.node_args, cwd=ROOT, env=env,
+            sys.executable, "-B", "-m", "dillport", *self.args, cwd=ROOT, env=env,
             stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE, limit=1 << 20,
         )  # fmt: skip
@@ -175,18 +178,19 @@
 
 class World:
     """All of it. `directory` takes the nodes' configurations; `notice_s` is how long the front does not see
-    that a node has died. On leaving, every process it started is gone.
+    that a node has died; `prepare` sees each node once, before its first start, and may add to its `args` and
+    `env`. On leaving, every process that the world started is gone.
     """
 
     def __init__(
         self, directory: Path, *, site: Site | None = None, seed: int = 1, nodes: int = 1, servers: int = 6,
         machine: Machine | None = None, habits: Habits | None = None, notice_s: float = 1.0,
-        node_args: Sequence[str] = (), node_env: Mapping[str, str] | None = None,
+        prepare: Callable[[Node], Awaitable[object] | object] | None = None,
     ) -> None:  # fmt: skip
         self.directory, self.site, self.seed = directory, site or Site(), seed
         self.node_count, self.server_count, self.machine = nodes, servers, machine
         self.habits, self.notice_s = habits or Habits(), notice_s
-        self.node_args, self.node_env = tuple(node_args), dict(node_env or {})
+        self.prepare = prepare
         self.rng = random.Random(f"world:{seed}")
         self.journal = Journal()
         self.fleet = Fleet(self.site, self.journal, seed)
@@ -221,6 +225,8 @@
         self.nodes = [Node(self, number) for number in range(self.node_count)]
         for node in self.nodes:
             await self.discovery.agent(node.name)
+            if self.prepare is not None and inspect.isawaitable(done := self.prepare(node)):
+                await done
         async with asyncio.TaskGroup() as tasks:
             for node in self.nodes:
                 tasks.create_task(node.start())
--- a/tests/lab/test_clients.py
+++ b/tests/lab/test_clients.py
@@ -7,6 +7,7 @@
 import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
@@ -156,6 +157,19 @@
     run(lambda: test())
 
 
+def test_advice_to_wait_is_honoured_up_to_a_limit() -> None:
+    async def test() -> None:
+        long = answer(b"", "503 Busy", "Retry-After: 100")
+        async with rig(long, OK, habits=Habits(honours=1.0)) as world:
+            assert await world.ask("read") == 503  # there would be no time left
+            assert len(world.got) == 1
+        async with rig(long, OK, habits=Habits(honours=1.0)) as world:
+            world.clients.site = replace(SITE, max_retry_after_ms=30)
+            assert await world.ask("read") == 200
+
+    run(test)
+
+
 def test_once_more_at_most_and_not_at_all() -> None:
     async def test() -> None:
         async with rig(REFUSED) as world:
@@ -287,6 +301,24 @@
     run(lambda: test(False))
 
 
+def test_a_new_connection_that_ends_has_lost_its_request() -> None:
+    async def test() -> None:
+        async with rig(OK, habits=Habits(retries=0)) as world:
+            loop, listener = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0))
+            listener.setblocking(False)
+            world.front.nodes["n0"] = listener.getsockname()[:2]
+            asking = asyncio.create_task(world.ask("once"))
+            sock, _ = await loop.sock_accept(listener)
+            await until(lambda: of(world.journal, Asked))
+            sock.close()  # with the request unread, which resets
+            assert await asking == 0
+            assert [r.whole for r in of(world.journal, Answered)] == [False]
+            assert not of(world.journal, Crossed)
+            listener.close()
+
+    run(test)
+
+
 def test_written_to_a_connection_that_had_ended() -> None:
     """The end of the connection was there before the request, and this side had not read it yet."""
 
