--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -154,12 +154,15 @@
     assert list(faults(etcd(**keys), folder)) == [f"membership.etcd.{path}" for path in paths]
 
 
-def test_a_key_behind_a_password_is_a_fault_and_asks_no_terminal(folder: Path) -> None:
+def test_a_key_behind_a_password_is_a_fault_and_asks_nobody(
+    folder: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
     subprocess.run(
         ["openssl", "rsa", "-aes128", "-passout", "pass:x", "-in", "tls.key", "-out", "locked.key"],
         cwd=folder, check=True, capture_output=True,
     )  # fmt: skip
     assert list(faults(etcd(**HTTPS, cert="tls.crt", key="locked.key"), folder)) == ["membership.etcd.cert"]
+    assert "pass phrase" not in "".join(capfd.readouterr())
 
 
 @pytest.mark.parametrize(
