Name all faults of the platform's configuration at once, still on one line

A check before a roll-out that stops at the first fault costs a round for each. parse() goes on raising at the first, as the simulator's wire needs it; faults() reads on with stand-ins, and the configuration's parts are read one by one. A seed of infinity is named, too, where it was a traceback.

--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -18,7 +19,11 @@
 
 
 class ConfigError(ValueError):
-    """The configuration is missing or makes no sense; the text names the field."""
+    """The configuration is missing or makes no sense; the text names every field that does, on one line."""
+
+    def __init__(self, *faults: str) -> None:
+        self.faults = faults
+        super().__init__("; ".join(faults))
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,10 +52,52 @@
 
 
 def load(env: Mapping[str, str], again: bool = False) -> Config:
-    """The configuration that the environment points to; raises ConfigError.
+    """The configuration that the environment points to; raises ConfigError with all its faults.
 
     The environment goes before the file, but not when it is read again: it is that of the start.
     """
+    raw = _raw(env)
+    gather = _Gather()
+    with gather:
+        settings = _settings(raw)
+    with gather:
+        sockets = _sockets(raw)
+    with gather:
+        seed = _seed(raw)
+    with gather:
+        known = _known(raw)
+    with gather:
+        listen = _at(raw, env, "listen", again)
+    with gather:
+        discovery = _at(raw, env, "discovery", again)
+    if gather.faults:
+        raise ConfigError(*gather.faults)
+    clients = int((sockets - SPARE) * CLIENT_PART)
+    return Config(
+        name=str(env.get(PREFIX + "NAME") or raw.get("name", "")),
+        listen=listen,
+        discovery=discovery,
+        seed=seed,
+        settings=settings,
+        known=known,
+        client_sockets=clients,
+        upstream_sockets=sockets - SPARE - clients,
+    )
+
+
+class _Gather(contextlib.AbstractContextManager[None]):
+    """Keeps the faults of one part of the file and goes on with the next."""
+
+    def __init__(self) -> None:
+        self.faults: list[str] = []
+
+    def __exit__(self, kind: object, err: BaseException | None, trace: object) -> bool:
+        if isinstance(err, ConfigError):
+            self.faults += err.faults
+        return isinstance(err, ConfigError)
+
+
+def _raw(env: Mapping[str, str]) -> dict[str, Any]:
     path = env.get(PREFIX + "CONFIG")
     if not path:
         raise ConfigError(f"{PREFIX}CONFIG is missing")
@@ -62,33 +109,37 @@
         raise ConfigError(f"{PREFIX}CONFIG is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{PREFIX}CONFIG is not an object")
+    return raw
+
+
+def _settings(raw: Mapping[str, Any]) -> api.Settings:
     if not isinstance(raw.get("settings"), dict):
         raise ConfigError("settings is missing")
     try:
-        settings = platform.parse(raw["settings"])
-    except api.SettingsError as err:
-        raise ConfigError(f"settings: {err}") from None
+        return platform.parse(raw["settings"])
+    except api.SettingsError:
+        raise ConfigError(*(f"settings: {fault}" for fault in platform.faults(raw["settings"]))) from None
+
+
+def _sockets(raw: Mapping[str, Any]) -> int:
     limits = raw.get("limits", {})
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
     if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * SPARE:
         raise ConfigError(f"limits.sockets makes no sense: {sockets!r:.120}")
+    return sockets
+
+
+def _seed(raw: Mapping[str, Any]) -> int:
     seed = raw.get("seed", "0")
     try:
-        number = int(seed, 16) if isinstance(seed, str) else int(seed)
-    except (TypeError, ValueError):
+        return int(seed, 16) if isinstance(seed, str) else int(seed)
+    except (TypeError, ValueError, OverflowError):
         raise ConfigError(f"seed makes no sense: {seed!r:.120}") from None
+
+
+def _known(raw: Mapping[str, Any]) -> Listing:
     try:
         known = listing(raw.get("known", {"revision": 0, "complete": True, "members": []}))
     except ListError as err:
         raise ConfigError(f"known: {err}") from None
-    clients = int((sockets - SPARE) * CLIENT_PART)
-    return Config(
-        name=str(env.get(PREFIX + "NAME") or raw.get("name", "")),
-        listen=_at(raw, env, "listen", again),
-        discovery=_at(raw, env, "discovery", again),
-        seed=number,
-        settings=settings,
-        known=replace(known, complete=True),
-        client_sockets=clients,
-        upstream_sockets=sockets - SPARE - clients,
-    )
+    return replace(known, complete=True)
--- a/dillport/settings.py
+++ b/dillport/settings.py
@@ -1,13 +1,15 @@
 """The platform's settings, out of their JSON object, checked. Nothing is decided here.
 
-A START line of the simulator's wire and a real node's configuration hold the same object.
+A START line of the simulator's wire and a real node's configuration hold the same object. `parse` stops at
+the first fault, `faults` names all of them.
 """
 
 from __future__ import annotations
 
 import json
 import math
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Concatenate, ParamSpec, TypeVar, cast
 
 from dillport import interface as api
 
@@ -20,13 +22,56 @@
     "origin", "peer",
 )  # fmt: skip
 
+_ROW = {"name": "x", "effect": "retryable", "give-up": 1.0}  # stands in for one that is no object
+
 Table = dict[str, Any]
+P = ParamSpec("P")
+T = TypeVar("T")
+
+
+class _Gathering(Table):
+    """A table that is read on after a fault: it gathers them, with those of the tables within."""
+
+    def __init__(self, table: Table, faults: list[str]) -> None:
+        super().__init__(table)
+        self.faults = faults
 
 
 def _fault(where: str, name: str, value: object) -> api.SettingsError:
     return api.SettingsError(f"{where}{name} makes no sense: {value!r}")
 
 
+def _say(table: Table, fault: api.SettingsError) -> None:
+    """Raise a fault, or note it where faults are gathered."""
+    if not isinstance(table, _Gathering):
+        raise fault
+    if str(fault) not in table.faults:
+        table.faults.append(str(fault))
+
+
+def _gathered(
+    stand_in: T,
+) -> Callable[[Callable[Concatenate[Table, P], T]], Callable[Concatenate[Table, P], T]]:
+    """Go on with a value that makes sense where faults are gathered."""
+
+    def wrap(read: Callable[Concatenate[Table, P], T]) -> Callable[Concatenate[Table, P], T]:
+        def inner(table: Table, /, *args: P.args, **kwargs: P.kwargs) -> T:
+            try:
+                return read(table, *args, **kwargs)
+            except api.SettingsError as err:
+                _say(table, err)
+                return stand_in
+
+        return inner
+
+    return wrap
+
+
+def _within(table: Table, inner: Table) -> Table:
+    return _Gathering(inner, table.faults) if isinstance(table, _Gathering) else inner
+
+
+@_gathered(1.0)
 def _number(table: Table, where: str, name: str, default: float | None, low: float = 0.0) -> float:
     value = table.get(name, default)
     if value is None:
@@ -36,6 +81,7 @@
     return float(value)
 
 
+@_gathered(1)
 def _whole(table: Table, where: str, name: str, default: int, low: int) -> int:
     value = _number(table, where, name, default, low)
     if value != int(value):
@@ -43,6 +89,7 @@
     return int(value)
 
 
+@_gathered(False)
 def _flag(table: Table, where: str, name: str, default: bool) -> bool:
     value = table.get(name, default)
     if not isinstance(value, bool):
@@ -50,7 +97,7 @@
     return value
 
 
-def _text(table: Table, where: str, name: str, default: str | None) -> str:
+def _raw_text(table: Table, where: str, name: str, default: str | None) -> str:
     value = table.get(name, default)
     if value is None or (value == "" and default is None):
         raise api.SettingsError(f"{where}{name} is missing")
@@ -59,6 +106,10 @@
     return value
 
 
+_text = _gathered("")(_raw_text)
+
+
+@_gathered(cast("tuple[str, ...]", ()))
 def _texts(table: Table, where: str, name: str) -> tuple[str, ...]:
     value = table.get(name, [])
     if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
@@ -69,22 +120,25 @@
 def _table(table: Table, name: str) -> Table:
     value = table.get(name, {})
     if not isinstance(value, dict):
-        raise _fault("", name, value)
-    return value
+        _say(table, _fault("", name, value))
+        value = {}
+    return _within(table, value)
 
 
 def _rows(table: Table, name: str) -> list[Table]:
     value = table.get(name, [])
     if not isinstance(value, list):
-        raise _fault("", name, value)
+        _say(table, _fault("", name, value))
+        return []
     for index, row in enumerate(value):
         if not isinstance(row, dict):
-            raise _fault("", f"{name}[{index}]", row)
-    return value
+            _say(table, _fault("", f"{name}[{index}]", row))
+    return [_within(table, row if isinstance(row, dict) else _ROW) for row in value]
 
 
+@_gathered(cast(Any, None))
 def _choice(table: Table, where: str, name: str, among: dict[str, Any], default: str | None) -> Any:
-    value = _text(table, where, name, default)
+    value = _raw_text(table, where, name, default)
     if value not in among:
         raise _fault(where, name, value)
     return among[value]
@@ -107,8 +161,8 @@
         aim_stretch=_number(table, where, "aim-stretch", 0.0),
     )
     for name, value in (("give-up", out.deadline), ("objective", out.aim)):
-        if value <= 0:
-            raise _fault(where, name, value)
+        if value <= 0 and name in table:
+            _say(table, _fault(where, name, value))
     return out
 
 
@@ -141,15 +195,15 @@
     limits, rules, load = _table(raw, "limits"), _table(raw, "rules"), _table(raw, "load-info")
     charges, blend, family = _table(raw, "charges"), _table(raw, "blend"), _table(raw, "family-info")
     classes = _rows(raw, "request-classes")
-    if not classes:
-        raise api.SettingsError("request-classes is missing")
+    if raw.get("request-classes", []) == []:
+        _say(raw, api.SettingsError("request-classes is missing"))
     group_size = _whole(raw, "", "group-size", 1, 1)
     me = _whole(raw, "", "me", 0, 0)
     heeded = _flag(limits, "limits.", "retry-after", False)
     ramp_time = _number(rules, "rules.", "ramp-time", 60_000.0)
     cold_share = _number(rules, "rules.", "cold-share", 0.0)
     if cold_share > 1:
-        raise _fault("rules.", "cold-share", cold_share)
+        _say(rules, _fault("rules.", "cold-share", cold_share))
     return api.Settings(
         classes=tuple(_class(table, index) for index, table in enumerate(classes)),
         me=me,
@@ -205,3 +259,10 @@
         cpu_us_per_s=_number(limits, "limits.", "cpu-us-per-s", 0.0),
         cpu_us_per_request=_number(limits, "limits.", "cpu-us-per-request", 0.0),
     )
+
+
+def faults(raw: Table) -> list[str]:
+    """All that `parse` would raise for, one after the other; none where it raises nothing."""
+    out: list[str] = []
+    parse(_Gathering(raw, out))
+    return out
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,6 +50,36 @@
         settings.read(json.dumps(INFO | change))
 
 
+def test_all_faults_are_named_at_once() -> None:
+    rows = [
+        {"name": "a", "effect": "odd", "give-up": "long", "objective": 0, "streamed": 1}, 7,
+        {"effect": "dedup", "give-up": 0},
+    ]  # fmt: skip
+    told: dict[str, object] = {
+        "request-classes": rows, "group-size": 2.5, "charges": 3, "zone": 4, "kinds": "k",
+        "rules": {"cold-share": 1.5, "fall": -1}, "projects": [{"share": -1}],
+    }  # fmt: skip
+    assert set(settings.faults(INFO | told)) == {
+        "request-classes[1] makes no sense: 7",
+        "request-classes[0].effect makes no sense: 'odd'",
+        "request-classes[0].give-up makes no sense: 'long'",
+        "request-classes[0].objective makes no sense: 0.0",
+        "request-classes[0].streamed makes no sense: 1",
+        "request-classes[2].name is missing",
+        "request-classes[2].give-up makes no sense: 0.0",
+        "group-size makes no sense: 2.5",
+        "charges makes no sense: 3",
+        "zone makes no sense: 4",
+        "kinds makes no sense: 'k'",
+        "rules.cold-share makes no sense: 1.5",
+        "rules.fall makes no sense: -1",
+        "projects[0].name is missing",
+        "projects[0].share makes no sense: -1",
+    }
+    assert settings.faults({}) == ["request-classes is missing"]
+    assert settings.faults(INFO) == []
+
+
 def test_every_setting_of_the_wire_page_arrives() -> None:
     told = INFO | {
         "blend": {"nines": 0.2, "top-nines": 4.0, "slow-end": 0.3, "miss-allowed": 0.02, "whole": 0.5},
