--- /dev/null
+++ b/dillport/cli.py
@@ -0,0 +1,291 @@
+"""The command line: its words, what each of them reads and prints, exit codes. Nothing is decided here.
+
+- `run`, also without a word: one node, as the platform asks. `check`: both files, every fault.
+- `members`: what the sources say of whom. `demo`: a small fleet on stand-ins.
+
+Exit code 0 is well, 1 a running node that cannot be asked, 2 files or words that make no sense. What a node
+needs is imported by `run` alone, so that the other words answer at once.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import json
+import os
+import sys
+from collections.abc import Callable, Iterable, Sequence
+from pathlib import Path
+from typing import Any
+
+import dillport
+from dillport.members import Address
+from dillport.net.config import Config, ConfigError, load
+from dillport.operators import Operators, OperatorsError
+from dillport.operators import load as load_operators
+
+SETTINGS = "DILLPORT_SETTINGS"
+CONFIG = "PROXY_CONFIG"
+WHAT_CONFIG_IS = "it names the JSON file in which the platform configures a node"
+
+_EPILOG = f"""\
+environment:
+  {CONFIG}        the JSON file in which the platform configures a node; needed by run and check
+  PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY
+                      go before the file's own name, listen and discovery
+  {SETTINGS}   the operators' settings where --settings is not given; without either, all that
+                      they could switch on is off
+
+signals of a running node:
+  SIGTERM             answer what was taken, then end with exit code 0
+  SIGHUP              read both files again; a bad one changes nothing and is named in the log
+
+exit codes: 0 well; 1 a running node that cannot be asked; 2 files or words that make no sense
+
+See deploy/dillport.toml for every key of the operators' settings.
+"""
+
+
+class Trouble(Exception):
+    """What ends a command early: an exit code, and lines for standard error."""
+
+    def __init__(self, code: int, *lines: str) -> None:
+        super().__init__(*lines)
+        self.code, self.lines = code, lines
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Carry out a command line; the exit code."""
+    parser = _parser()
+    args, rest = parser.parse_known_args(argv)
+    if rest and args.command is not _demo:
+        parser.error(f"unknown: {' '.join(rest)}")
+    if args.version:
+        print(f"dillport {_version()}")
+        return 0
+    try:
+        code = (args.command or _run)(args, rest)
+        sys.stdout.flush()
+    except Trouble as trouble:
+        for line in trouble.lines:
+            print(f"dillport: {line}", file=sys.stderr)
+        return trouble.code
+    except BrokenPipeError:  # as in `dillport members | head`
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 0
+    return int(code)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="dillport",
+        description="A load-balancer node. Without a word it does what run does.",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+        allow_abbrev=False,
+    )
+    _settings(parser, None)
+    parser.add_argument("--version", action="store_true", help="print the version and end")
+    parser.set_defaults(command=None)
+    words = parser.add_subparsers(title="words", metavar="WORD")
+
+    def word(name: str, command: Callable[..., int], text: str, **over: Any) -> argparse.ArgumentParser:
+        out = words.add_parser(name, help=text, description=text, allow_abbrev=False, **over)
+        out.set_defaults(command=command)
+        return out
+
+    _settings(word("run", _run, "run one node until SIGTERM or SIGINT"), argparse.SUPPRESS)
+    check = word("check", _check, "check the settings and the configuration, and say what is on")
+    _settings(check, argparse.SUPPRESS)
+    members = word("members", _members, "show which servers the sources list, as a running node sees it")
+    _settings(members, argparse.SUPPRESS)
+    members.add_argument(
+        "--control", metavar="PATH", type=Path,
+        help="the node's control socket; without it that of the settings is asked, and if no node answers "
+        "there, the servers that the configuration knows at the start are shown",
+    )  # fmt: skip
+    members.add_argument("--json", action="store_true", help="print JSON")
+    word("demo", _demo, "run a small fleet on stand-ins and judge it; see demo --help", add_help=False)
+    return parser
+
+
+def _settings(parser: argparse.ArgumentParser, default: object) -> None:
+    text = f"the operators' settings, a TOML file (or {SETTINGS})"
+    parser.add_argument("--settings", metavar="FILE", type=Path, default=default, help=text)
+
+
+def _version() -> str:
+    from importlib import metadata
+
+    try:
+        return metadata.version("dillport")
+    except metadata.PackageNotFoundError:  # run from its folder, not installed
+        return dillport.__version__
+
+
+# --- files --------------------------------------------------------------------------------------------
+
+
+def _operators_path(args: argparse.Namespace) -> Path | None:
+    named = args.settings or os.environ.get(SETTINGS)
+    return Path(named).absolute() if named else None
+
+
+def _read_operators(args: argparse.Namespace) -> tuple[Path | None, Operators, list[str]]:
+    """Where the operators' settings are, what they are, and what is wrong with them."""
+    path = _operators_path(args)
+    try:
+        return path, load_operators(path) if path else Operators(), []
+    except OperatorsError as err:
+        return path, Operators(), [f"{path}: {line}" for line in str(err).splitlines()]
+
+
+def _read_config() -> tuple[Config | None, list[str]]:
+    """The platform's configuration, and what is wrong with it."""
+    if not os.environ.get(CONFIG):
+        return None, [f"{CONFIG} is missing: {WHAT_CONFIG_IS}; see dillport --help"]
+    try:
+        return load(os.environ), []
+    except ConfigError as err:
+        return None, [" ".join(fault.split()) for fault in err.faults]
+
+
+# --- words --------------------------------------------------------------------------------------------
+
+
+def _run(args: argparse.Namespace, rest: list[str]) -> int:
+    path, operators, wrong = _read_operators(args)
+    config, faults = _read_config()
+    if config is None or wrong:
+        raise Trouble(2, *(["; ".join(faults)] if faults else []), *wrong)
+    from dillport.net import assemble
+
+    return assemble.run(config, path, operators)
+
+
+def _check(args: argparse.Namespace, rest: list[str]) -> int:
+    path, operators, wrong = _read_operators(args)
+    config, faults = _read_config()
+    if config is not None:
+        print(f"configuration {os.environ[CONFIG]}: no fault")
+        print(f"  {config.name or 'a node without a name'} listens on {_at(config.listen)}")
+        print(f"  discovery is at {_at(config.discovery)}")
+        print(f"  {_count(len(config.known.members), 'server')} known at the start")
+        names = ", ".join(cls.name for cls in config.settings.classes)
+        print(f"  {_count(len(config.settings.classes), 'class', 'es')}: {names}")
+        for fault in config.known.faults:
+            print(f"  the server {fault.key} cannot be read and is left out: {fault.reason}")
+    if path is None:
+        print(f"settings: none (neither --settings nor {SETTINGS}): all that they could switch on is off")
+    elif not wrong:
+        print(f"settings {path}: no fault")
+        for line in operators.on() or ["nothing is on"]:
+            print(f"  {line}")
+    if faults or wrong:
+        raise Trouble(2, *(f"configuration: {fault}" for fault in faults), *wrong)
+    return 0
+
+
+def _members(args: argparse.Namespace, rest: list[str]) -> int:
+    from dillport.net.control import ControlError, ask
+
+    told: dict[str, Any] | None = None
+    if args.control is not None:
+        try:
+            told = ask(args.control, "members")
+        except ControlError as err:
+            raise Trouble(1, str(err)) from None
+    else:
+        _, operators, wrong = _read_operators(args)
+        if wrong:
+            raise Trouble(2, *wrong)
+        if operators.control is not None:
+            try:
+                told = ask(operators.control.socket, "members")
+            except ControlError as err:
+                print(f"dillport: {err}; what the files say instead:", file=sys.stderr)
+    if told is None:
+        told = _members_of_files()
+    if args.json:
+        print(json.dumps(told, indent=1))
+    else:
+        _show(told)
+    return 0
+
+
+def _members_of_files() -> dict[str, Any]:
+    """The servers that the configuration knows at the start, in the form in which a node tells its own."""
+    config, faults = _read_config()
+    if config is None:
+        raise Trouble(2, *faults)
+    known = config.known
+    return {
+        "members": [
+            {
+                "id": member.id,
+                "address": _at(member.address),
+                "phase": member.entry.phase.value,
+                "zone": member.entry.zone,
+                "weight": member.entry.weight,
+                "sources": {"configuration": member.entry.phase.value},
+            }
+            for member in known.members
+        ],
+        "faults": [{"source": "configuration", "key": f.key, "reason": f.reason} for f in known.faults],
+    }
+
+
+def _demo(args: argparse.Namespace, rest: list[str]) -> int:
+    name = "dillport.lab.demo"
+    try:
+        demo = importlib.import_module(name)
+    except ModuleNotFoundError as err:
+        if err.name not in (name, "dillport.lab"):
+            raise
+        raise Trouble(2, f"demo: there is no {name} in this installation") from None
+    return int(demo.main(rest))
+
+
+# --- tables -------------------------------------------------------------------------------------------
+
+
+def _at(address: Address) -> str:
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def _count(number: int, what: str, plural: str = "s") -> str:
+    return f"{number} {what}{'' if number == 1 else plural}"
+
+
+def _show(told: dict[str, Any]) -> None:
+    """The sources and the members as tables, a column for what each source says; then what is unreadable."""
+    if about := told.get("sources", []):
+        keys = ["name", "role", "state", "revision", "members", "unreadable", "not_applied", "reason"]
+        head = ["SOURCE", *(key.upper().replace("_", " ") for key in keys[1:])]
+        _columns([head, *([_cell(source.get(key)) for key in keys] for source in about)])
+        print()
+    members = told.get("members", [])
+    sources = sorted({source for member in members for source in member.get("sources", {})})
+    columns = ["id", "address", "phase", "zone", "weight"]
+    rows = [[name.upper() for name in columns] + [f"BY {source.upper()}" for source in sources]]
+    for member in members:
+        says = member.get("sources", {})
+        rows.append([_cell(member.get(c)) for c in columns] + [_cell(says.get(s)) for s in sources])
+    _columns(rows)
+    print(_count(len(members), "server"))
+    for fault in told.get("faults", []):
+        print(f"cannot be read, from {fault['source']}: {_cell(fault['key'])}: {_cell(fault['reason'])}")
+
+
+def _cell(value: object) -> str:
+    """A value on one line; guards the terminal against what a list may hold."""
+    text = "-" if value is None or value == "" else str(value)
+    return text if text.isprintable() else repr(text)
+
+
+def _columns(rows: Iterable[list[str]]) -> None:
+    rows = list(rows)
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        print("  ".join(text.ljust(width) for text, width in zip(row, widths, strict=True)).rstrip())
--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -526,15 +526,19 @@
                 "identity": s.identity, "revision": s.revision, "members": len(s.members),
                 "removed": len(s.removed), "unreadable": s.unreadable, "not_applied": s.old,
                 "silent_for_ms": None if s.heard_ms is None else round(self._now_ms - s.heard_ms),
-                "faults": {key: fault.reason for key, fault in s.faults.items()},
             }
             for s in self.sources.values()
         ]  # fmt: skip
         names = dict.fromkeys(self.view)
         for s in self.sources.values():
             names.update(dict.fromkeys(s.members))
-        servers = [self._row(name) for name in names]
-        return {"revision": self.revision, "sources": sources, "servers": servers}
+        faults = [
+            {"source": s.name, "key": key, "reason": fault.reason}
+            for s in self.sources.values()
+            for key, fault in s.faults.items()
+        ]
+        members = [self._row(name) for name in names]
+        return {"revision": self.revision, "sources": sources, "members": members, "faults": faults}
 
     def _row(self, name: str) -> dict[str, Any]:
         says = {}
@@ -544,11 +548,11 @@
             elif name in s.removed:
                 says[s.name] = "removed"
         held = self.view.get(name)
-        used = "shadowed" if name in self.shadowed else "gone" if held is None else held.entry.phase.value
+        phase = "shadowed" if name in self.shadowed else "gone" if held is None else held.entry.phase.value
         shown = held or next(s.members[name] for s in self.sources.values() if name in s.members)
         host, port = shown.address
         return {
-            "id": name, "address": f"[{host}]:{port}" if ":" in host else f"{host}:{port}", "view": used,
+            "id": name, "address": f"[{host}]:{port}" if ":" in host else f"{host}:{port}", "phase": phase,
             "zone": shown.entry.zone, "weight": shown.entry.weight, "started_at_ms": shown.entry.started_at,
-            "says": says,
+            "sources": says,
         }  # fmt: skip
--- /dev/null
+++ b/dillport/net/assemble.py
@@ -0,0 +1,155 @@
+"""Puts one node together and runs it: parts, signals, exit code. The only module that imports them all.
+
+- `run`: what `dillport run` does once its files are read.
+- `serve`: the node from its first connection to its last answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+
+from dillport.decide.membership import Listed, Source
+from dillport.net.config import Config, ConfigError, load
+from dillport.net.control import Control, ControlError
+from dillport.net.fleet import Fleet
+from dillport.net.front import Front
+from dillport.net.node import Node
+from dillport.net.reload import reread
+from dillport.net.sources import platform
+from dillport.net.sources.platform import PlatformSource
+from dillport.operators import ControlSettings, Operators
+
+LOG_LINES, LOG_TIME = 50, 10.0  # at most so many lines in so many seconds
+ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
+LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
+
+
+class Brake(logging.Filter):
+    """Bounds the log: guards against peers for each of whose messages a line is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.start, self.lines = 0.0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Pass the first lines of each stretch of time; the next stretch says how many were left out."""
+        if record.created - self.start >= LOG_TIME:
+            if self.lines > LOG_LINES:
+                record.msg = f"({self.lines - LOG_LINES} lines left out) {record.getMessage()}"
+                record.args = None
+            self.start, self.lines = record.created, 0
+        self.lines += 1
+        return self.lines <= LOG_LINES
+
+
+def reload(discovery: PlatformSource) -> None:
+    """Read the configuration again: discovery may have moved. All else holds until the next start."""
+    try:
+        config = load(os.environ, again=True)
+    except ConfigError as err:
+        logging.error("reload: the old configuration stays: %s", " ".join(str(err).split()))
+        return
+    discovery.move(config.discovery)
+    logging.info("reload: discovery is at %s:%d", *config.discovery)
+
+
+class OperatorsPart:
+    """What follows from the operators' file while the node runs. `path` is None where there is no file."""
+
+    def __init__(self, path: Path | None, operators: Operators, control: Control) -> None:
+        self.path, self.operators, self.control = path, operators, control
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Carry out what is on; raises ControlError."""
+        await self.control.listen(_socket(self.operators.control))
+
+    def reload(self) -> None:
+        """Read the file again; a bad one changes nothing."""
+        if self.path is not None:
+            self.operators = reread(self.path, self.operators, self.apply)
+
+    def apply(self, new: Operators) -> None:
+        """Carry out other settings than those before."""
+        task = asyncio.get_running_loop().create_task(self._move(_socket(new.control)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _move(self, path: Path | None) -> None:
+        try:
+            await self.control.listen(path)
+        except ControlError as err:
+            logging.error("reload: the control socket stays at %s: %s", self.control.path, err)
+
+
+def _socket(settings: ControlSettings | None) -> Path | None:
+    return None if settings is None else settings.socket
+
+
+async def serve(config: Config, path: Path | None = None, operators: Operators | None = None) -> None:
+    """Run until SIGTERM or SIGINT, then answer what was taken and return; SIGHUP reads the files again.
+
+    `operators` is what was read from `path`, the operators' file, where there is one.
+    """
+    loop = asyncio.get_running_loop()
+    node = Node(config)
+    fleet = Fleet(node, [Source(platform.NAME)])
+    node.discovery = discovery = PlatformSource(
+        config.discovery, config.settings.must_ask, node.now, fleet.hand,
+        lambda: fleet.resume(platform.NAME), node.list_failed,
+    )  # fmt: skip
+    front = Front(node, config.client_sockets)
+    control = Control()
+    control.register("members", fleet.report)
+    part = OperatorsPart(path, operators or Operators(), control)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+
+    def hangup() -> None:
+        reload(discovery)
+        part.reload()
+
+    loop.add_signal_handler(signal.SIGHUP, hangup)
+    fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
+    await part.start()
+    if not config.settings.must_ask:
+        discovery.watch(True)
+    try:
+        await front.listen(config.listen)
+        gc.freeze()
+        logging.info("%s serves on %s:%d", config.name, *front.address)
+        await stop.wait()
+        node.stopping = True
+        await asyncio.sleep(ACCEPT)
+        front.stop()
+        await node.finish(LAST - ACCEPT)
+        discovery.watch(False)
+        node.pool.close()
+    finally:
+        await control.close()
+    await asyncio.sleep(0.05)  # the last answers leave
+    logging.info("%s ends", config.name)
+
+
+def run(config: Config, path: Path | None, operators: Operators) -> int:
+    """Run a node to its end; the exit code. One that cannot start says why in one line."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    logging.getLogger().handlers[0].addFilter(Brake())
+    try:
+        uvloop.run(serve(config, path, operators))
+    except ControlError as err:
+        print(f"dillport: control: {err}", file=sys.stderr)
+        return 2
+    except OSError as err:
+        print(f"dillport: listen: {err}", file=sys.stderr)
+        return 2
+    return 0
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -336,13 +336,14 @@
     assert rig.view == {"a": "up", "b": "up"}
     rig.list("platform", whole(2, member("b"), faults=(Fault("a", "no port"),)))
     assert rig.view == {"a": "up", "b": "up"}  # the last good entry stays
-    report = rig.membership.report()["sources"][0]
-    assert report["unreadable"] == 2 and report["faults"] == {"a": "no port"}
+    report = rig.membership.report()
+    assert report["sources"][0]["unreadable"] == 2
+    assert report["faults"] == [{"source": "platform", "key": "a", "reason": "no port"}]
     assert [line.text for line in rig.lines] == [
         "platform: entry 'c' left out: phase is 'odd'", "platform: entry 'a' left out: no port",
     ]  # fmt: skip
     rig.list("platform", changes(3, member("a", weight=2.0)))
-    assert rig.told["a"].entry.weight == 2.0 and not rig.membership.report()["sources"][0]["faults"]
+    assert rig.told["a"].entry.weight == 2.0 and not rig.membership.report()["faults"]
     rig.list("platform", whole(4, member("b")))
     assert rig.view == {"b": "up"}
 
@@ -423,7 +424,7 @@
     rig.list("etcd", whole(9, member("a", DRAINING, port=7), member("c")), "77/0")
     rig.list("etcd", changes(10, removed=("c",)), "77/0")
     report = rig.membership.report()
-    rows = {row["id"]: (row["view"], row["says"]) for row in report["servers"]}
+    rows = {row["id"]: (row["phase"], row["sources"]) for row in report["members"]}
     assert rows["a"] == ("draining", {"platform": "up", "etcd": "draining"})
     assert rows["b"] == ("up", {"platform": "up"})
     assert [s["revision"] for s in report["sources"]] == [4, 10]
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,236 @@
+"""The command line as a program of its own: words, exit codes, prints, what a running node tells."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import tomllib
+import types
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+import dillport
+from dillport.cli import CONFIG, SETTINGS, main
+from tests.sockets import ROOT, WAIT, Backend, configuration, running
+
+SERVERS: list[dict[str, Any]] = [
+    {"id": "s-1", "host_port": "127.0.0.1:8001", "phase": "in_service", "locality": "a"},
+    {"id": "s-2", "host_port": "[::1]:8002", "phase": "terminating"},
+]
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test's coroutine, with an end to it."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * WAIT):
+            await test()
+
+    asyncio.run(bounded())
+
+
+def says(*words: object, **env: object) -> subprocess.CompletedProcess[str]:
+    """The program's output for these words; `env` are further variables."""
+    bare = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "DILLPORT_"))}
+    return subprocess.run(
+        [sys.executable, "-B", "-m", "dillport", *map(str, words)], cwd=ROOT, capture_output=True, text=True,
+        env=bare | {k: str(v) for k, v in env.items()}, timeout=WAIT, check=False,
+    )  # fmt: skip
+
+
+@pytest.fixture
+def config(tmp_path: Path) -> Path:
+    """A configuration file that makes sense."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration(SERVERS, 1)))
+    return path
+
+
+def written(path: Path, text: str) -> Path:
+    """A file with this text."""
+    path.write_text(text)
+    return path
+
+
+def test_help_starts_nothing_and_names_every_word(config: Path) -> None:
+    got = says("--help", PROXY_CONFIG=config)
+    assert got.returncode == 0 and got.stderr == ""
+    for word in ("run", "check", "members", "demo", "--version", CONFIG, SETTINGS, "SIGHUP"):
+        assert word in got.stdout
+
+
+@pytest.mark.parametrize("word", ["run", "check", "members"])
+def test_each_word_has_help(word: str) -> None:
+    got = says(word, "--help")
+    assert got.returncode == 0 and got.stdout.startswith(f"usage: dillport {word}")
+
+
+def test_version_is_the_packages() -> None:
+    assert says("--version").stdout == f"dillport {dillport.__version__}\n"
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))
+    assert project["tool"]["setuptools"]["dynamic"]["version"] == {"attr": "dillport.__version__"}
+    assert project["project"]["scripts"] == {"dillport": "dillport.cli:main"}
+
+
+def test_words_that_need_no_node_import_none() -> None:
+    code = (
+        "import sys; from dillport.cli import main; main(['--version']);"
+        "sys.exit(bool({'uvloop', 'httptools', 'asyncio', 'ssl'} & set(sys.modules)))"
+    )
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=False).returncode == 0
+
+
+@pytest.mark.parametrize("words", [(), ("run",), ("check",), ("members",)])
+def test_without_a_configuration_the_error_says_what_is_missing(words: tuple[str, ...]) -> None:
+    got = says(*words)
+    assert got.returncode == 2 and len(got.stderr.splitlines()) == 1
+    for part in ("PROXY_CONFIG is missing", "the JSON file", "dillport --help"):
+        assert part in got.stderr
+
+
+@pytest.mark.parametrize("words", [("start",), ("run", "now"), ("run", "--settinngs"), ("check", "--json")])
+def test_unknown_words_start_nothing(config: Path, words: tuple[str, ...]) -> None:
+    got = says(*words, PROXY_CONFIG=config)
+    assert got.returncode == 2 and "usage: dillport" in got.stderr and words[-1] in got.stderr
+
+
+def test_demo_gets_its_words(monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    demo: Any = types.ModuleType("demo")
+    demo.main = lambda argv: print(*argv) or 3
+    monkeypatch.setitem(sys.modules, "dillport.lab.demo", demo)
+    assert main(["demo", "--help", "--settings", "x", "y"]) == 3
+    assert capsys.readouterr().out == "--help --settings x y\n"
+    monkeypatch.setitem(sys.modules, "dillport.lab.demo", None)
+    assert main(["demo"]) == 2
+    assert "there is no dillport.lab.demo in this installation" in capsys.readouterr().err
+
+
+def test_check_says_what_is_on(config: Path, tmp_path: Path) -> None:
+    settings = written(tmp_path / "s.toml", f"[control]\nsocket = '{tmp_path}/c.sock'\n[membership.etcd]\n")
+    got = says("check", "--settings", settings, PROXY_CONFIG=config)
+    assert (got.returncode, got.stderr) == (0, "")
+    for part in (
+        "2 servers known", "3 classes: read, pay, once", f"control: a control socket at {tmp_path}/c.sock",
+        "membership.etcd: etcd at http://127.0.0.1:2379",
+    ):  # fmt: skip
+        assert part in got.stdout
+    bare = says("check", PROXY_CONFIG=config)
+    assert bare.returncode == 0 and "settings: none" in bare.stdout
+    empty = says("check", PROXY_CONFIG=config, DILLPORT_SETTINGS=written(tmp_path / "e.toml", ""))
+    assert empty.returncode == 0 and "nothing is on" in empty.stdout
+
+
+def test_check_names_every_fault_of_both_files(tmp_path: Path) -> None:
+    told = configuration([{"id": "dns", "host_port": "a.example:1", "phase": "in_service"}], 1)
+    told |= {"listen": "nowhere", "seed": "xyz"}
+    told["settings"] |= {"group-size": 0, "zone": 4}
+    config = written(tmp_path / "config.json", json.dumps(told))
+    settings = written(tmp_path / "s.toml", "[control]\nsocket = 5\n[membership.etcd]\nepoch = -1\n")
+    got = says("--settings", settings, "check", PROXY_CONFIG=config)
+    assert got.returncode == 2
+    named = ["settings: group-size", "settings: zone", "seed", "listen", "control.socket", "etcd.epoch"]
+    lines = got.stderr.splitlines()
+    assert len(lines) == len(named)
+    for part in named:
+        assert any(part in line for line in lines), part
+
+
+def test_faults_of_the_settings_end_a_start(config: Path, tmp_path: Path) -> None:
+    settings = written(tmp_path / "s.toml", "[controll]\n[membership.etcd]\nrole = 'x'\n")
+    for words in (("--settings", settings), ("run", "--settings", settings)):
+        got = says(*words, PROXY_CONFIG=config)
+        assert got.returncode == 2 and len(got.stderr.splitlines()) == 2
+        assert f"{settings}: controll: " in got.stderr and "membership.etcd.role" in got.stderr
+    missing = says(PROXY_CONFIG=config, DILLPORT_SETTINGS=tmp_path / "none.toml")
+    assert missing.returncode == 2 and "none.toml': No such file" in missing.stderr
+
+
+def test_members_from_the_files_alone(config: Path, tmp_path: Path) -> None:
+    got = says("members", PROXY_CONFIG=config)
+    assert got.returncode == 0
+    table = [re.split(r"  +", line) for line in got.stdout.splitlines()]
+    assert table == [
+        ["ID", "ADDRESS", "PHASE", "ZONE", "WEIGHT", "BY CONFIGURATION"],
+        ["s-1", "127.0.0.1:8001", "up", "a", "1.0", "up"],
+        ["s-2", "[::1]:8002", "draining", "-", "1.0", "draining"],
+        ["2 servers"],
+    ]
+    told = json.loads(says("members", "--json", PROXY_CONFIG=config).stdout)
+    assert [m["id"] for m in told["members"]] == ["s-1", "s-2"] and told["faults"] == []
+    settings = written(tmp_path / "s.toml", f"[control]\nsocket = '{tmp_path}/c.sock'\n")
+    silent = says("members", "--settings", settings, PROXY_CONFIG=config)
+    assert silent.returncode == 0 and "no node answers there" in silent.stderr
+    assert silent.stdout == got.stdout
+
+
+def test_members_of_a_socket_that_nobody_answers(config: Path, tmp_path: Path) -> None:
+    got = says("members", "--control", tmp_path / "c.sock", PROXY_CONFIG=config)
+    assert got.returncode == 1 and got.stdout == "" and "no node answers there" in got.stderr
+
+
+def test_what_a_list_holds_cannot_move_the_terminal(tmp_path: Path) -> None:
+    told = configuration([{"id": "\x1b[2Jx", "host_port": "127.0.0.1:1", "phase": "in_service"}], 1)
+    got = says("members", PROXY_CONFIG=written(tmp_path / "c.json", json.dumps(told)))
+    assert "\x1b" not in got.stdout and r"'\x1b[2Jx'" in got.stdout
+
+
+def test_a_reader_that_leaves_early_is_no_trouble(config: Path) -> None:
+    got = subprocess.run(
+        ["/bin/sh", "-c", f"{sys.executable} -B -m dillport members | true"],
+        cwd=ROOT, env=os.environ | {"PROXY_CONFIG": str(config)}, capture_output=True, check=False,
+    )  # fmt: skip
+    assert got.stderr == b""
+
+
+def test_a_running_node_tells_its_members_and_reads_its_settings_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    one, two = tmp_path / "1.sock", tmp_path / "2.sock"
+    settings = written(tmp_path / "s.toml", f"[control]\nsocket = '{one}'\n")
+    monkeypatch.setenv("DILLPORT_SETTINGS", str(settings))
+
+    async def test() -> None:
+        backend = Backend("b0")
+        async with running(tmp_path, backend) as rig:
+            got = await asyncio.to_thread(says, "members", "--settings", settings)
+            assert got.returncode == 0 and f"127.0.0.1:{backend.port}" in got.stdout
+            assert "BY PLATFORM" in got.stdout and got.stderr == ""
+
+            written(settings, "[control]\nsocket = 'here'\n[x]\n")
+            rig.process.send_signal(signal.SIGHUP)
+            await rig.logged(f"the old settings stay: {settings}: x: found an unknown key")
+            await rig.logged("control.socket: found 'here'")
+            told = json.loads((await asyncio.to_thread(says, "members", "--control", one, "--json")).stdout)
+            assert [m["id"] for m in told["members"]] == ["b0"]
+
+            written(settings, f"[control]\nsocket = '{two}'\n[membership.etcd]\nepoch = 2\n")
+            rig.process.send_signal(signal.SIGHUP)
+            await rig.logged("membership.etcd is on: etcd at http://127.0.0.1:2379")
+            await rig.logged(f"control.socket is {two}, was {one}")
+            while one.exists():
+                await asyncio.sleep(0.01)
+            assert (await asyncio.to_thread(says, "members", "--control", two)).returncode == 0
+
+            rig.process.send_signal(signal.SIGHUP)
+            await rig.logged("nothing changed")
+            rig.terminate()
+            assert await rig.end() == 0
+        assert not two.exists()
+
+    run(test)
+
+
+def test_a_control_socket_in_use_ends_a_start_in_one_line(tmp_path: Path, config: Path) -> None:
+    path = written(tmp_path / "c.sock", "no socket")
+    settings = written(tmp_path / "s.toml", f"[control]\nsocket = '{path}'\n")
+    got = says("run", "--settings", settings, PROXY_CONFIG=config)
+    assert got.returncode == 2 and len(got.stderr.splitlines()) == 1
+    assert f"dillport: control: {path}: is there and is no socket" in got.stderr
