--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,8 +4,10 @@
 
 import datetime
 import os
-import shutil
+import re
 import subprocess
+import tomllib
+from dataclasses import fields
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +15,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dillport.operators import Operators, OperatorsError, changes, load, parse
+from dillport.operators import ControlSettings, EtcdSettings, Operators, OperatorsError, changes, load, parse
+from tests.programs import real_program
 
 ROOT = Path(__file__).parents[1]
 SECRET = "hunter2-never-shown"
@@ -28,15 +31,28 @@
     (out / "long").write_text("x" * 4097)
     (out / "latin").write_bytes(b"\xe4\n")
     (out / "plain").write_text("no certificate\n")
-    if shutil.which("openssl") is None:
-        pytest.skip("real program: openssl is not installed")
     subprocess.run(
-        ["openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-subj", "/CN=localhost", "-days", "2",
-         "-keyout", "tls.key", "-out", "tls.crt"], cwd=out, check=True, capture_output=True,
+        [real_program("openssl"), "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-subj", "/CN=localhost",
+         "-days", "2", "-keyout", "tls.key", "-out", "tls.crt"], cwd=out, check=True, capture_output=True,
     )  # fmt: skip
     return out
 
 
+def test_the_example_switches_nothing_on_and_explains_every_key(tmp_path: Path) -> None:
+    path = ROOT / "deploy" / "dillport.toml"
+    assert load(path) == Operators()
+    lines = path.read_text(encoding="utf-8").splitlines()
+    keys = [line.removeprefix("# ") for line in lines if re.match(r"# (\[|\w+ = )", line)]
+    told: Any = tomllib.loads("\n".join(keys))
+    assert set(told["membership"]["etcd"]) == {f.name for f in fields(EtcdSettings) if f.name != "password"}
+    assert set(told["control"]) == {f.name for f in fields(ControlSettings)}
+    bare = EtcdSettings()
+    for name in ("endpoints", "prefix", "format", "epoch", "role"):
+        value = told["membership"]["etcd"][name]
+        assert (tuple(value) if isinstance(value, list) else value) == getattr(bare, name), name
+    assert told["control"]["socket"] == str(ControlSettings().socket)
+
+
 def etcd(**keys: object) -> dict[str, object]:
     """A file's tables with these keys in `[membership.etcd]`."""
     return {"membership": {"etcd": keys}}
