--- a/dillport/lab/demo.py
+++ b/dillport/lab/demo.py
@@ -109,7 +109,11 @@
     args = parser.parse_args(argv)
     if not args.seconds >= LEAST:
         parser.error(f"--seconds is {args.seconds:g}, it has to be {LEAST:.0f} or more")
-    return asyncio.run(demo(sys.stdout, args.seconds, args.seed, args.records))
+    try:
+        return asyncio.run(demo(sys.stdout, args.seconds, args.seed, args.records))
+    except KeyboardInterrupt:
+        print("ended early: no verdict", file=sys.stderr)
+        return 130
 
 
 if __name__ == "__main__":
