--- /dev/null
+++ b/dillport/lab/etcd/client.py
@@ -0,0 +1,266 @@
+"""A small client of etcd's JSON gateway; raw, so that tests see what was on the wire.
+
+One connection a call: no pool, no retry inside a call. `Writer` asks one endpoint after the other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import ssl
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any, Self
+from urllib.parse import urlsplit
+
+TRY_S = 2.0  # for one call of a writer to one endpoint
+GIVE_UP_S = 15.0  # for a write, over all endpoints
+PAUSE_S = 0.05  # between two rounds over all endpoints
+
+
+class EtcdError(Exception):
+    """A write that no member did."""
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """The end of the range of all keys that begin with `prefix`."""
+    kept = prefix.rstrip(b"\xff")
+    return kept[:-1] + bytes([kept[-1] + 1]) if kept else b"\0"
+
+
+def span(prefix: str) -> dict[str, str]:
+    """`key` and `range_end` of all keys that begin with `prefix`, as a request has them."""
+    raw = prefix.encode() or b"\0"
+    return {"key": b64(raw), "range_end": b64(prefix_end(prefix.encode()))}
+
+
+def b64(data: bytes | str) -> str:
+    """Bytes, or text as UTF-8, as JSON has them."""
+    return base64.b64encode(data.encode() if isinstance(data, str) else data).decode("ascii")
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """A whole answer. `headers` are in lower case."""
+
+    code: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> dict[str, Any]:
+        """Its body; raises ValueError where that is no JSON object."""
+        value = json.loads(self.body)
+        if not isinstance(value, dict):
+            raise ValueError(f"no object: {self.body!r:.120}")
+        return value
+
+
+class Call:
+    """One call on a connection of its own, and its answer as it comes; an async context manager."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.code = 0
+        self.headers: dict[str, str] = {}
+        self.chunks: list[bytes] = []  # as they came
+        self.whole = False  # the end of the answer was told, not just the connection ended
+        self._rest = b""
+
+    @classmethod
+    async def open(
+        cls,
+        endpoint: str,
+        path: str,
+        body: object = None,
+        token: str = "",
+        context: ssl.SSLContext | None = None,
+        method: str = "POST",
+        headers: Mapping[str, str] | None = None,
+    ) -> Self:
+        """Send a request; `body` is an object, or bytes as they are."""
+        url = urlsplit(endpoint)
+        secure = context if url.scheme == "https" else None
+        reader, writer = await asyncio.open_connection(url.hostname, url.port, ssl=secure, limit=2**24)
+        data = body if isinstance(body, bytes) else json.dumps({} if body is None else body).encode()
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {url.netloc}", f"Content-Length: {len(data)}"]
+        lines += [f"Authorization: {token}"] if token else []
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        writer.write("\r\n".join([*lines, "", ""]).encode("ascii") + data)
+        return cls(reader, writer)
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.writer.transport.abort()
+
+    async def head(self) -> int:
+        """Read code and headers, unless they were read; the code."""
+        if not self.code:
+            raw = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            first, *lines = raw.removesuffix("\r\n\r\n").split("\r\n")
+            self.code = int(first.split()[1])
+            pairs = [line.partition(":") for line in lines]
+            self.headers = {name.lower(): value.strip() for name, _, value in pairs}
+        return self.code
+
+    async def chunk(self) -> bytes:
+        """The next chunk of a chunked answer; empty at its end, or where the connection ended."""
+        await self.head()
+        if self.whole:
+            return b""
+        try:
+            size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
+            data = (await self.reader.readexactly(size + 2))[:-2] if size else b""
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b""
+        if not size:
+            self.whole = True
+            trailer = b"-"
+            while trailer.strip():
+                trailer = await self.reader.readuntil(b"\r\n")
+        self.chunks.append(data)
+        return data
+
+    async def line(self) -> bytes | None:
+        """The next line of a stream, without its end; None when there is none to come."""
+        while b"\n" not in self._rest:
+            data = await self.chunk()
+            if not data:
+                last, self._rest = self._rest, b""
+                return last or None
+            self._rest += data
+        line, _, self._rest = self._rest.partition(b"\n")
+        return line
+
+    async def message(self) -> dict[str, Any]:
+        """The next line, read; an empty object when there is none to come."""
+        line = await self.line()
+        value = json.loads(line) if line is not None else {}
+        assert isinstance(value, dict)
+        return value
+
+    async def eof(self) -> bool:
+        """Wait for the end of the connection; False where something came instead."""
+        try:
+            return not await self.reader.read(1)
+        except ConnectionError:
+            return True
+
+    async def answer(self) -> Answer:
+        """The whole answer."""
+        await self.head()
+        if "content-length" in self.headers:
+            body = await self.reader.readexactly(int(self.headers["content-length"]))
+        else:
+            parts = []
+            while data := await self.chunk():
+                parts.append(data)
+            body = b"".join(parts)
+        return Answer(self.code, self.headers, body)
+
+
+async def ask(
+    endpoint: str,
+    path: str,
+    body: object = None,
+    token: str = "",
+    context: ssl.SSLContext | None = None,
+    method: str = "POST",
+    headers: Mapping[str, str] | None = None,
+    wait_s: float = 10.0,
+) -> Answer:
+    """One call and its whole answer. Raises OSError, EOFError, TimeoutError."""
+    async with asyncio.timeout(wait_s):
+        async with await Call.open(endpoint, path, body, token, context, method, headers) as call:
+            return await call.answer()
+
+
+class Writer:
+    """Asks the endpoints in turn, until one does it; beginning with the one that did it last.
+
+    A write whose answer was lost may be done twice.
+    """
+
+    def __init__(self, endpoints: Sequence[str], context: ssl.SSLContext | None = None) -> None:
+        self.endpoints, self.context = endpoints, context
+        self.user = self._password = self._token = ""
+        self._last = 0
+
+    def log_in(self, user: str, password: str) -> None:
+        """Use a name and a password from now on."""
+        self.user, self._password, self._token = user, password, ""
+
+    async def call(self, path: str, body: object) -> dict[str, Any]:
+        """One call; its answer. Raises EtcdError where it is refused, or nobody answered for `GIVE_UP_S`."""
+        end = time.monotonic() + GIVE_UP_S
+        trouble = ""
+        while time.monotonic() < end:
+            for step in range(len(self.endpoints)):
+                index = (self._last + step) % len(self.endpoints)
+                try:
+                    answer = await self._once(self.endpoints[index], path, body)
+                except (OSError, EOFError, TimeoutError) as err:
+                    trouble = repr(err)
+                    continue
+                if answer.code == 200:
+                    self._last = index
+                    return answer.json
+                trouble = f"{answer.code} {answer.body!r:.200}"
+                if answer.code == 401:
+                    self._token = ""
+                elif answer.code < 500:
+                    raise EtcdError(f"{path}: {trouble}")
+            await asyncio.sleep(PAUSE_S)
+        raise EtcdError(f"{path}: no endpoint did it within {GIVE_UP_S:g} s; last: {trouble}")
+
+    async def _once(self, endpoint: str, path: str, body: object) -> Answer:
+        if self.user and not self._token:
+            who = {"name": self.user, "password": self._password}
+            got = await ask(endpoint, "/v3/auth/authenticate", who, context=self.context, wait_s=TRY_S)
+            if got.code != 200:
+                return got
+            self._token = str(got.json["token"])
+        return await ask(endpoint, path, body, self._token, self.context, wait_s=TRY_S)
+
+    async def write(self, path: str, body: object) -> int:
+        """One call; the revision after it."""
+        return int((await self.call(path, body))["header"].get("revision", "0"))
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Set a key."""
+        return await self.write("/v3/kv/put", {"key": b64(key), "value": b64(value), "lease": str(lease)})
+
+    async def delete(self, key: str, prefix: bool = False) -> int:
+        """Delete a key, or all that begin with it."""
+        return await self.write("/v3/kv/deleterange", span(key) if prefix else {"key": b64(key)})
+
+    async def txn(self, puts: Mapping[str, bytes], deletes: Sequence[str]) -> int:
+        """Puts and deletes in one revision."""
+        ops: list[object] = [
+            {"request_put": {"key": b64(key), "value": b64(value)}} for key, value in puts.items()
+        ]
+        ops += [{"request_delete_range": {"key": b64(key)}} for key in deletes]
+        return await self.write("/v3/kv/txn", {"success": ops})
+
+    async def compact(self, revision: int) -> None:
+        """Forget the history before a revision; what is forgotten is gone when this returns."""
+        await self.call("/v3/kv/compaction", {"revision": str(revision), "physical": True})
+
+    async def revision(self) -> int:
+        """The newest revision."""
+        return await self.write("/v3/kv/range", {"key": b64(b"\0"), "count_only": True})
+
+    async def grant(self, ttl_s: int) -> int:
+        """A new lease; its id."""
+        return int((await self.call("/v3/lease/grant", {"TTL": str(ttl_s)}))["ID"])
+
+    async def revoke(self, lease: int) -> int:
+        """End a lease; its keys go."""
+        return await self.write("/v3/lease/revoke", {"ID": str(lease)})
