--- a/dillport/lab/etcd/client.py
+++ b/dillport/lab/etcd/client.py
@@ -191,6 +191,7 @@
     def __init__(self, endpoints: Sequence[str], context: ssl.SSLContext | None = None) -> None:
         self.endpoints, self.context = endpoints, context
         self.user = self._password = self._token = ""
+        self.down: set[int] = set()  # places of endpoints not worth asking while there are others
         self._last = 0
 
     def log_in(self, user: str, password: str) -> None:
@@ -202,8 +203,8 @@
         end = time.monotonic() + GIVE_UP_S
         trouble = ""
         while time.monotonic() < end:
-            for step in range(len(self.endpoints)):
-                index = (self._last + step) % len(self.endpoints)
+            order = [(self._last + step) % len(self.endpoints) for step in range(len(self.endpoints))]
+            for index in [index for index in order if index not in self.down] or order:
                 try:
                     answer = await self._once(self.endpoints[index], path, body)
                 except (OSError, EOFError, TimeoutError) as err:
--- /dev/null
+++ b/dillport/lab/etcd/gateway.py
@@ -0,0 +1,352 @@
+"""One endpoint of the stand-in: etcd's JSON gateway over HTTP/1.1, and the faults it can be told to have.
+
+What it answers is what etcd 3.4.23 answers, byte by byte but for ids and dates, and was measured there;
+tests/lab/test_etcd_gateway.py holds both to it. Not obvious:
+
+- With auth on, compaction, leases and status still let in who shows no token at all.
+- With auth on and certificates asked for, who shows one that has a common name is turned away, in plain text.
+- A member without a quorum answers reads that ask for none, lets watches in, and tells them nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ssl
+
+from dillport.lab.etcd import wire
+from dillport.lab.etcd.http import MAX_HEAD, Asked, Closed, Connection, chunk
+from dillport.lab.etcd.shared import Garbage, Record, Shared, names, now_ms
+from dillport.lab.etcd.store import Delete, Found, Op, Put, Range, StoreError
+from dillport.lab.etcd.stream import NO_LEADER, EndedError, Stream
+from dillport.lab.etcd.wire import Json, lean
+
+FRAGMENT = 2 * 1024 * 1024  # bytes of events beyond which a line is cut, where the watch asked for it
+TIMED_OUT = "etcdserver: request timed out"
+COMMON_NAME = (
+    b"CommonName of client sending a request against gateway will be ignored and not used as expected\n"
+)
+
+
+def _common_name(connection: Connection) -> bool:
+    """Whether the client showed a certificate with one."""
+    shown = connection.writer.get_extra_info("peercert") or {}
+    return any(name == "commonName" for part in shown.get("subject", ()) for name, _ in part)
+
+
+class Endpoint:
+    """A member of the cluster, as clients see it; all that is wrong with it is set here."""
+
+    def __init__(self, shared: Shared, index: int, member_id: int, tls: ssl.SSLContext | None) -> None:
+        self.shared, self.index, self.member_id, self.tls = shared, index, member_id, tls
+        self.alive = False
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+        self.unstalled = asyncio.Event()
+        self.unstalled.set()
+        self.cut = False
+        self.lag = 0
+        self.held: int | None = None  # the last revision it knows of, while it has no quorum
+        self.lost_ms: float | None = None  # since when it has none
+        self.twice = False
+        self.fragment = FRAGMENT
+        self.cluster_id: int | None = None  # another one than the cluster's
+        self.garbage: Garbage | None = None  # in answers to range calls
+        self.garbage_key = b"garbage"
+        self.lives = 0
+        self.streams: dict[Connection, Stream] = {}
+        self._connections: dict[Connection, asyncio.Task[None]] = {}
+        self._server: asyncio.Server | None = None
+
+    # --- what it knows
+
+    def view(self) -> int:
+        """The newest revision that it knows of."""
+        newest = self.shared.store.revision if self.held is None else self.held
+        return max(min(newest, self.shared.store.revision) - self.lag, 1)
+
+    def header(self, revision: int | None = None) -> Json:
+        """A ResponseHeader, with the newest revision unless another one is given; 0 for none."""
+        return lean(
+            cluster_id=self.shared.cluster_id if self.cluster_id is None else self.cluster_id,
+            member_id=self.member_id,
+            revision=self.view() if revision is None else revision,
+            raft_term=1 + self.lives,
+        )
+
+    def stir(self) -> None:
+        """Something changed."""
+        for stream in self.streams.values():
+            stream.stir.set()
+
+    async def awake(self) -> None:
+        """Until nothing keeps it from working."""
+        while not (self.thawed.is_set() and self.unstalled.is_set()):
+            await self.thawed.wait()
+            await self.unstalled.wait()
+
+    # --- its life
+
+    async def listen(self, port: int) -> None:
+        """Be there."""
+        self._server = await asyncio.start_server(
+            self._connected, "127.0.0.1", port, limit=MAX_HEAD, reuse_address=True, backlog=1024
+        )
+
+    def deaf(self) -> None:
+        """Refuse connections; those that are there stay."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    @property
+    def listening(self) -> bool:
+        """Whether connections come up."""
+        return self._server is not None
+
+    def drop(self) -> None:
+        """End all connections, without a word."""
+        for connection, task in list(self._connections.items()):
+            connection.writer.transport.abort()
+            task.cancel()
+
+    def dismiss(self) -> None:
+        """End all connections as a process does that was asked to end: streams get an error."""
+        for connection, task in list(self._connections.items()):
+            if connection in self.streams:
+                with contextlib.suppress(EndedError):
+                    self.streams[connection].end("transport is closing", 14)
+            task.cancel()
+            connection.writer.close()
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = Connection(reader, writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections[connection] = task
+        try:
+            await self.awake()  # who is frozen does not shake hands either
+            if self.tls is not None:
+                await writer.start_tls(self.tls)
+            await connection.run(self.respond)
+        except (OSError, asyncio.CancelledError):  # no TLS, or it was `drop` or `dismiss`, which closed it
+            writer.close()
+        finally:
+            del self._connections[connection]
+
+    # --- calls
+
+    async def respond(self, connection: Connection, asked: Asked) -> None:
+        """Answer one call."""
+        await self.awake()
+        calls = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/put": self._put,
+            "/v3/kv/deleterange": self._delete,
+            "/v3/kv/txn": self._txn,
+            "/v3/kv/compaction": self._compact,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/revoke": self._revoke,
+            "/v3/kv/lease/revoke": self._revoke,
+            "/v3/auth/authenticate": self._authenticate,
+            "/v3/maintenance/status": self._status,
+        }
+        streams = {"/v3/watch": self._watch, "/v3/lease/keepalive": self._keep_alive}
+        if asked.path not in calls and asked.path not in streams:
+            connection.plain("404 Not Found", b"Not Found\n", asked.last)
+            return
+        if asked.method != "POST":
+            connection.plain("405 Method Not Allowed", b"Method Not Allowed\n", asked.last)
+            return
+        if self.shared.auth.enabled and _common_name(connection):
+            connection.plain("400 Bad Request", COMMON_NAME, asked.last)
+            return
+        if asked.path in streams:
+            await streams[asked.path](connection, asked)
+            return
+        try:
+            fields = wire.loads(asked.body)
+            if asked.wants_leader and self._leaderless():
+                raise StoreError(NO_LEADER, 14)
+            value = await calls[asked.path](connection, asked, fields)
+        except wire.MalformedError as err:
+            connection.refuse(str(err), 3, asked.last, parsed=False)
+        except StoreError as err:
+            connection.refuse(err.message, err.code, asked.last)
+        else:
+            if value is not None:
+                connection.answer(value, asked.last)
+
+    def _leaderless(self) -> bool:
+        return self.lost_ms is not None and now_ms() >= self.lost_ms + self.shared.election_ms
+
+    async def _quorum(self, message: str, code: int) -> None:
+        """Until it has one. Raises StoreError where that takes too long."""
+        end = now_ms() + self.shared.quorum_wait_ms
+        while not self.shared.has_quorum(self.index):
+            if now_ms() >= end:
+                raise StoreError(message, code)
+            await asyncio.sleep(0.01)
+
+    async def _writable(self) -> None:
+        await self._quorum("context deadline exceeded", 2)
+        await self.awake()
+
+    async def _range(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json | None:
+        one = wire.range_(fields)
+        if not fields.flag("serializable"):
+            await self._quorum(TIMED_OUT, 14)
+            await self.awake()
+        if one.key:
+            self.shared.auth.check(asked.token, one.key, one.end, write=False)
+        found = self.shared.store.range(one, self.view())
+        body = wire.dumps(wire.found(found, self.header()))
+        if self.garbage is not None:
+            await self._spoiled(connection, asked, body)
+            return None
+        put, peer = names(kv.key for kv in found.kvs), connection.peer
+        key, end = names(iter((one.key, one.end)))
+        self.shared.record(
+            Record(now_ms(), self.index, "range", self.view(), put, (), peer, key, end, found.more)
+        )
+        connection.body(body, asked.last)
+        return None
+
+    async def _spoiled(self, connection: Connection, asked: Asked, body: bytes) -> None:
+        if self.garbage is Garbage.NOT_JSON:
+            connection.body(body[:-1], asked.last)
+        elif self.garbage is Garbage.NOT_OBJECT:
+            connection.body(b'[{"kvs":"none"}]', asked.last)
+        elif self.garbage is Garbage.ENDLESS_LINE:
+            stream = Stream(self, connection, asked)
+            await stream.never_ends()
+            await connection.reader.read(1)
+        else:
+            assert self.garbage is not None
+            value = wire.loads(body).raw
+            value["kvs"] = [*value.get("kvs", []), self.garbled(self.garbage, self.garbage_key)]
+            connection.answer(value, asked.last)
+
+    def garbled(self, kind: Garbage, key: bytes) -> Json:
+        """A key and value that nobody can want."""
+        revision = self.view()
+        numbers = {"create_revision": str(revision), "mod_revision": str(revision), "version": "1"}
+        if kind is Garbage.HUGE_VALUE:
+            return {"key": wire.b64(key), **numbers, "value": wire.b64(b"\0" * 2_000_000)}
+        return {"key": wire.b64(key), **numbers, "value": "!!! not base64"}
+
+    async def _put(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
+        return await self._write(wire.put(fields), asked)
+
+    async def _delete(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
+        return await self._write(wire.delete(fields), asked)
+
+    async def _write(self, one: Put | Delete, asked: Asked) -> Json:
+        await self._writable()
+        self._allowed([one], asked)
+        _, (result,) = self.shared.store.txn((), (one,), ())
+        self.shared.changed()
+        assert not isinstance(result, Found)
+        return wire.changed(one, result, self.header())
+
+    def _allowed(self, ops: list[Op], asked: Asked) -> None:
+        for one in ops:
+            end = b"" if isinstance(one, Put) else one.end
+            if one.key:
+                self.shared.auth.check(asked.token, one.key, end, write=not isinstance(one, Range))
+
+    async def _txn(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
+        conditions, then, otherwise = wire.txn(fields)
+        await self._writable()
+        for one in conditions:
+            self.shared.auth.check(asked.token, one.key, b"", write=False)
+        self._allowed([*then, *otherwise], asked)
+        good, results = self.shared.store.txn(conditions, then, otherwise)
+        self.shared.changed()
+        written = wire.answers(then if good else otherwise, results, self.shared.store.revision)
+        return lean(header=self.header(), succeeded=good, responses=written)
+
+    async def _compact(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
+        await self._writable()
+        self.shared.auth.who(asked.token)
+        self.shared.store.compact(fields.number("revision"))
+        self.shared.changed()
+        return lean(header=self.header())
+
+    async def _grant(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
+        await self._writable()
+        self.shared.auth.who(asked.token)
+        lease = self.shared.store.grant(fields.number("TTL"), fields.number("ID"))
+        self.shared.changed()
+        return lean(header=self.header(), ID=lease.id, TTL=lease.ttl_s)
+
+    async def _revoke(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
+        await self._writable()
+        self.shared.auth.who(asked.token)
+        self.shared.store.revoke(fields.number("ID"))
+        self.shared.changed()
+        return lean(header=self.header())
+
+    async def _authenticate(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
+        await self._writable()
+        token = self.shared.auth.authenticate(fields.text("name"), fields.text("password"))
+        return lean(header=self.header(), token=token)
+
+    async def _status(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
+        lost = self._leaderless()
+        index = self.shared.store.revision + 3
+        return lean(
+            header=self.header(),
+            version="3.4.23",
+            dbSize=32768,
+            leader=0 if lost else self.shared.leader(),
+            raftIndex=index,
+            raftTerm=1 + self.lives,
+            raftAppliedIndex=index,
+            errors=[NO_LEADER] if lost else [],
+            dbSizeInUse=24576,
+        )
+
+    async def _watch(self, connection: Connection, asked: Asked) -> None:
+        stream = Stream(self, connection, asked)
+        try:
+            requests = wire.load_all(asked.body)
+        except wire.MalformedError as err:
+            connection.refuse(str(err), 2, asked.last, parsed=False)
+            return
+        self.streams[connection] = stream
+        try:
+            if asked.wants_leader and self._leaderless():
+                stream.end(NO_LEADER, 14)
+            try:
+                for fields in requests:
+                    stream.take(fields)
+            except wire.MalformedError as err:
+                connection.refuse(str(err), 2, asked.last, parsed=False)
+                return
+            await stream.run()
+            raise Closed  # the client went away
+        except EndedError:
+            return
+        finally:
+            del self.streams[connection]
+
+    async def _keep_alive(self, connection: Connection, asked: Asked) -> None:
+        stream = Stream(self, connection, asked)
+        try:
+            requests = wire.load_all(asked.body)
+            numbers = [fields.number("ID") for fields in requests]
+        except wire.MalformedError as err:
+            connection.refuse(str(err), 2, asked.last, parsed=False)
+            return
+        try:
+            await self._quorum(NO_LEADER, 14)
+        except StoreError as err:
+            with contextlib.suppress(EndedError):
+                stream.end(err.message, err.code)
+            return
+        for number in numbers:
+            ttl_s = self.shared.store.keep_alive(number)
+            stream.say(header=self.header(), ID=number, TTL=ttl_s)
+        self.shared.changed()
+        connection.write(chunk(b""))
--- /dev/null
+++ b/dillport/lab/etcd/http.py
@@ -0,0 +1,143 @@
+"""HTTP/1.1 as etcd's gateway speaks it: a connection, its requests, and how answers are framed.
+
+An answer of up to 2048 bytes has a length, a longer one is chunked; an error of etcd's own is chunked with
+a trailer, one of the gateway's has a length. Measured with etcd 3.4.23.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from email.utils import formatdate
+
+from dillport.lab.etcd import wire
+from dillport.lab.etcd.wire import Json
+
+BUFFER = 2048  # bytes; Go's, which decides how an answer is framed
+MAX_HEAD = 64 * 1024  # bytes of a request's head
+MAX_BODY = 16 * 1024 * 1024  # of its body; a larger one ends the connection
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def token(self) -> str:
+        """What it shows to be let in."""
+        return self.headers.get("authorization") or self.headers.get("grpc-metadata-token", "")
+
+    @property
+    def wants_leader(self) -> bool:
+        """Whether it is to fail at a member that knows no leader."""
+        return self.headers.get("grpc-metadata-hasleader") == "true"
+
+    @property
+    def last(self) -> bool:
+        """Whether the connection ends with its answer."""
+        return self.headers.get("connection", "").lower() == "close"
+
+
+class Closed(Exception):
+    """The connection is over: the client went away, or the member ended. No error."""
+
+
+def chunk(data: bytes) -> bytes:
+    """A chunk; an empty one is the last."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Connection:
+    """A client's connection: one call after the other, a stream last."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        peer = writer.get_extra_info("peername")
+        self.peer: tuple[str, int] = (peer[0], peer[1]) if peer else ("", 0)
+
+    async def run(self, respond: Callable[[Connection, Asked], Awaitable[None]]) -> None:
+        """Until one side ends it."""
+        errors = (OSError, EOFError, asyncio.LimitOverrunError, ValueError, IndexError, Closed)
+        with contextlib.suppress(*errors):
+            while True:
+                asked = await self._request()
+                await respond(self, asked)
+                if asked.last:
+                    break
+                await self.writer.drain()
+        self.writer.close()
+
+    async def _request(self) -> Asked:
+        raw = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = raw.removesuffix("\r\n\r\n").split("\r\n")
+        method, path, _ = first.split(" ")
+        headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+        if headers.get("transfer-encoding", "").lower() == "chunked":
+            body = await self._chunks()
+        else:
+            size = int(headers.get("content-length", "0"))
+            if size > MAX_BODY:
+                raise Closed
+            body = await self.reader.readexactly(size)
+        return Asked(method, path, headers, body)
+
+    async def _chunks(self) -> bytes:
+        out = bytearray()
+        while size := int((await self.reader.readuntil(b"\r\n")).split(b";")[0], 16):
+            if len(out) + size > MAX_BODY:
+                raise Closed
+            out += (await self.reader.readexactly(size + 2))[:-2]
+        while (await self.reader.readuntil(b"\r\n")).strip():
+            pass
+        return bytes(out)
+
+    # --- answers
+
+    def head(self, status: str, last: bool, *lines: str, length: int | None = None) -> bytes:
+        """Status line and headers, in etcd's order; chunked unless there is a length."""
+        every = ["Access-Control-Allow-Headers: accept, content-type, authorization"]
+        every += ["Access-Control-Allow-Methods: POST, GET, OPTIONS, PUT, DELETE"]
+        every += ["Access-Control-Allow-Origin: *", *lines, f"Date: {formatdate(usegmt=True)}"]
+        every += [] if length is None else [f"Content-Length: {length}"]
+        every += ["Connection: close"] if last else []
+        every += ["Transfer-Encoding: chunked"] if length is None else []
+        return "\r\n".join([f"HTTP/1.1 {status}", *every, "", ""]).encode("latin-1")
+
+    def write(self, data: bytes) -> None:
+        """Hand bytes to the socket, unless the connection is over."""
+        if not self.writer.is_closing():
+            self.writer.write(data)
+
+    def answer(self, value: Json, last: bool) -> None:
+        """A call that worked."""
+        self.body(wire.dumps(value), last)
+
+    def body(self, body: bytes, last: bool) -> None:
+        """The same, with a body as it is."""
+        kind = ("Content-Type: application/json", "Grpc-Metadata-Content-Type: application/grpc")
+        if len(body) <= BUFFER:
+            self.write(self.head("200 OK", last, *kind, length=len(body)) + body)
+        else:
+            self.write(self.head("200 OK", last, *kind) + chunk(body) + chunk(b""))
+
+    def refuse(self, message: str, code: int, last: bool, parsed: bool = True) -> None:
+        """A call that failed: in etcd, or (`parsed` false) before it came there."""
+        body = wire.dumps(wire.error(message, code))
+        kind = "Content-Type: application/json"
+        if not parsed:
+            self.write(self.head(wire.HTTP_CODES[code], last, kind, length=len(body)) + body)
+            return
+        head = self.head(wire.HTTP_CODES[code], last, kind, "Trailer: Grpc-Trailer-Content-Type")
+        self.write(head + chunk(body) + b"0\r\nGrpc-Trailer-Content-Type: application/grpc\r\n\r\n")
+
+    def plain(self, status: str, text: bytes, last: bool) -> None:
+        """An answer of the HTTP server's own."""
+        kind = ("Content-Type: text/plain; charset=utf-8", "X-Content-Type-Options: nosniff")
+        self.write(self.head(status, last, *kind, length=len(text)) + text)
--- /dev/null
+++ b/dillport/lab/etcd/shared.py
@@ -0,0 +1,79 @@
+"""What the endpoints of a stand-in have in common, and the record of what each of them told whom."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from dillport.lab.etcd.auth import Auth
+from dillport.lab.etcd.store import Store
+
+MAX_RECORDS = 1_000_000
+
+
+class Garbage(Enum):
+    """What an endpoint can say instead of something that makes sense."""
+
+    NOT_JSON = "a line that is no JSON"
+    NOT_OBJECT = "JSON of another shape"
+    NOT_BASE64 = "a key and a value that are not base64"
+    HUGE_VALUE = "a value of 2 MB"
+    ENDLESS_LINE = "a line that does not end, up to `ENDLESS` bytes"
+
+
+@dataclass(slots=True, frozen=True)
+class Record:
+    """What an endpoint told a client, and when.
+
+    `at_ms` is the monotonic clock's, taken right before the bytes were handed to the socket, while nothing
+    older waited there. `kind` is "watch" (an event's revision, what it put and deleted) or "range" (the
+    revision in the header, what was found from `key` to before `end`, and whether there is `more`).
+    """
+
+    at_ms: float
+    endpoint: int
+    kind: str
+    revision: int
+    put: tuple[str, ...]
+    deleted: tuple[str, ...]
+    peer: tuple[str, int]
+    key: str = ""
+    end: str = ""
+    more: bool = False
+
+
+@dataclass(slots=True)
+class Shared:
+    """What the endpoints of a cluster have in common."""
+
+    store: Store
+    auth: Auth
+    cluster_id: int
+    election_ms: float
+    quorum_wait_ms: float
+    progress_ms: float
+    sync_ms: float
+    has_quorum: Callable[[int], bool]
+    leader: Callable[[], int]  # its member id; 0 while there is none
+    changed: Callable[[], None]
+    records: list[Record] = field(default_factory=list)
+    lost: int = 0  # records that were one too many
+
+    def record(self, record: Record) -> None:
+        """Keep it."""
+        if len(self.records) < MAX_RECORDS:
+            self.records.append(record)
+        else:
+            self.lost += 1
+
+
+def now_ms() -> float:
+    """The monotonic clock."""
+    return time.monotonic() * 1000.0
+
+
+def names(keys: Iterable[bytes]) -> tuple[str, ...]:
+    """Keys as text."""
+    return tuple(key.decode("utf-8", "backslashreplace") for key in keys)
--- /dev/null
+++ b/dillport/lab/etcd/stream.py
@@ -0,0 +1,284 @@
+"""The answer to a watch call: lines that tell what happens, until the client goes or the member ends.
+
+Not obvious, and measured with etcd 3.4.23:
+
+- A line longer than 2048 bytes has its newline in a chunk of its own; an error at a stream's end has none.
+- A watch that is let in though its first revision is compacted is created, and canceled some time later;
+  the stream stays open. So it does for who may not read: created and canceled in one message.
+- One that begins in the past is told what gathered some time later, 1000 revisions a line at most.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from dillport.lab.etcd import wire
+from dillport.lab.etcd.http import BUFFER, Asked, Connection, chunk
+from dillport.lab.etcd.shared import Garbage, Record, names, now_ms
+from dillport.lab.etcd.store import Event, StoreError, inside
+from dillport.lab.etcd.wire import lean
+
+if TYPE_CHECKING:
+    from dillport.lab.etcd.gateway import Endpoint
+
+BATCH = 1000  # revisions that a watch which is behind is told in one line
+ENDLESS = 64 * 1024 * 1024  # bytes after which a line that never ends falls silent
+NO_LEADER = "etcdserver: no leader"
+
+
+class EndedError(Exception):
+    """The stream is over; its connection is not."""
+
+
+@dataclass(slots=True)
+class Watch:
+    """A watch on a stream: what it wants, and the revision that it has to be told next."""
+
+    asked: wire.WatchRequest
+    id: int
+    next: int
+    behind: bool  # it is told what has gathered in batches, not revision by revision
+    due_ms: float  # when it is told something, if it is behind
+    quiet_since_ms: float
+
+    def picks(self, events: tuple[Event, ...]) -> list[Event]:
+        """Those that it asked for."""
+        unwanted = {one == "NODELETE" for one in self.asked.filters}
+        return [
+            event
+            for event in events
+            if inside(event.now.key, self.asked.key, self.asked.end) and event.deleted not in unwanted
+        ]
+
+
+class Stream:
+    """The answer to a watch call: lines until it ends."""
+
+    def __init__(self, endpoint: Endpoint, connection: Connection, asked: Asked) -> None:
+        self.endpoint, self.connection, self.shared = endpoint, connection, endpoint.shared
+        self.token, self.wants_leader, self.last = asked.token, asked.wants_leader, asked.last
+        self.watches: dict[int, Watch] = {}
+        self.stir = asyncio.Event()
+        self.begun = False
+        self._endless: asyncio.Task[None] | None = None
+
+    def begin(self, status: str = "200 OK") -> None:
+        """Write the head, once."""
+        if not self.begun:
+            self.begun = True
+            kind = ["Content-Type: application/json"]
+            kind += ["Grpc-Metadata-Content-Type: application/grpc"] if status.startswith("200") else []
+            self.connection.write(self.connection.head(status, self.last, *kind))
+
+    def line(self, raw: bytes) -> None:
+        """Write a line, cut into chunks as etcd does."""
+        self.begin()
+        if len(raw) < BUFFER:
+            self.connection.write(chunk(raw + b"\n"))
+        else:
+            self.connection.write(chunk(raw) + chunk(b"\n"))
+
+    def say(self, **result: object) -> None:
+        """Write a message; twice, if the endpoint is told so."""
+        raw = wire.dumps({"result": lean(**result)})
+        for _ in range(2 if self.endpoint.twice and "events" in result else 1):
+            self.line(raw)
+
+    def end(self, message: str, code: int) -> None:
+        """End it with an error; the connection may be used again. Raises EndedError."""
+        self.begin(wire.HTTP_CODES[code])
+        self.connection.write(chunk(wire.dumps(wire.stream_error(message, code))) + chunk(b""))
+        raise EndedError
+
+    # --- requests
+
+    def take(self, fields: wire.Fields) -> None:
+        """A WatchRequest."""
+        if (create := fields.object("create_request")) is not None:
+            self.create(wire.watch(create))
+        elif (cancel := fields.object("cancel_request")) is not None:
+            watch = cancel.number("watch_id")
+            if self.watches.pop(watch, None) is not None:
+                self.say(header=self.endpoint.header(), watch_id=watch, canceled=True)
+        elif fields.object("progress_request") is not None:
+            self.say(header=self.endpoint.header(), watch_id=-1)
+
+    def create(self, asked: wire.WatchRequest) -> None:
+        """Let a watch in, or turn it away."""
+        header, reason = self.endpoint.header(), ""
+        words = {3: "InvalidArgument", 7: "PermissionDenied", 16: "Unauthenticated"}
+        try:
+            self.shared.auth.check(self.token, asked.key, asked.end, write=False)
+        except StoreError as err:
+            reason = f"rpc error: code = {words[err.code]} desc = {err.message}"
+        if not reason and asked.end not in (b"", b"\0") and asked.end <= asked.key:
+            reason = "mvcc: watcher range is empty"
+        if reason:
+            self.say(header=header, watch_id=-1, created=True, canceled=True, cancel_reason=reason)
+            return
+        number = asked.id
+        while number in self.watches or (not number and 0 in self.watches):
+            number += 1
+        view, now = self.endpoint.view(), now_ms()
+        start = asked.start or view + 1
+        self.watches[number] = Watch(asked, number, start, start <= view, now + self.shared.sync_ms, now)
+        self.say(header=header, watch_id=number, created=True)
+
+    # --- what happens
+
+    async def run(self) -> None:
+        """Tell what happens, until the client goes or the stream ends."""
+        gone = asyncio.ensure_future(self.connection.reader.read(1))
+        try:
+            while not gone.done():
+                self.stir.clear()
+                await self.endpoint.awake()
+                self._leader()
+                wait_s = self._tell()
+                await self.connection.writer.drain()
+                stir = asyncio.ensure_future(self.stir.wait())
+                await asyncio.wait((gone, stir), timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+                stir.cancel()
+        finally:
+            gone.cancel()
+            await asyncio.wait((gone,))  # the connection reads on, and only one may
+            if self._endless is not None:
+                self._endless.cancel()
+
+    def _leader(self) -> None:
+        lost_ms = self.endpoint.lost_ms
+        if self.wants_leader and lost_ms is not None and now_ms() >= lost_ms + 3 * self.shared.election_ms:
+            self.end(NO_LEADER, 14)
+
+    def _tell(self) -> float | None:
+        """Tell every watch what it is owed; for how long there is nothing to do (s), None for ever."""
+        dues = []
+        if self.wants_leader and self.endpoint.lost_ms is not None:
+            dues.append(self.endpoint.lost_ms + 3 * self.shared.election_ms)
+        for watch in list(self.watches.values()):
+            due = self._feed(watch)
+            if due is not None:
+                dues.append(due)
+        return max(min(dues) - now_ms(), 0.0) / 1000.0 if dues else None
+
+    def _feed(self, watch: Watch) -> float | None:
+        store, view, now = self.shared.store, self.endpoint.view(), now_ms()
+        if watch.behind:
+            if now < watch.due_ms:
+                return watch.due_ms
+            gone = store.compacted_at(view)
+            if watch.next < gone:
+                del self.watches[watch.id]
+                header = self.endpoint.header(0)
+                self.say(header=header, watch_id=watch.id, canceled=True, compact_revision=gone)
+                return None
+            self._catch_up(watch, view)
+        for revision, events in store.events(watch.next, view):
+            self.tell(watch, events, revision)
+        watch.next = max(watch.next, view + 1)
+        if not watch.asked.progress:
+            return None
+        if now_ms() - watch.quiet_since_ms >= self.shared.progress_ms:
+            watch.quiet_since_ms = now_ms()
+            self.say(header=self.endpoint.header(), watch_id=watch.id)
+        return watch.quiet_since_ms + self.shared.progress_ms
+
+    def _catch_up(self, watch: Watch, view: int) -> None:
+        """What has gathered, in batches."""
+        gathered: list[Event] = []
+        count = 0
+        for _, events in self.shared.store.events(watch.next, view):
+            count += bool(watch.picks(events))
+            gathered += events
+            if count == BATCH:
+                self.tell(watch, tuple(gathered), view)
+                gathered, count = [], 0
+        self.tell(watch, tuple(gathered), view)
+        watch.next, watch.behind = view + 1, False
+
+    def tell(self, watch: Watch, events: tuple[Event, ...], revision: int) -> None:
+        """Write events that a watch asked for, under a header of this revision."""
+        picked = watch.picks(events)
+        if not picked:
+            return
+        watch.quiet_since_ms = now_ms()
+        header = self.endpoint.header(revision)
+        pieces = list(self._pieces(picked)) if watch.asked.fragment else [picked]
+        for index, piece in enumerate(pieces):
+            self._record(piece)
+            written = [wire.event(event, watch.asked.prev_kv) for event in piece]
+            more = index < len(pieces) - 1
+            self.say(header=header, watch_id=watch.id, fragment=more, events=written)
+
+    def _pieces(self, events: list[Event]) -> Iterator[list[Event]]:
+        piece: list[Event] = []
+        size = 0
+        for event in events:
+            size += len(event.now.key) + len(event.now.value) + 20
+            if piece and size >= self.endpoint.fragment:
+                yield piece
+                piece, size = [], len(event.now.key) + len(event.now.value) + 20
+            piece.append(event)
+        yield piece
+
+    def _record(self, events: list[Event]) -> None:
+        at_ms = now_ms()
+        for revision in sorted({event.now.modified for event in events}):
+            of_it = [event for event in events if event.now.modified == revision]
+            put = names(event.now.key for event in of_it if not event.deleted)
+            deleted = names(event.now.key for event in of_it if event.deleted)
+            index, peer = self.endpoint.index, self.connection.peer
+            self.shared.record(Record(at_ms, index, "watch", revision, put, deleted, peer))
+
+    # --- faults
+
+    def replay(self, first: int) -> None:
+        """Tell once more what was told already, from a revision on."""
+        for watch in self.watches.values():
+            last = min(watch.next - 1, self.endpoint.view())
+            for revision, events in list(self.shared.store.events(first, last)):
+                self.tell(watch, events, revision)
+
+    def cancel(self, reason: str, compact_revision: int) -> None:
+        """Cancel all watches; the stream stays open."""
+        for number in list(self.watches):
+            del self.watches[number]
+            header = self.endpoint.header(0)
+            self.say(
+                header=header,
+                watch_id=number,
+                canceled=True,
+                compact_revision=compact_revision,
+                cancel_reason=reason,
+            )
+
+    def spoil(self, kind: Garbage, key: bytes) -> None:
+        """Say something that makes no sense."""
+        if kind is Garbage.ENDLESS_LINE:
+            if self._endless is None:
+                self._endless = asyncio.ensure_future(self.never_ends())
+            return
+        for number in self.watches:
+            kv = self.endpoint.garbled(kind, key)
+            if kind is Garbage.NOT_JSON:
+                self.line(b'{"result":{"header":{"revision":')
+            elif kind is Garbage.NOT_OBJECT:
+                self.line(b'[{"result":{"events":"none"}},null]')
+            else:
+                self.say(header=self.endpoint.header(), watch_id=number, events=[{"kv": kv}])
+
+    async def never_ends(self) -> None:
+        """Write a line without an end, up to `ENDLESS` bytes."""
+        self.begin()
+        sent = 0
+        with contextlib.suppress(OSError):
+            self.connection.write(chunk(b'{"result":{"events":[{"kv":{"key":"'))
+            while sent < ENDLESS and not self.connection.writer.is_closing():
+                self.connection.write(chunk(b"A" * 65536))
+                sent += 65536
+                await self.connection.writer.drain()
+                await asyncio.sleep(0)
--- a/dillport/lab/real_etcd.py
+++ b/dillport/lab/real_etcd.py
@@ -25,6 +25,7 @@
 
 from dillport.lab.certificates import Certificates
 from dillport.lab.etcd.client import EtcdError, Writer, ask, b64, span
+from dillport.lab.ports import keep_port
 
 START_S = 20.0  # for all members of a cluster to answer
 ROOM = 400 * 1024 * 1024  # bytes that a member's directory should find in memory
@@ -50,18 +51,6 @@
     return run.returncode == 0
 
 
-def keep_port() -> socket.socket:
-    """A free port, kept for who listens there with SO_REUSEADDR, also while they are down.
-
-    Guards against another process that is given the port between two lives of a member: bound, but not
-    listening, this socket refuses connections and lets the member in beside it.
-    """
-    kept = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    kept.bind(("127.0.0.1", 0))
-    return kept
-
-
 class RealMember:
     """One process of etcd, known by its id alone."""
 
@@ -227,24 +216,29 @@
 
     def freeze(self, member: int) -> None:
         """SIGSTOP."""
+        self.writer.down.add(member)
         self.members[member].send(signal.SIGSTOP)
 
     def thaw(self, member: int) -> None:
         """SIGCONT."""
+        self.writer.down.discard(member)
         self.members[member].send(signal.SIGCONT)
 
     async def kill(self, member: int) -> None:
         """SIGKILL."""
+        self.writer.down.add(member)
         await self.members[member].end(signal.SIGKILL)
 
     async def terminate(self, member: int) -> None:
         """SIGTERM. A connection on which nothing was ever asked holds it up for 5 s, watches open."""
+        self.writer.down.add(member)
         await self.members[member].end(signal.SIGTERM)
 
     async def restart(self, member: int) -> None:
         """Start it again with the same data; it answers when this returns, so there must be a quorum."""
         await self.members[member].start()
         await self.wait(member)
+        self.writer.down.discard(member)
 
     async def enable_auth(self, user: str, password: str, readable: str = "") -> None:
         """Let nobody in without a name and a password from now on; as `EtcdCluster` has it."""
--- /dev/null
+++ b/tests/lab/test_etcd_gateway.py
@@ -0,0 +1,765 @@
+"""What etcd's JSON gateway says on the wire: the same from the stand-in and from a real etcd."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Coroutine, Sequence
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport.lab.certificates import make
+from dillport.lab.etcd.client import Call, EtcdError, ask, b64, span
+from dillport.lab.etcd.cluster import EtcdCluster
+from tests.lab.conftest import Kind, run
+
+QUIET = 0.3  # s without a word, where none is to come
+
+
+def masked(value: Any) -> Any:
+    """An answer without what differs between two clusters. A header must hold its ids."""
+    if isinstance(value, list):
+        return [masked(one) for one in value]
+    if not isinstance(value, dict):
+        return value
+    out = {name: masked(one) for name, one in value.items()}
+    if "cluster_id" in out:
+        ids = [out.pop(name) for name in ("cluster_id", "member_id", "raft_term")]
+        assert all(isinstance(one, str) and int(one) > 0 for one in ids)
+    return out
+
+
+def header(revision: int) -> dict[str, object]:
+    return {"header": {"revision": str(revision)}}
+
+
+def kv(key: str, created: int, modified: int, version: int, value: str = "", **more: str) -> dict[str, str]:
+    out = {"key": b64(key), "create_revision": str(created), "mod_revision": str(modified)}
+    out |= {"version": str(version)}
+    return out | ({"value": b64(value)} if value else {}) | more
+
+
+def gone(key: str, revision: int) -> dict[str, object]:
+    return {"type": "DELETE", "kv": {"key": b64(key), "mod_revision": str(revision)}}
+
+
+def error(words: str, code: int) -> dict[str, object]:
+    return {"error": words, "message": words, "code": code}
+
+
+async def call(cluster: EtcdCluster, path: str, body: object, **more: Any) -> tuple[int, Any]:
+    """Code and masked answer of one call to the first member, its framing checked."""
+    got = await ask(cluster.endpoints[0], path, body, context=cluster.context, **more)
+    assert got.headers["content-type"] == "application/json"
+    if got.code != 200:
+        assert ("content-length" in got.headers) != ("trailer" in got.headers)
+    elif len(got.body) > 2048 or path == "/v3/lease/keepalive":
+        assert got.headers["transfer-encoding"] == "chunked"
+    else:
+        assert int(got.headers["content-length"]) == len(got.body)
+    return got.code, masked(got.json)
+
+
+async def watch(cluster: EtcdCluster, prefix: str = "", member: int = 0, **more: Any) -> Call:
+    """A watch of a prefix, past its `created`."""
+    token, headers = more.pop("token", ""), more.pop("headers", None)
+    body = {"create_request": {**span(prefix), **more}}
+    endpoint = cluster.endpoints[member]
+    out = await Call.open(endpoint, "/v3/watch", body, token, cluster.context, headers=headers)
+    assert await out.head() == 200
+    message = masked(await out.message())["result"]
+    assert message.pop("created") is True
+    out.first = message  # type: ignore[attr-defined]
+    return out
+
+
+async def told(stream: Call) -> dict[str, Any]:
+    """The next message of a stream, masked."""
+    out = masked(await stream.message())
+    assert isinstance(out, dict)
+    return out
+
+
+async def silent(stream: Call) -> bool:
+    """Whether nothing comes for a while, not even the stream's end."""
+    return await _nothing(stream.line())
+
+
+async def still_open(stream: Call) -> bool:
+    """Whether the connection outlives the stream on it."""
+    return await _nothing(stream.eof())
+
+
+async def _nothing(coming: Coroutine[Any, Any, object]) -> bool:
+    try:
+        await asyncio.wait_for(coming, QUIET)
+    except TimeoutError:
+        return True
+    return False
+
+
+KEY_MISSING = (400, error("etcdserver: key is not provided", 3))
+NO_LEASE = (404, error("etcdserver: requested lease not found", 5))
+COMPACTED = (400, error("etcdserver: mvcc: required revision has been compacted", 11))
+FUTURE = (400, error("etcdserver: mvcc: required revision is a future revision", 11))
+DUPLICATE = (400, error("etcdserver: duplicate key given in txn request", 3))
+NOBODY = (400, error("etcdserver: user name is empty", 3))
+BAD_TOKEN = (401, error("etcdserver: invalid auth token", 16))
+DENIED = (403, error("etcdserver: permission denied", 7))
+A, B, Z = b64("a"), b64("b"), b64("z")
+ALL = {"key": A, "range_end": Z}
+
+
+def put_op(key: str, value: str = "") -> dict[str, object]:
+    return {"request_put": {"key": b64(key), "value": b64(value)}}
+
+
+def delete_op(key: str, end: str = "") -> dict[str, object]:
+    return {"request_delete_range": {"key": b64(key), "range_end": b64(end)}}
+
+
+Step = tuple[str, object, tuple[int, object]]
+KEYS: list[Step] = [
+    ("kv/range", {"key": A}, (200, header(1))),
+    ("kv/put", {"key": A, "value": b64("1")}, (200, header(2))),
+    ("kv/put", {"key": B}, (200, header(3))),
+    (
+        "kv/put",
+        {"key": A, "value": b64("2"), "prev_kv": True},
+        (200, {**header(4), "prev_kv": kv("a", 2, 2, 1, "1")}),
+    ),
+    ("kv/put", {"key": A, "lease": 77}, NO_LEASE),
+    ("kv/put", {"value": b64("1")}, KEY_MISSING),
+    ("kv/put", {"key": b64("c"), "valu": b64("2")}, (200, header(5))),  # an unknown name is passed over
+    (
+        "kv/range",
+        ALL,
+        (
+            200,
+            {**header(5), "kvs": [kv("a", 2, 4, 2, "2"), kv("b", 3, 3, 1), kv("c", 5, 5, 1)], "count": "3"},
+        ),
+    ),
+    (
+        "kv/range",
+        {**ALL, "limit": "1"},
+        (200, {**header(5), "kvs": [kv("a", 2, 4, 2, "2")], "more": True, "count": "3"}),
+    ),
+    (
+        "kv/range",
+        {"key": B, "range_end": b64("\0"), "limit": 1, "sort_order": "DESCEND", "sort_target": "KEY"},
+        (200, {**header(5), "kvs": [kv("c", 5, 5, 1)], "more": True, "count": "2"}),
+    ),
+    ("kv/range", {"key": A, "rangeEnd": Z, "countOnly": True}, (200, {**header(5), "count": "3"})),
+    (
+        "kv/range",
+        {"key": A, "keys_only": True, "serializable": True},
+        (200, {**header(5), "kvs": [kv("a", 2, 4, 2)], "count": "1"}),
+    ),
+    ("kv/range", {**ALL, "revision": 2}, (200, {**header(5), "kvs": [kv("a", 2, 2, 1, "1")], "count": "1"})),
+    ("kv/range", {**ALL, "revision": 200}, FUTURE),
+    ("kv/range", {}, KEY_MISSING),
+    ("kv/range", {"key": Z, "range_end": A}, (200, header(5))),
+    ("kv/deleterange", {"key": Z}, (200, header(5))),
+    (
+        "kv/deleterange",
+        {"key": A, "prev_kv": True},
+        (200, {**header(6), "deleted": "1", "prev_kvs": [kv("a", 2, 4, 2, "2")]}),
+    ),
+    ("kv/deleterange", {}, KEY_MISSING),
+    (
+        "kv/txn",
+        {
+            "compare": [{"key": A, "result": "EQUAL", "target": "VERSION", "version": "0"}],
+            "success": [
+                put_op("t1", "1"),
+                put_op("t2"),
+                delete_op("b"),
+                {"request_range": {"key": b64("t1")}},
+            ],
+        },
+        (
+            200,
+            {
+                **header(7),
+                "succeeded": True,
+                "responses": [
+                    {"response_put": header(7)},
+                    {"response_put": header(7)},
+                    {"response_delete_range": {**header(7), "deleted": "1"}},
+                    {"response_range": {**header(7), "kvs": [kv("t1", 7, 7, 1, "1")], "count": "1"}},
+                ],
+            },
+        ),
+    ),
+    (
+        "kv/txn",
+        {
+            "compare": [{"key": b64("t1"), "target": "VALUE", "value": b64("9")}],
+            "failure": [delete_op("zz")],
+        },
+        (200, {**header(7), "responses": [{"response_delete_range": header(7)}]}),
+    ),
+    ("kv/txn", {}, (200, {**header(7), "succeeded": True})),
+    ("kv/txn", {"success": [put_op("t1"), put_op("t1")]}, DUPLICATE),
+    ("kv/txn", {"success": [delete_op("t", "u"), put_op("t1")]}, DUPLICATE),
+    (
+        "kv/txn",
+        {"success": [put_op(f"q{index}") for index in range(129)]},
+        (400, error("etcdserver: too many operations in txn request", 3)),
+    ),
+    (
+        "kv/put",
+        {"key": A, "value": b64("x" * 1_600_000)},
+        (400, error("etcdserver: request is too large", 3)),
+    ),
+    ("kv/compaction", {"revision": "999"}, FUTURE),
+    ("kv/compaction", {"revision": "5", "physical": True}, (200, header(7))),
+    ("kv/compaction", {"revision": "5"}, COMPACTED),
+    ("kv/range", {**ALL, "revision": 4}, COMPACTED),
+    (
+        "kv/range",
+        {**ALL, "revision": 5, "limit": 1},
+        (200, {**header(7), "kvs": [kv("a", 2, 4, 2, "2")], "more": True, "count": "3"}),
+    ),
+    ("lease/grant", {"TTL": 5, "ID": "1234"}, (200, {**header(7), "ID": "1234", "TTL": "5"})),
+    ("lease/grant", {"TTL": 5, "ID": "1234"}, (412, error("etcdserver: lease already exists", 9))),
+    ("lease/grant", {"TTL": 0, "ID": "7"}, (200, {**header(7), "ID": "7", "TTL": "1"})),  # 1.5 elections
+    ("lease/grant", {"TTL": 9_000_000_001}, (400, error("etcdserver: too large lease TTL", 11))),
+    ("kv/put", {"key": b64("l"), "lease": 1234}, (200, header(8))),
+    (
+        "kv/range",
+        {"key": b64("l")},
+        (200, {**header(8), "kvs": [kv("l", 8, 8, 1, lease="1234")], "count": "1"}),
+    ),
+    ("lease/keepalive", {"ID": "1234"}, (200, {"result": {**header(8), "ID": "1234", "TTL": "5"}})),
+    ("lease/keepalive", {"ID": "99"}, (200, {"result": {**header(8), "ID": "99"}})),  # no TTL: there is none
+    ("lease/revoke", {"ID": "1234"}, (200, header(9))),
+    ("kv/lease/revoke", {"ID": 1234}, NO_LEASE),
+    (
+        "auth/authenticate",
+        {"name": "root", "password": "x"},
+        (412, error("etcdserver: authentication is not enabled", 9)),
+    ),
+]
+
+
+async def walk(cluster: EtcdCluster, steps: Sequence[Step], **more: Any) -> None:
+    for path, body, want in steps:
+        assert await call(cluster, f"/v3/{path}", body, **more) == want, (path, f"{body!r:.300}")
+
+
+def test_calls_and_what_they_are_answered(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            await walk(cluster, KEYS)
+
+    run(test)
+
+
+@pytest.mark.parametrize("path", ["kv/range", "watch"])
+def test_what_makes_no_sense_is_refused(kind: Kind, path: str) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            want = (500, 2) if path == "watch" else (400, 3)
+            bodies = (
+                b'{"key":',
+                b"[]",
+                b'{"create_request":{"key":"!!"},"key":"!!"}',
+                b'{"key":5,"create_request":5}',
+            )
+            for body in bodies:
+                code, answer = await call(cluster, f"/v3/{path}", body)
+                assert (code, answer["code"]) == want and answer["error"] == answer["message"]
+            for method, there, words in (("GET", f"/v3/{path}", 405), ("POST", "/v3/none", 404)):
+                got = await ask(cluster.endpoints[0], there, method=method)
+                assert got.code == words and got.headers["content-type"].startswith("text/plain")
+
+    run(test)
+
+
+def test_status_names_version_and_leader(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            code, got = await call(cluster, "/v3/maintenance/status", {})
+            assert code == 200 and got["version"].startswith("3.") and int(got["leader"]) > 0
+            assert got["header"] == {"revision": "1"} and "errors" not in got
+
+    run(test)
+
+
+def test_pages_of_one_revision_and_a_watch_after_it_miss_nothing(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            for start in range(0, 300, 100):
+                await cluster.txn({f"m/{index:03}": b"x" * 100 for index in range(start, start + 100)}, ())
+            first = await ask(cluster.endpoints[0], "/v3/kv/range", {**span("m/"), "limit": 100})
+            assert first.headers["transfer-encoding"] == "chunked"  # as any answer over 2048 bytes
+            revision = first.json["header"]["revision"]
+            await cluster.delete("m/150")
+            await cluster.put("m/000", b"new")
+            keys = [one["key"] for one in first.json["kvs"]]
+            more = first.json["more"]
+            while more:
+                after = {"key": b64(_next(keys[-1])), "range_end": span("m/")["range_end"]}
+                page = (await call(cluster, "/v3/kv/range", {**after, "limit": 100, "revision": revision}))[1]
+                assert page["header"] == {"revision": str(int(revision) + 2)}  # not that of the page
+                keys += [one["key"] for one in page["kvs"]]
+                more = page.get("more", False)
+            assert keys == [b64(f"m/{index:03}") for index in range(300)]
+            async with await watch(cluster, "m/", start_revision=str(int(revision) + 1)) as stream:
+                events = (await told(stream))["result"]["events"]
+                assert events == [gone("m/150", 5), {"kv": kv("m/000", 2, 6, 2, "new")}]
+
+    run(test)
+
+
+def _next(key: str) -> bytes:
+    return base64.b64decode(key) + b"\0"
+
+
+# --- watches
+
+
+def test_a_watch_tells_each_revision_in_a_line_of_its_own(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster, await watch(cluster, "a") as stream:
+            assert stream.first == header(1)  # type: ignore[attr-defined]
+            assert stream.headers["transfer-encoding"] == "chunked"
+            await cluster.put("a1", b"1")
+            await cluster.put("b", b"1")
+            await cluster.txn({"a2": b"", "a0": b"3"}, ["a1", "b"])
+            await cluster.delete("a", prefix=True)
+            want = [
+                (2, [{"kv": kv("a1", 2, 2, 1, "1")}]),
+                (4, [{"kv": kv("a2", 4, 4, 1)}, {"kv": kv("a0", 4, 4, 1, "3")}, gone("a1", 4)]),
+                (5, [gone("a0", 5), gone("a2", 5)]),
+            ]
+            for revision, events in want:
+                assert await told(stream) == {"result": {**header(revision), "events": events}}
+            assert all(chunk.endswith(b"}\n") for chunk in stream.chunks)
+            assert await silent(stream)
+
+    run(test)
+
+
+@pytest.mark.parametrize(("size", "own"), [(1000, False), (1500, True)])
+def test_a_long_line_has_its_newline_in_a_chunk_of_its_own(kind: Kind, size: int, own: bool) -> None:
+    async def test() -> None:
+        async with kind() as cluster, await watch(cluster) as stream:
+            await cluster.put("a", b"x" * size)
+            assert (await told(stream))["result"]["events"]
+            assert (stream.chunks[-1] == b"\n") is own
+
+    run(test)
+
+
+def test_what_gathered_comes_in_one_line(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            await cluster.put("a", b"1")
+            await cluster.put("a", b"2")
+            await cluster.delete("a")
+            async with await watch(cluster, start_revision="2", prev_kv=True) as stream:
+                first, second = kv("a", 2, 2, 1, "1"), kv("a", 2, 3, 2, "2")
+                events = [{"kv": first}, {"kv": second, "prev_kv": first}, gone("a", 4) | {"prev_kv": second}]
+                assert await told(stream) == {"result": {**header(4), "events": events}}
+                assert await silent(stream)
+            async with await watch(cluster, start_revision=1, filters=["NOPUT"]) as stream:
+                assert await told(stream) == {"result": {**header(4), "events": [gone("a", 4)]}}
+
+    run(test)
+
+
+def test_a_thousand_revisions_a_line_at_most(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            for _ in range(1010):
+                await cluster.put("a", b"")
+            async with await watch(cluster, start_revision=2) as stream:
+                assert [len((await told(stream))["result"]["events"]) for _ in range(2)] == [1000, 10]
+
+    run(test)
+
+
+def test_a_future_start_is_let_in_and_waited_for(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster, await watch(cluster, start_revision=4) as stream:
+            assert stream.first == header(1)  # type: ignore[attr-defined]
+            for index in range(4):
+                await cluster.put("a", b"%d" % index)
+            for revision in (4, 5):
+                assert (await told(stream))["result"]["header"] == {"revision": str(revision)}
+
+    run(test)
+
+
+def test_below_a_compaction_it_is_created_canceled_and_stays_open(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            for key in ("a", "b", "c", "d"):
+                await cluster.put(key, b"")
+            await cluster.compact(4)
+            async with await watch(cluster, start_revision=3) as stream:
+                assert stream.first == header(5)  # type: ignore[attr-defined]
+                # No revision in the header.
+                assert await told(stream) == {
+                    "result": {"header": {}, "canceled": True, "compact_revision": "4"}
+                }
+                await cluster.put("e", b"")
+                assert await silent(stream)
+            async with await watch(cluster, start_revision=4) as stream:
+                assert len((await told(stream))["result"]["events"]) == 3
+                await cluster.compact(6)
+                await cluster.put("f", b"")  # an open watch does not mind
+                assert (await told(stream))["result"]["header"] == {"revision": "7"}
+
+    run(test)
+
+
+def test_a_delete_at_the_compacted_revision_is_lost_without_a_word(kind: Kind) -> None:
+    """Guards the reason to resume a watch from the last revision that was seen, not from the next one."""
+
+    async def test() -> None:
+        async with kind() as cluster:
+            await cluster.put("a", b"")
+            await cluster.put("b", b"")
+            await cluster.delete("a")  # 4
+            await cluster.put("c", b"")
+            await cluster.compact(4)
+            async with await watch(cluster, start_revision=4) as stream:
+                events = (await told(stream))["result"]["events"]
+                assert events == [{"kv": kv("c", 5, 5, 1)}]  # newer releases of etcd tell it
+            async with await watch(cluster, start_revision=3) as stream:
+                assert (await told(stream))["result"]["compact_revision"] == "4"
+
+    run(test)
+
+
+def test_several_watches_on_one_call_and_an_empty_range(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            body = b"".join(
+                json.dumps({"create_request": one}).encode()
+                for one in ({"key": A}, {"key": B}, {"key": Z, "range_end": A}, {"key": A, "watch_id": 7})
+            )
+            async with await Call.open(cluster.endpoints[0], "/v3/watch", body) as stream:
+                got = [(await told(stream))["result"] for _ in range(4)]
+                assert [one.get("watch_id", "0") for one in got] == ["0", "1", "-1", "7"]
+                assert got[2]["canceled"] and got[2]["cancel_reason"] == "mvcc: watcher range is empty"
+                await cluster.put("b", b"")
+                assert (await told(stream))["result"]["watch_id"] == "1"
+
+    run(test)
+
+
+def test_fragments_where_they_are_asked_for(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            for index in range(6):
+                await cluster.put(f"a{index}", b"x" * 900_000)
+            async with await watch(cluster, start_revision=2) as stream:
+                assert len((await told(stream))["result"]["events"]) == 6
+            async with await watch(cluster, start_revision=2, fragment=True) as stream:
+                got = [(await told(stream))["result"] for _ in range(3)]
+                assert [len(one["events"]) for one in got] == [2, 2, 2]
+                assert [one.get("fragment") for one in got] == [True, True, None]
+                assert all(one["header"] == {"revision": "7"} for one in got)
+
+    run(test)
+
+
+def test_progress_is_told_to_who_asked(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind(progress_ms=150) as cluster:
+            stream, other = await watch(cluster, progress_notify=True), await watch(cluster)
+            async with stream, other:
+                assert await told(stream) == {"result": header(1)}
+                assert await silent(other)
+                await cluster.put("a", b"")
+                message = await told(stream)
+                while "events" not in message["result"]:
+                    message = await told(stream)
+                assert await told(stream) == {"result": header(2)}
+
+    run(test)
+
+
+# --- leases
+
+
+def test_a_lease_that_ends_takes_its_keys_in_one_revision(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            short, long = await cluster.grant(1), await cluster.grant(100)
+            async with await watch(cluster) as stream:
+                for key in ("c", "a", "b"):
+                    await cluster.put(key, b"", short)
+                await cluster.put("d", b"", long)
+                for _ in range(4):
+                    await told(stream)
+                events = [gone("a", 6), gone("b", 6), gone("c", 6)]
+                assert await told(stream) == {"result": {**header(6), "events": events}}
+                await cluster.revoke(long)
+                assert await told(stream) == {"result": {**header(7), "events": [gone("d", 7)]}}
+                with pytest.raises(EtcdError, match="lease not found"):
+                    await cluster.revoke(short)
+
+    run(test)
+
+
+# --- auth
+
+
+async def token(cluster: EtcdCluster, user: str, password: str) -> str:
+    code, got = await call(cluster, "/v3/auth/authenticate", {"name": user, "password": password})
+    assert code == 200 and got["token"]
+    return str(got["token"])
+
+
+def test_with_auth_on_nobody_comes_in_without_a_token(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            before = await watch(cluster)
+            await cluster.enable_auth("dill", "secret")
+            wrong = (400, error("etcdserver: authentication failed, invalid user ID or password", 3))
+            steps: list[Step] = [
+                ("kv/range", {"key": A}, NOBODY),
+                ("kv/put", {"key": A}, NOBODY),
+                ("auth/authenticate", {"name": "dill", "password": "x"}, wrong),
+                ("auth/authenticate", {"name": "none", "password": "secret"}, wrong),
+                ("auth/authenticate", {"name": "dill"}, wrong),
+                ("lease/grant", {"TTL": 5, "ID": 7}, (200, {**header(1), "ID": "7", "TTL": "5"})),
+            ]
+            await walk(cluster, steps)
+            assert (await call(cluster, "/v3/maintenance/status", {}))[0] == 200
+            good = await token(cluster, "dill", "secret")
+            assert await call(cluster, "/v3/kv/put", {"key": A}, token=good) == (200, header(2))
+            assert (await call(cluster, "/v3/kv/range", {"key": A}, headers={"Grpc-Metadata-Token": good}))[
+                0
+            ] == 200
+            for bad in ("none", "none.1", "Bearer " + good):
+                assert await call(cluster, "/v3/kv/range", {"key": A}, token=bad) == BAD_TOKEN
+            assert await call(cluster, "/v3/kv/compaction", {"revision": 2}, token="no") == BAD_TOKEN
+            reasons = {
+                "": "rpc error: code = InvalidArgument desc = etcdserver: user name is empty",
+                "none.1": "rpc error: code = Unauthenticated desc = etcdserver: invalid auth token",
+            }
+            for bad, reason in reasons.items():
+                async with await watch(cluster, token=bad) as stream:
+                    refused = {**header(2), "watch_id": "-1", "canceled": True, "cancel_reason": reason}
+                    assert stream.first == refused  # type: ignore[attr-defined]
+                    assert await silent(stream)
+            await cluster.put("a", b"2")  # its own writes go on
+            async with before:  # who was there before is not asked
+                assert [(await told(before))["result"]["header"] for _ in range(2)] == [
+                    {"revision": "2"},
+                    {"revision": "3"},
+                ]
+
+    run(test)
+
+
+def test_who_may_only_read_a_prefix(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            await cluster.enable_auth("dill", "secret", readable="m/")
+            mine = await token(cluster, "dill", "secret")
+            for ask_for, want in (
+                (span("m/"), 200),
+                (span("m/1"), 200),
+                (span("m"), 403),
+                ({"key": b64("m/"), "range_end": b64("\0")}, 403),
+                ({"key": A}, 403),
+            ):
+                got = await call(cluster, "/v3/kv/range", ask_for, token=mine)
+                assert got[0] == want and (want == 200 or got == DENIED)
+            assert await call(cluster, "/v3/kv/put", {"key": b64("m/1")}, token=mine) == DENIED
+            async with await watch(cluster, "m/", token=mine) as stream:
+                await cluster.put("m/1", b"")
+                assert (await told(stream))["result"]["events"] == [{"kv": kv("m/1", 2, 2, 1)}]
+            async with await watch(cluster, "", token=mine) as stream:
+                reason = "rpc error: code = PermissionDenied desc = etcdserver: permission denied"
+                assert stream.first["cancel_reason"] == reason  # type: ignore[attr-defined]
+
+    run(test)
+
+
+def test_a_token_ends_when_nobody_uses_it(kind: Kind) -> None:
+    async def test() -> None:
+        ttl_s = 1 if kind.real else 0.2  # the real one looks once a second
+        async with kind(token_ttl_s=ttl_s) as cluster:
+            await cluster.enable_auth("root", "secret")
+            mine = await token(cluster, "root", "secret")
+            async with await watch(cluster, token=mine) as stream:
+                await asyncio.sleep(2.5 * ttl_s)
+                assert await call(cluster, "/v3/kv/range", {"key": A}, token=mine) == BAD_TOKEN
+                await cluster.put("a", b"")  # an open watch outlives its token
+                assert (await told(stream))["result"]["events"]
+
+    run(test)
+
+
+def test_tls_and_certificates(kind: Kind, tmp_path: Path) -> None:
+    named = "CommonName of client sending a request against gateway will be ignored"
+
+    async def test() -> None:
+        (tmp_path / "named").mkdir()
+        certificates, others = make(tmp_path), make(tmp_path / "named", "dill")
+        async with kind(certificates=certificates, client_auth=True) as cluster:
+            assert cluster.endpoints[0].startswith("https://")
+            async with await watch(cluster) as stream:
+                await cluster.put("a", b"x" * 200_000)
+                assert (await told(stream))["result"]["events"]
+            for context in (certificates.client(shown=False), others.client()):
+                with pytest.raises((OSError, EOFError)):
+                    await ask(cluster.endpoints[0], "/v3/kv/range", {"key": A}, context=context)
+            await cluster.enable_auth("root", "secret")
+            mine = await token(cluster, "root", "secret")
+            assert (await call(cluster, "/v3/kv/range", {"key": A}, token=mine))[0] == 200
+        named_too = make(tmp_path, "dill")
+        async with kind(certificates=named_too, client_auth=True) as cluster:
+            assert (await call(cluster, "/v3/kv/range", {"key": A}))[0] == 200
+            # Not through `enable_auth`, which logs in with this very certificate once auth is on.
+            await cluster.enable_auth("root", "secret")
+            got = await ask(cluster.endpoints[0], "/v3/kv/range", {"key": A}, context=cluster.context)
+            assert got.code == 400 and named.encode() in got.body
+
+    run(test)
+
+
+# --- lives and deaths of members
+
+
+async def refused(endpoint: str) -> bool:
+    """Whether connections are refused."""
+    try:
+        await ask(endpoint, "/v3/kv/range", {"key": A}, wait_s=1)
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
+def test_killed_and_back_again_it_goes_on_where_it_was(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            revision = await cluster.put("a", b"1")
+            stream, idle = await watch(cluster), await asyncio.open_connection(*_address(cluster))
+            before = (await ask(cluster.endpoints[0], "/v3/kv/range", {"key": A})).json
+            await cluster.kill(0)
+            assert await stream.line() is None and not stream.whole  # a bare end, no last chunk
+            assert await idle[0].read() == b""
+            assert await refused(cluster.endpoints[0])
+            await cluster.restart(0)
+            after = (await ask(cluster.endpoints[0], "/v3/kv/range", {"key": A})).json
+            assert masked(before) == masked(after)
+            assert before["header"]["cluster_id"] == after["header"]["cluster_id"]
+            async with await watch(cluster, start_revision=revision) as again:
+                assert (await told(again))["result"]["events"] == [{"kv": kv("a", 2, 2, 1, "1")}]
+            idle[1].close()
+            stream.writer.close()
+
+    run(test)
+
+
+def _address(cluster: EtcdCluster) -> tuple[str, int]:
+    host, _, port = cluster.endpoints[0].rpartition("/")[2].partition(":")
+    return host, int(port)
+
+
+def test_terminated_it_says_so_and_ends(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            async with await watch(cluster) as stream:
+                ending = asyncio.create_task(cluster.terminate(0))
+                words = {"grpc_code": 14, "http_code": 503, "message": "transport is closing"}
+                last = await stream.line()
+                assert last is not None
+                assert json.loads(last) == {"error": {**words, "http_status": "Service Unavailable"}}
+                assert not stream.chunks[-2].endswith(b"\n") or stream.whole
+                assert stream.chunks[-1] == b"" and stream.whole and await stream.eof()
+                await ending
+            assert await refused(cluster.endpoints[0])
+
+    run(test)
+
+
+def test_frozen_it_accepts_and_says_nothing(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind(3) as cluster:
+            stream = await watch(cluster)
+            cluster.freeze(0)
+            waiting = await Call.open(cluster.endpoints[0], "/v3/kv/range", {"key": A})
+            await cluster.put("a", b"1")
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(QUIET):
+                    await waiting.head()
+            assert await silent(stream)
+            cluster.thaw(0)
+            async with waiting, stream:
+                assert (await waiting.answer()).code in (200, 503)  # the real one may have no leader yet
+                assert (await told(stream))["result"]["events"] == [{"kv": kv("a", 2, 2, 1, "1")}]
+
+    run(test)
+
+
+HAS_LEADER = {"Grpc-Metadata-Hasleader": "true"}
+UNLED = (503, error("etcdserver: no leader", 14))
+
+
+def test_without_a_quorum_it_lives_and_knows_nothing_new(kind: Kind) -> None:
+    async def test() -> None:
+        settings = {} if kind.real else {"quorum_wait_ms": 1000}
+        async with kind(3, **settings) as cluster:
+            await cluster.put("a", b"1")
+            stream, strict = await watch(cluster), await watch(cluster, headers=HAS_LEADER)
+            for member in (1, 2):
+                await cluster.kill(member)
+            lost = {"grpc_code": 14, "http_code": 503, "message": "etcdserver: no leader"}
+            assert (await told(strict)) == {"error": {**lost, "http_status": "Service Unavailable"}}
+            assert strict.whole and not strict.chunks[-2].endswith(b"\n") and await still_open(strict)
+            read = await Call.open(cluster.endpoints[0], "/v3/kv/range", {"key": A})
+            write = await Call.open(cluster.endpoints[0], "/v3/kv/put", {"key": A})
+            assert await call(cluster, "/v3/kv/range", {"key": A}, headers=HAS_LEADER) == UNLED
+            old = {**header(2), "kvs": [kv("a", 2, 2, 1, "1")], "count": "1"}
+            assert await call(cluster, "/v3/kv/range", {"key": A, "serializable": True}) == (200, old)
+            async with await watch(cluster, start_revision=2) as late:
+                assert (await told(late))["result"]["events"]  # what it knows, it tells
+            status = (await call(cluster, "/v3/maintenance/status", {}))[1]
+            assert status["errors"] == ["etcdserver: no leader"] and "leader" not in status
+            late_watch = await Call.open(
+                cluster.endpoints[0], "/v3/watch", {"create_request": ALL}, headers=HAS_LEADER
+            )
+            async with late_watch:
+                assert await late_watch.head() == 503
+                assert (await told(late_watch))["error"]["message"] == "etcdserver: no leader"
+            assert not read.code and await silent(stream)
+            async with read, write:  # after 5 s and two elections
+                for waiting, want in (
+                    (read, (503, error("etcdserver: request timed out", 14))),
+                    (write, (500, error("context deadline exceeded", 2))),
+                ):
+                    got = await waiting.answer()
+                    assert (got.code, got.json) == want
+            await cluster.restart(1)
+            await cluster.put("a", b"2")
+            async with stream, strict:
+                events = (await told(stream))["result"]["events"]
+                assert events[-1]["kv"]["value"] == b64("2")
+
+    run(test)
+
+
+def test_the_head_of_an_answer(kind: Kind) -> None:
+    async def test() -> None:
+        async with kind() as cluster:
+            good = await ask(cluster.endpoints[0], "/v3/kv/range", {"key": A})
+            bad = await ask(cluster.endpoints[0], "/v3/kv/range", {})
+            allow = [f"access-control-allow-{what}" for what in ("headers", "methods", "origin")]
+            allow += ["content-type"]
+            assert list(good.headers) == [*allow, "grpc-metadata-content-type", "date", "content-length"]
+            assert list(bad.headers) == [*allow, "trailer", "date", "transfer-encoding"]
+
+    run(test)
