Read etcd's JSON gateway: pages, watches, log-ins and members out of bytes

Tests feed answers whole, cut anywhere and damaged; what comes is the same messages, and never an exception.

--- /dev/null
+++ b/tests/proto/test_etcd_watch.py
@@ -0,0 +1,320 @@
+"""etcd's gateway: answers as etcd 3.4 gives them, whole, trickled and damaged; entries of members."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dillport.interface import Phase
+from dillport.members import Fault, Member
+from dillport.proto import etcd_watch as ew
+from dillport.proto.etcd_entry import MAX_VALUE, entry
+from dillport.proto.etcd_watch import Answer, Asks, Header, KeyValue, Kind, Why
+
+CLUSTER = "18178654929822060267"
+HEAD = {"cluster_id": CLUSTER, "member_id": "17995607449936952425", "revision": "8", "raft_term": "2"}
+HEADER = Header(CLUSTER, "17995607449936952425", 8, 2)
+
+
+def b64(raw: bytes) -> str:
+    return base64.b64encode(raw).decode()
+
+
+def chunked(*chunks: bytes, status: str = "200 OK", end: bool = False) -> bytes:
+    head = f"HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+    return head + b"".join(b"%x\r\n%b\r\n" % (len(c), c) for c in chunks) + (b"0\r\n\r\n" if end else b"")
+
+
+def sized(body: dict[str, Any] | bytes, status: str = "200 OK") -> bytes:
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return f"HTTP/1.1 {status}\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
+
+
+def line(**result: Any) -> bytes:
+    return json.dumps({"result": {"header": HEAD} | result}).encode()
+
+
+def put(key: bytes, revision: int, value: bytes = b"v") -> dict[str, Any]:
+    return {"kv": {"key": b64(key), "mod_revision": str(revision), "value": b64(value)}}
+
+
+def error(code: int, text: str) -> dict[str, Any]:
+    return {"error": f"etcdserver: {text}", "message": f"etcdserver: {text}", "code": code}
+
+
+def delete(key: bytes, revision: int) -> dict[str, Any]:
+    return {"type": "DELETE", "kv": {"key": b64(key), "mod_revision": str(revision)}}
+
+
+WATCH = chunked(
+    line(created=True) + b"\n",
+    line(events=[put(b"/m/a", 7), delete(b"/m/b", 8)]),
+    b"\n",  # in a chunk of its own, as etcd's gateway may send it
+    line() + b"\n" + line(events=[put(b"/m/c", 9, b"")], fragment=True) + b"\n",
+    line(canceled=True, compact_revision="9") + b"\n",
+    b'{"error":{"grpc_code":14,"http_code":503,"message":"etcdserver: server stopped"}}',
+    end=True,
+)
+SAID: list[ew.Message] = [
+    ew.WatchCreated(HEADER),
+    ew.WatchEvents(HEADER, (KeyValue(b"/m/a", b"v", 7), KeyValue(b"/m/b", None, 8, True)), False),
+    ew.WatchProgress(HEADER),
+    ew.WatchEvents(HEADER, (KeyValue(b"/m/c", b"", 9),), True),
+    ew.WatchCanceled(HEADER, 9, ""),
+    ew.GatewayError(14, "etcdserver: server stopped"),
+]
+PAGE = sized({"header": HEAD, "kvs": [put(b"/m/a", 3)["kv"]], "more": True, "count": "7"})
+
+
+def said(kind: Kind, data: bytes, cut: int = 0) -> list[ew.Message]:
+    """All messages of an answer that comes in pieces of `cut` bytes."""
+    answer = Answer(kind)
+    out = []
+    for start in range(0, len(data), cut or len(data) or 1):
+        out += answer.receive(data[start : start + (cut or len(data))])
+    return out + answer.end()
+
+
+@pytest.mark.parametrize("cut", [0, 1, 7, 100])
+def test_a_watch(cut: int) -> None:
+    assert said(Kind.WATCH, WATCH, cut) == SAID
+    # The error that ends a stream has no newline, and a killed server not even the last chunk.
+    assert said(Kind.WATCH, WATCH[: -len(b"\r\n0\r\n\r\n")], cut) == SAID
+
+
+@pytest.mark.parametrize("cut", [0, 1])
+def test_a_page(cut: int) -> None:
+    assert said(Kind.RANGE, PAGE, cut) == [ew.RangePage(HEADER, (KeyValue(b"/m/a", b"v", 3),), True, 7)]
+    assert said(Kind.RANGE, sized({"header": HEAD}), cut) == [ew.RangePage(HEADER, (), False, 0)]
+
+
+def test_a_connection_carries_one_call_after_another() -> None:
+    first, short, more = Answer(Kind.RANGE), Answer(Kind.RANGE), Answer(Kind.RANGE)
+    assert len(first.receive(PAGE)) == 1 and first.ended and first.reusable
+    assert short.receive(PAGE[:-1]) == [] and not short.reusable
+    assert [type(m) for m in short.end()] == [ew.Broken]
+    assert len(more.receive(PAGE + b"HTTP/1.1 200 OK\r\n")) == 1 and not more.reusable
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        ("400 Bad Request", error(11, "mvcc: required revision has been compacted"), "compacted"),
+        ("401 Unauthorized", error(16, "invalid auth token"), "stale_token"),
+        ("403 Forbidden", error(7, "permission denied"), "denied"),
+        ("400 Bad Request", error(3, "user name is empty"), "denied"),
+        ("400 Bad Request", error(3, "authentication failed, invalid user ID or password"), "denied"),
+        ("412 Precondition Failed", error(9, "authentication is not enabled"), "auth_off"),
+        ("404 Not Found", b"Not Found\n", ""),
+        ("503 Service Unavailable", b"", ""),
+    ],
+)
+def test_refusals(status: str, body: dict[str, Any] | bytes, expected: str) -> None:
+    messages = said(Kind.RANGE, sized(body, status))
+    if body == b"":
+        assert messages == []  # no body: the caller sees that the answer ended without a message
+        return
+    (error,) = messages
+    assert isinstance(error, ew.GatewayError) and error.status == int(status[:3])
+    flags = [f for f in ("compacted", "stale_token", "denied", "auth_off") if getattr(error, f)]
+    assert flags == ([expected] if expected else [])
+
+
+def test_a_log_in_hides_its_token() -> None:
+    (message,) = said(Kind.LOGIN, sized({"header": HEAD, "token": "sqTUuRHeDKjcScot.23"}))
+    assert isinstance(message, ew.Authenticated) and message.token == "sqTUuRHeDKjcScot.23"
+    assert "sqTU" not in repr(message)
+    for token in ("", None, 7, "a\r\nHost: b"):
+        (message,) = said(Kind.LOGIN, sized({"header": HEAD, "token": token}))
+        assert isinstance(message, ew.Broken) and message.why is Why.WRONG_SHAPE
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"SSH-2.0-OpenSSH_9.2\r\n", Why.NOT_HTTP),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"x" * ew.MAX_HEAD, Why.HEAD_TOO_LONG),
+        (chunked() + b"1;" + b"x" * 2 * ew.MAX_HEAD, Why.HEAD_TOO_LONG),
+        (chunked(b"{oh dear}\n"), Why.NOT_JSON),
+        (chunked(b"[" * 100_000 + b"\n"), Why.NOT_JSON),
+        (chunked(b"\xff\n"), Why.NOT_JSON),
+        (chunked(b"[]\n"), Why.WRONG_SHAPE),
+        (chunked(b"{}\n"), Why.WRONG_SHAPE),
+        (chunked(b'{"result":{"header":{}}}\n'), Why.WRONG_SHAPE),
+        (chunked(line(events=[{"kv": {"key": "!!", "mod_revision": "4"}}]) + b"\n"), Why.WRONG_SHAPE),
+        (chunked(line(events=[{"kv": {"key": "YQ=="}}]) + b"\n"), Why.WRONG_SHAPE),
+        (chunked(line(events=[{"kv": {"key": "YQ==", "mod_revision": "1e9"}}]) + b"\n"), Why.WRONG_SHAPE),
+        (chunked(line(events=[{"type": "MOVE"} | put(b"a", 4)]) + b"\n"), Why.WRONG_SHAPE),
+        (chunked(line(events={"a": 1}) + b"\n"), Why.WRONG_SHAPE),
+        (chunked(line(canceled="yes") + b"\n"), Why.WRONG_SHAPE),
+    ],
+)
+def test_what_cannot_be_read_is_named_and_ends_the_answer(data: bytes, why: Why) -> None:
+    messages = said(Kind.WATCH, data + b"x" * 100)
+    assert isinstance(messages[-1], ew.Broken) and messages[-1].why is why
+    assert not any(isinstance(m, ew.Broken) for m in messages[:-1])
+
+
+def test_the_bound_of_a_line_and_of_a_page() -> None:
+    block = b" " * 65536
+    for kind in (Kind.WATCH, Kind.RANGE):
+        answer = Answer(kind)
+        assert answer.receive(chunked()) == []
+        for _ in range(ew.MAX_LINE // len(block)):
+            assert answer.receive(chunk(block)) == []
+        assert not answer.ended
+        (broken,) = answer.receive(chunk(b" "))
+        assert isinstance(broken, ew.Broken) and broken.why is Why.TOO_LONG and answer.ended
+        assert answer.receive(chunk(block)) == []
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def test_many_events_come_in_slices() -> None:
+    events = [put(b"/m/%d" % i, 5) for i in range(2 * ew.SLICE + 1)]
+    answer = Answer(Kind.WATCH)
+    answer.feed(chunked(line(events=events) + b"\n", line() + b"\n"))
+    sizes = []
+    while isinstance(message := answer.pull(), ew.WatchEvents):
+        sizes.append((len(message.events), message.fragment))
+    assert sizes == [(ew.SLICE, True), (ew.SLICE, True), (1, False)]
+    assert message == ew.WatchProgress(HEADER)
+
+
+def test_an_unreadable_entry_of_a_page_costs_itself() -> None:
+    spoiled = {"key": b64(b"/m/a"), "value": "=!", "mod_revision": "4"}
+    rows = [{"key": "!!"}, {}, 7, spoiled, put(b"/m/b", 5)["kv"]]
+    (page,) = said(Kind.RANGE, sized({"header": HEAD, "kvs": rows}))
+    assert isinstance(page, ew.RangePage) and len(page.unreadable) == 3
+    assert page.kvs == (KeyValue(b"/m/a", None, 4), KeyValue(b"/m/b", b"v", 5))
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    kind=st.sampled_from(Kind),
+    base=st.sampled_from([WATCH, PAGE, sized({"token": "t"}), b""]),
+    edits=st.lists(st.tuples(st.integers(0, 2000), st.binary(max_size=6), st.integers(0, 3)), max_size=4),
+    cuts=st.lists(st.integers(1, 60), min_size=1, max_size=8),
+)
+def test_damage_never_raises_and_cuts_do_not_matter(
+    kind: Kind, base: bytes, edits: list[tuple[int, bytes, int]], cuts: list[int]
+) -> None:
+    data = base
+    for at, new, drop in edits:
+        at %= len(data) + 1
+        data = data[:at] + new + data[at + drop :]
+    whole = said(kind, data)
+    answer, pieces, at, turn = Answer(kind), [], 0, 0
+    while at < len(data):
+        pieces += answer.receive(data[at : at + cuts[turn % len(cuts)]])
+        at, turn = at + cuts[turn % len(cuts)], turn + 1
+    pieces += answer.end()
+    assert [m if not isinstance(m, ew.Broken) else m.why for m in pieces] == [
+        m if not isinstance(m, ew.Broken) else m.why for m in whole
+    ]
+
+
+KEYS = [
+    "result", "header", "kvs", "events", "kv", "key", "value", "mod_revision", "error", "cluster_id",
+    "canceled", "created", "type", "code", "message", "token", "Op", "id",
+]  # fmt: skip
+LEAVES = st.none() | st.booleans() | st.integers() | st.sampled_from(["8", "YQ==", "DELETE", "é", ""])
+
+
+@settings(max_examples=100, deadline=None)
+@given(
+    st.recursive(
+        LEAVES,
+        lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(KEYS), inner, max_size=4),
+        max_leaves=12,
+    ),
+    st.sampled_from(Kind),
+)
+def test_any_json_is_a_message_or_a_named_fault(value: Any, kind: Kind) -> None:
+    for message in said(kind, sized(json.dumps(value).encode() + b"\n")):
+        assert isinstance(message, ew.Message)
+    for form in ("member", "grpc-naming"):
+        found = entry(KeyValue(b"/m/a", json.dumps(value).encode(), 1), b"/m/", form)
+        assert isinstance(found, Member | Fault | str)
+
+
+def test_requests() -> None:
+    asks = Asks("etcd:2379", b"/m/")
+
+    def body(data: bytes) -> tuple[str, dict[str, Any]]:
+        head, _, rest = data.partition(b"\r\n\r\n")
+        assert f"Content-Length: {len(rest)}".encode() in head and b"Host: etcd:2379" in head
+        return head.split(b" ")[1].decode(), json.loads(rest)
+
+    key, end = b64(b"/m/"), b64(b"/m0")
+    assert body(asks.range()) == ("/v3/kv/range", {"key": key, "range_end": end, "limit": ew.PAGE})
+    behind = {"key": b64(b"/m/b\0"), "range_end": end, "limit": 9, "revision": "41"}
+    assert body(asks.range(b"/m/b", 41, 9)) == ("/v3/kv/range", behind)
+    assert body(asks.check())[1] == {"key": key, "count_only": True, "serializable": False}
+    created = body(asks.watch(42))[1]["create_request"]
+    assert created["start_revision"] == "42" and created["progress_notify"] and created["fragment"]
+    assert body(asks.login("u", "p")) == ("/v3/auth/authenticate", {"name": "u", "password": "p"})
+    assert b"\r\nAuthorization: t.1\r\n" in asks.watch(1, "t.1") and b"Authorization" not in asks.watch(1)
+    assert [ew.end_of(p) for p in (b"", b"a\xff", b"\xff")] == [b"\0", b"b", b"\0"]
+
+
+GOOD = {"host_port": "10.1.0.18:8080", "phase": "in_service", "size": 2.0}
+NAMING = {"Op": 0, "Addr": "10.1.0.18:8080", "Metadata": None}
+
+
+def read(value: object, key: bytes = b"/m/s-1", form: str = "member") -> Member | Fault | str:
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return entry(KeyValue(key, raw, 1), b"/m/", form)
+
+
+def test_entries_that_can_be_read() -> None:
+    one, same, drains = read(GOOD), read(GOOD | {"id": "s-1"}), read(GOOD | {"phase": "terminating"})
+    assert isinstance(one, Member) and one == same and one.id == "s-1" and one.entry.weight == 2.0
+    assert isinstance(drains, Member) and drains.entry.phase is Phase.DRAINING
+    assert read({"phase": "terminated"}) == "s-1"
+    assert entry(KeyValue(b"/m/s-1", None, 1, True), b"/m/", "member") == "s-1"
+    named = read(NAMING, form="grpc-naming")
+    assert isinstance(named, Member) and named.address == ("10.1.0.18", 8080) and named.entry.weight == 1
+    assert read({"Op": 1, "Addr": ""}, form="grpc-naming") == "s-1"
+
+
+@pytest.mark.parametrize(
+    ("value", "key", "form", "part"),
+    [
+        (b"not json", b"/m/s-1", "member", "not JSON"),
+        (b"[" * 60_000, b"/m/s-1", "member", "not JSON"),
+        (b"[]", b"/m/s-1", "member", "no object"),
+        (b" " * (MAX_VALUE + 1), b"/m/s-1", "member", str(MAX_VALUE)),
+        (GOOD | {"id": "s-2"}, b"/m/s-1", "member", "not that of its key"),
+        (GOOD | {"host_port": "10.1.0.18"}, b"/m/s-1", "member", "address"),
+        (GOOD | {"host_port": "app.internal:80"}, b"/m/s-1", "member", "app.internal"),
+        (GOOD | {"phase": "resting"}, b"/m/s-1", "member", "resting"),
+        (GOOD, b"/m/", "member", "no id"),
+        (GOOD, b"/m/a/b", "member", "/"),
+        (GOOD, b"/m/" + b"a" * 257, "member", "256"),
+        (GOOD, b"/m/\xff", "member", "UTF-8"),
+        (GOOD, b"/n/a", "member", "below"),
+        (NAMING | {"Addr": None}, b"/m/s-1", "grpc-naming", "None"),
+        (NAMING | {"Op": 2}, b"/m/s-1", "grpc-naming", "Op"),
+        (NAMING | {"Op": True}, b"/m/s-1", "grpc-naming", "Op"),
+        (NAMING | {"Op": [1]}, b"/m/s-1", "grpc-naming", "Op"),
+        (GOOD, b"/m/s-1", "grpc-naming", "None"),
+    ],
+)
+def test_entries_that_cannot_be_read(value: object, key: bytes, form: str, part: str) -> None:
+    fault = read(value, key, form)
+    assert isinstance(fault, Fault) and part in fault.reason and not fault.leaving
+    assert fault.key == "s-1" if key == b"/m/s-1" else "/" in fault.key  # else it is nobody's id
+    assert entry(KeyValue(key, None, 1, True), b"/m/", form) == fault.key  # its end takes the fault away
+
+
+def test_an_unreadable_entry_that_drains_is_obeyed() -> None:
+    fault = read({"phase": "terminating", "host_port": "nowhere"})
+    assert isinstance(fault, Fault) and fault.leaving and fault.key == "s-1"
