Decide which etcd endpoint is asked for what, and when it is left

A watch that resumes, a compaction, a frozen or lagging member, a restored backup and a new cluster id all change who may be believed. The follower holds that as data, and what it delivers never goes back.

--- /dev/null
+++ b/tests/decide/test_etcd_follow.py
@@ -0,0 +1,914 @@
+"""Following etcd: every event in every phase, the hard cases one by one, and a model of etcd with faults."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dillport import interface as api
+from dillport.decide import etcd_follow as ef
+from dillport.decide.etcd_follow import CallFailed, Deliver, EtcdFollow, Phase, Position, Trouble
+from dillport.decide.membership import Heard, Listed, Refused, Silenced
+from dillport.members import Fault, Member
+
+
+def member(name: str, weight: float = 1.0, phase: api.Phase = api.Phase.UP) -> Member:
+    return Member(api.Entry(name, "", -1, weight, phase, 0.0, ""), ("127.0.0.1", 80))
+
+
+Asked = type[ef.Check] | type[ef.Range] | type[ef.Watch]
+
+
+class Rig:
+    """A follower and a clock; what it asked last, and all that it delivered and said."""
+
+    def __init__(self, endpoints: int = 1, seed: int = 1, **more: object) -> None:
+        self.follow = EtcdFollow("etcd", endpoints, random.Random(seed), **more)  # type: ignore[arg-type]
+        self.now = 0.0
+        self.asked: list[ef.Action] = []
+        self.out: list[object] = []
+        self.said: list[str] = []
+        self.timers: dict[int, float] = {}
+
+    def do(self, event: ef.Event, after_ms: float = 0.0) -> list[ef.Action]:
+        self.now += after_ms
+        actions = self.follow.handle(self.now, event)
+        for action in actions:
+            match action:
+                case Deliver():
+                    self.out.append(action.event)
+                case ef.Say():
+                    self.said.append(action.text)
+                case ef.SetTimer():
+                    self.timers[action.token] = action.at_ms
+                case _:
+                    self.asked.append(action)
+        return actions
+
+    def last(self, kind: type[ef.Action]) -> ef.Action:
+        return next(a for a in reversed(self.asked) if isinstance(a, kind))
+
+    def call(self, kind: Asked) -> int:
+        found = self.last(kind)
+        assert isinstance(found, kind)
+        return found.call
+
+    def tick(self) -> None:
+        """The next timer that the follower still waits for."""
+        live = {self.follow._check_token, self.follow._phase_token} - {0}
+        token = min(live, key=lambda t: self.timers[t])
+        self.now = max(self.now, self.timers[token])
+        self.do(ef.TimerFired(token))
+
+    # what etcd may answer
+
+    def check(self, revision: int, cluster: str = "1", term: int = 2) -> None:
+        self.do(ef.CheckAnswered(self.call(ef.Check), Position(cluster, revision, term)))
+
+    def fail(self, kind: Asked, why: Trouble = Trouble.FAILED) -> None:
+        self.do(CallFailed(self.call(kind), why, "test"))
+
+    def page(
+        self, revision: int, *rows: ef.Row, cluster: str = "1", last: bytes = b"z", more: bool = False
+    ) -> None:
+        self.do(ef.PageAnswered(self.call(ef.Range), Position(cluster, revision), rows, last, more))
+
+    def created(self, revision: int, cluster: str = "1") -> None:
+        self.do(ef.WatchCreated(self.call(ef.Watch), Position(cluster, revision)))
+
+    def say(self, *changes: tuple[int, ef.Row], header: int = 0, fragment: bool = False) -> None:
+        rows = tuple(ef.Change(revision, row) for revision, row in changes)
+        at = Position("1", header or max(revision for revision, _ in changes))
+        self.do(ef.WatchSaid(self.call(ef.Watch), at, rows, fragment))
+
+    def watching(self, revision: int, *rows: ef.Row, cluster: str = "1") -> Rig:
+        self.do(ef.Started())
+        self.check(revision, cluster)
+        self.page(revision, *rows, cluster=cluster)
+        self.created(revision, cluster)
+        return self
+
+    def at(self, *phases: Phase) -> bool:
+        return self.follow.phase in phases
+
+    def settled(self) -> None:
+        """The endpoint has been of use: a check was answered while the watch was on."""
+        self.tick()
+        self.check(self.follow.seen, self.follow.talking)
+
+    @property
+    def listed(self) -> list[Listed]:
+        return [e for e in self.out if isinstance(e, Listed)]
+
+    @property
+    def view(self) -> dict[str, Member]:
+        """What was delivered, replayed as the membership does."""
+        out: dict[str, Member] = {}
+        for event in self.listed:
+            if event.listing.complete:
+                out = {}
+            for name in event.listing.removed:
+                out.pop(name, None)
+            out |= {m.id: m for m in event.listing.members}
+        return out
+
+    def start_of_watch(self) -> int:
+        found = self.last(ef.Watch)
+        assert isinstance(found, ef.Watch)
+        return found.start_revision
+
+
+A, B, C = member("a"), member("b"), member("c")
+
+
+# --- every event in every phase
+
+
+def in_phase(phase: Phase) -> Rig:
+    rig = Rig(2)
+    if phase is Phase.IDLE:
+        return rig
+    rig.do(ef.Started())
+    if phase is Phase.RESTING:
+        rig.fail(ef.Check)
+        rig.fail(ef.Check)
+    elif phase is not Phase.ASKING:
+        rig.check(5)
+        if phase is not Phase.LISTING:
+            rig.page(5, A)
+            if phase is Phase.WATCHING:
+                rig.created(5)
+    assert rig.at(phase)
+    return rig
+
+
+HERE = Position("1", 9, 2)
+EVENTS: dict[str, Callable[[EtcdFollow], ef.Event]] = {
+    "started": lambda f: ef.Started(),
+    "stopped": lambda f: ef.Stopped(),
+    "timer": lambda f: ef.TimerFired(f._phase_token or f._check_token),
+    "old timer": lambda f: ef.TimerFired(-1),
+    "check": lambda f: ef.CheckAnswered(f.check_call or -1, HERE),
+    "page": lambda f: ef.PageAnswered(f.page_call or -1, HERE, (A,), b"a", False),
+    "created": lambda f: ef.WatchCreated(f.watch_call or -1, HERE),
+    "said": lambda f: ef.WatchSaid(f.watch_call or -1, HERE, (ef.Change(9, B),)),
+    "progress": lambda f: ef.WatchProgressed(f.watch_call or -1, HERE),
+    "canceled": lambda f: ef.WatchCanceled(f.watch_call or -1, 0, Trouble.FAILED, "x"),
+    "compacted": lambda f: ef.WatchCanceled(f.watch_call or -1, 9, Trouble.FAILED, "x"),
+    "check failed": lambda f: CallFailed(f.check_call or -1, Trouble.FAILED, "x"),
+    "page failed": lambda f: CallFailed(f.page_call or -1, Trouble.FAILED, "x"),
+    "page compacted": lambda f: CallFailed(f.page_call or -1, Trouble.COMPACTED, "x"),
+    "watch failed": lambda f: CallFailed(f.watch_call or -1, Trouble.FAILED, "x"),
+}
+# What an event leads to, where it leads anywhere: the next phase and the actions. `Drop` is of the endpoint
+# that is left, `Check` of the next one.
+LEFT = (Phase.ASKING, "Say Drop Check SetTimer")
+GONE = (Phase.ASKING, "Drop Check SetTimer")
+TABLE: dict[tuple[Phase, str], tuple[Phase, str]] = {
+    (Phase.IDLE, "started"): (Phase.ASKING, "Check SetTimer"),
+    (Phase.ASKING, "timer"): GONE,
+    (Phase.ASKING, "check"): (Phase.LISTING, "Range SetTimer"),
+    (Phase.ASKING, "check failed"): GONE,
+    (Phase.LISTING, "timer"): LEFT,
+    (Phase.LISTING, "page"): (Phase.OPENING, "Deliver Watch SetTimer"),
+    (Phase.LISTING, "page failed"): LEFT,
+    (Phase.LISTING, "page compacted"): (Phase.LISTING, "Range SetTimer"),
+    (Phase.OPENING, "timer"): LEFT,
+    (Phase.OPENING, "created"): (Phase.WATCHING, "SetTimer"),
+    (Phase.OPENING, "said"): LEFT,
+    (Phase.OPENING, "progress"): LEFT,
+    (Phase.OPENING, "canceled"): (Phase.ASKING, "CloseWatch Say Drop Check SetTimer"),
+    (Phase.OPENING, "compacted"): (Phase.LISTING, "CloseWatch Range SetTimer"),
+    (Phase.OPENING, "watch failed"): (Phase.ASKING, "CloseWatch Say Drop Check SetTimer"),
+    (Phase.WATCHING, "timer"): (Phase.WATCHING, "Check SetTimer"),
+    (Phase.WATCHING, "said"): (Phase.WATCHING, "Deliver"),
+    (Phase.WATCHING, "progress"): (Phase.WATCHING, "Deliver"),
+    (Phase.WATCHING, "canceled"): (Phase.ASKING, "CloseWatch Say Drop Check SetTimer"),
+    (Phase.WATCHING, "compacted"): (Phase.LISTING, "CloseWatch Range SetTimer"),
+    (Phase.WATCHING, "watch failed"): (Phase.ASKING, "CloseWatch Say Drop Check SetTimer"),
+    (Phase.RESTING, "timer"): (Phase.ASKING, "Check SetTimer"),
+    (Phase.RESTING, "stopped"): (Phase.IDLE, ""),
+}
+for _phase in (Phase.ASKING, Phase.LISTING, Phase.OPENING, Phase.WATCHING):
+    TABLE[_phase, "stopped"] = (Phase.IDLE, "Drop")
+
+
+@pytest.mark.parametrize("phase", Phase)
+@pytest.mark.parametrize("name", EVENTS)
+def test_every_event_in_every_phase(phase: Phase, name: str) -> None:
+    rig = in_phase(phase)
+    actions = rig.do(EVENTS[name](rig.follow))
+    expected = TABLE.get((phase, name), (phase, ""))
+    assert (rig.follow.phase, " ".join(type(a).__name__ for a in actions)) == expected
+
+
+def test_the_state_can_be_read() -> None:
+    assert repr(Rig().follow) == "<EtcdFollow etcd idle None/0 at 0>"
+    rig = Rig(1, names=["http://e:1"], epoch=3).watching(5, A)
+    assert repr(rig.follow) == "<EtcdFollow etcd watching http://e:1 1/3 at 5>"
+
+
+# --- the list and the watch
+
+
+def test_pages_are_of_one_revision_and_the_watch_goes_on_behind_it() -> None:
+    rig = Rig()
+    rig.do(ef.Started())
+    rig.check(40)
+    rig.page(41, A, last=b"a", more=True)
+    assert rig.last(ef.Range) == ef.Range(rig.call(ef.Range), 0, b"a", 41, ef.PAGE)
+    assert rig.out == []
+    rig.page(44, B, last=b"b")  # answered later: its header is not the list's revision
+    (listed,) = rig.listed
+    assert listed.identity == "1/0" and listed.listing.complete and listed.listing.revision == 41
+    assert listed.listing.members == (A, B) and rig.start_of_watch() == 42
+
+
+def test_a_compaction_between_pages_begins_the_list_anew() -> None:
+    rig = Rig()
+    rig.do(ef.Started())
+    rig.check(40)
+    for _ in range(ef.RESTARTS):
+        rig.page(41, A, last=b"a", more=True)
+        rig.fail(ef.Range, Trouble.COMPACTED)
+        assert rig.last(ef.Range) == ef.Range(rig.call(ef.Range), 0, b"", 0, ef.PAGE)
+    assert rig.out == []
+    rig.fail(ef.Range, Trouble.COMPACTED)  # not for ever
+    assert rig.at(Phase.RESTING) and [type(e) for e in rig.out] == [Silenced]
+
+
+def test_a_canceled_watch_is_closed_and_the_view_stays_until_the_list_is_there() -> None:
+    rig = Rig().watching(5, A, B, C)
+    rig.do(ef.WatchCanceled(rig.call(ef.Watch), 9, Trouble.FAILED, ""))
+    assert isinstance(rig.asked[-2], ef.CloseWatch) and isinstance(rig.asked[-1], ef.Range)
+    assert len(rig.out) == 1
+    rig.page(12, A, last=b"a", more=True)
+    assert len(rig.out) == 1
+    rig.page(12)
+    assert rig.view == {"a": A} and rig.start_of_watch() == 13
+
+
+def test_events_that_were_seen_are_dropped() -> None:
+    rig = Rig().watching(5, A)
+    rig.say((6, B), (7, "a"))
+    rig.say((6, B), (7, "a"), (4, A))
+    assert rig.view == {"b": B} and len(rig.listed) == 2
+    rig.say((7, "a"), (8, A), (6, "b"), header=9)  # old ones among new ones, out of order
+    assert rig.view == {"a": A, "b": B} and rig.listed[-1].listing.revision == 8
+
+
+def test_a_revision_in_two_fragments_is_taken_whole() -> None:
+    rig = Rig().watching(5, A, B, C)
+    rig.say((6, C), (7, "a"), fragment=True)
+    assert "a" not in rig.view and rig.listed[-1].listing.revision == 7  # no removal waits for the rest
+    rig.say((7, "b"), header=7)
+    assert set(rig.view) == {"c"} and rig.listed[-1].listing.revision == 7
+    rig.say((7, "c"), header=7)  # sent again: it is whole now
+    assert set(rig.view) == {"c"} and rig.follow.whole == 7
+
+
+def test_a_revision_cut_by_a_break_is_asked_for_again() -> None:
+    rig = Rig().watching(5, A, B, C)
+    rig.say((7, "a"), fragment=True)
+    rig.fail(ef.Watch)
+    rig.tick()
+    rig.check(7)
+    assert rig.start_of_watch() == 7
+    rig.created(7)
+    rig.say((7, "a"), (7, "b"))
+    assert set(rig.view) == {"c"} and [e.listing.revision for e in rig.listed] == [5, 7, 7]
+
+
+def test_a_revision_cut_by_a_break_and_compacted_comes_as_changes() -> None:
+    rig = Rig().watching(5, A, B, C)
+    rig.say((7, "a"), fragment=True)
+    rig.do(ef.WatchCanceled(rig.call(ef.Watch), 7, Trouble.FAILED, ""))
+    rig.page(7, C)
+    # A whole list of a revision that was seen would be dropped as an old one.
+    assert not rig.listed[-1].listing.complete and rig.listed[-1].listing.removed == ("b",)
+    assert set(rig.view) == {"c"} and rig.start_of_watch() == 8
+
+
+def test_of_several_events_on_one_member_the_last_holds() -> None:
+    rig = Rig().watching(5, A)
+    drains, bad = Fault("b", "bad", True), Fault("a", "bad")
+    rig.say((6, "b"), (7, B), (8, "a"), (9, A), (10, "a"), (11, drains), (12, bad))
+    listing = rig.listed[-1].listing
+    assert listing.removed == ("a",) and [f.key for f in listing.faults] == ["b", "a"]
+    assert listing.members == (member("b", phase=api.Phase.DRAINING),)  # unreadable, but it drains
+
+
+def test_progress_spares_the_next_watch_the_way_as_far_as_a_check_goes() -> None:
+    rig = Rig().watching(5, A)
+    rig.do(ef.WatchProgressed(rig.call(ef.Watch), Position("1", 99)))
+    assert rig.follow.whole == 5 and rig.out[-1] == Heard("etcd")
+    rig.tick()
+    rig.check(30)
+    rig.do(ef.WatchProgressed(rig.call(ef.Watch), Position("1", 29)))
+    rig.fail(ef.Watch)
+    rig.tick()
+    rig.check(30)
+    assert rig.start_of_watch() == 30
+
+
+def test_progress_between_fragments_moves_nothing() -> None:
+    rig = Rig().watching(5, A, B)
+    rig.tick()
+    rig.check(30)
+    rig.say((7, "a"), header=30, fragment=True)
+    rig.do(ef.WatchProgressed(rig.call(ef.Watch), Position("1", 30)))
+    assert rig.follow.whole == 6
+
+
+def test_an_event_from_beyond_etcds_own_revision_is_not_believed() -> None:
+    rig = Rig().watching(5, A)
+    rig.say((900, "a"), header=6)
+    assert rig.view == {"a": A} and rig.follow.seen == 5 and rig.follow.need_list
+
+
+def test_a_watch_that_was_spoiled_is_followed_by_a_list() -> None:
+    for why in (Trouble.SPOILED, Trouble.TOO_LONG):
+        rig = Rig().watching(5, A)
+        rig.fail(ef.Watch, why)
+        rig.tick()
+        rig.check(7)
+        assert rig.at(Phase.LISTING)
+
+
+def test_a_page_that_is_too_long_is_asked_for_in_smaller_ones() -> None:
+    rig = Rig()
+    rig.do(ef.Started())
+    rig.check(5)
+    rig.page(5, A, last=b"a", more=True)
+    limits = []
+    while rig.at(Phase.LISTING):
+        rig.fail(ef.Range, Trouble.TOO_LONG)
+        asked = rig.last(ef.Range)
+        assert isinstance(asked, ef.Range) and asked.after_key == b"a" and asked.revision == 5
+        limits.append(asked.limit)
+    assert limits == [125, 31, 7, 1, 1] and rig.at(Phase.RESTING)
+
+
+def test_pages_that_do_not_go_on_and_lists_without_an_end_are_left() -> None:
+    rig = Rig()
+    rig.do(ef.Started())
+    rig.check(5)
+    rig.page(5, A, last=b"a", more=True)
+    rig.page(5, A, last=b"a", more=True)
+    assert rig.at(Phase.RESTING) and "do not go on" in str(rig.out[-1])
+    rig.tick()
+    rig.check(5)
+    rig.page(5, *[A] * (ef.MAX_ENTRIES + 1), last=b"a", more=True)
+    assert rig.at(Phase.RESTING) and rig.follow.rows == []
+
+
+def test_half_the_members_ending_at_once_is_obeyed_and_said() -> None:
+    many = [member(f"s-{i}") for i in range(10)]
+    rig = Rig().watching(5, *many)
+    rig.say(*[(6, m.id) for m in many[:5]])
+    assert rig.said == []
+    rig.say(*[(7, m.id) for m in many[5:7]], fragment=True)
+    rig.say(*[(7, m.id) for m in many[7:]])
+    assert rig.view == {} and ["5 of 5 members ended at once" in text for text in rig.said] == [True]
+
+
+# --- liveness
+
+
+def seconds_until_left(rig: Rig) -> float:
+    """Nothing is answered any more, and nothing closes."""
+    since, used = rig.now, rig.follow.endpoint
+    while not rig.at(Phase.RESTING) and rig.follow.endpoint == used:
+        rig.tick()
+    return (rig.now - since) / 1000
+
+
+@pytest.mark.parametrize("phase", [Phase.ASKING, Phase.LISTING, Phase.OPENING, Phase.WATCHING])
+def test_an_endpoint_that_falls_silent_is_left_within_five_seconds(phase: Phase) -> None:
+    assert seconds_until_left(in_phase(phase)) < 5
+
+
+def test_silence_of_the_watch_says_nothing() -> None:
+    rig = Rig(2).watching(5, A)
+    for _ in range(3600):
+        rig.tick()
+        rig.check(5)
+    assert rig.at(Phase.WATCHING) and rig.said == []
+    assert [type(a) for a in rig.asked].count(ef.Watch) == 1 and rig.out[-1] == Heard("etcd")
+
+
+def test_a_silent_watch_is_asked_for_anew_where_etcd_moves_on() -> None:
+    rig = Rig(2).watching(5, A)
+    while rig.now < 2 * ef.REOPEN_MS and rig.at(Phase.WATCHING):
+        rig.tick()
+        rig.check(6)
+    assert rig.at(Phase.OPENING) and rig.start_of_watch() == 6 and rig.now >= ef.REOPEN_MS / 2
+
+
+def test_two_failed_checks_leave_an_endpoint_and_the_watch_is_taken_up_elsewhere() -> None:
+    rig = Rig(2).watching(5, A)
+    used = rig.follow.endpoint
+    rig.tick()
+    rig.fail(ef.Check)
+    rig.tick()
+    rig.check(5)
+    rig.tick()
+    rig.fail(ef.Check)
+    assert rig.at(Phase.WATCHING)  # one may fail
+    rig.tick()
+    rig.fail(ef.Check)
+    assert ef.Drop(used) in rig.asked
+    rig.tick()
+    rig.check(8)
+    assert rig.last(ef.Watch) == ef.Watch(rig.call(ef.Watch), 1 - used, 6)  # no whole list
+
+
+def test_no_endpoint_answers_the_view_stays_and_back_off_grows() -> None:
+    rig = Rig(3).watching(5, A)
+    rig.fail(ef.Watch)
+    waits = []
+    while rig.now < 60_000:
+        before = rig.now
+        rig.tick()
+        waits.append(rig.now - before)
+        rig.fail(ef.Check)
+    assert [type(e) for e in rig.out] == [Listed, Silenced] and rig.view == {"a": A}
+    assert max(waits) > ef.MOST_MS / 2 and len(waits) < 100
+    while rig.at(Phase.RESTING):
+        rig.tick()
+    rig.check(5)
+    rig.created(5)
+    rig.tick()
+    rig.check(5)
+    assert rig.out[-1] == Heard("etcd")
+
+
+def test_an_endpoint_that_ends_each_watch_at_once_is_not_asked_without_rest() -> None:
+    rig = Rig()
+    rig.watching(5, A)
+    calls = 0
+    while rig.now < 60_000:
+        calls += 1
+        rig.fail(ef.Watch)
+        rig.tick()
+        rig.check(5)
+        rig.created(5)
+    assert calls < 40
+
+
+def test_a_thousand_nodes_do_not_come_back_together() -> None:
+    back = []
+    for seed in range(1000):
+        rig = Rig(3, seed).watching(5, A)
+        rig.now = 10_000.0
+        rig.fail(ef.Watch)
+        while rig.now < 70_000:  # a minute: refused at every endpoint
+            rig.tick()
+            if rig.now < 70_000 and rig.at(Phase.ASKING):
+                for _ in range(3):
+                    rig.fail(ef.Check)
+        back.append(rig.now)
+    back.sort()
+    assert max(sum(1 for t in back if s <= t < s + 1000) for s in back[::20]) < 500
+    assert back[-1] - back[0] > 3000
+
+
+# --- order
+
+
+def test_an_endpoint_that_lags_is_left_and_nothing_of_it_used() -> None:
+    rig = Rig(2).watching(60, A)
+    rig.settled()
+    rig.fail(ef.Watch)
+    rig.tick()
+    rig.check(10)
+    assert rig.at(Phase.ASKING)  # the other one
+    rig.check(60)
+    assert rig.start_of_watch() == 61 and rig.view == {"a": A} and len(rig.listed) == 1
+
+
+def test_a_list_a_watch_and_a_check_that_lag_are_left_too() -> None:
+    for step in ("page", "created", "said", "progress", "check"):
+        rig = Rig(2).watching(60, A)
+        if step == "page":
+            rig.do(ef.WatchCanceled(rig.call(ef.Watch), 60, Trouble.FAILED, ""))
+            rig.page(59)
+        elif step == "created":
+            rig.fail(ef.Watch)
+            rig.tick()
+            rig.check(60)
+            rig.created(59)
+        elif step == "said":
+            rig.say((59, "a"))
+        elif step == "progress":
+            rig.do(ef.WatchProgressed(rig.call(ef.Watch), Position("1", 59)))
+        else:
+            rig.tick()
+            rig.check(59)
+        assert rig.at(Phase.ASKING, Phase.RESTING), step
+        assert rig.view == {"a": A} and rig.follow.seen == 60
+
+
+def test_a_check_that_was_overtaken_by_the_watch_is_not_behind() -> None:
+    rig = Rig(2).watching(60, A)
+    rig.tick()
+    rig.say((61, B))
+    rig.check(60)  # read at etcd before 61 came to be
+    assert rig.at(Phase.WATCHING)
+
+
+def test_a_restored_backup_is_refused_until_the_epoch_is_raised() -> None:
+    rig = Rig(2).watching(60, A)
+    rig.fail(ef.Watch)
+    while not any(isinstance(e, Refused) for e in rig.out):
+        rig.tick()
+        while rig.at(Phase.ASKING):
+            rig.check(20)
+        assert rig.now < 60_000
+    assert rig.now >= ef.BACK_MS and [type(e) for e in rig.out] == [Listed, Silenced, Refused]
+    assert any("`epoch` in [membership.etcd]" in text for text in rig.said)
+    for _ in range(10):
+        rig.tick()
+        while rig.at(Phase.ASKING):
+            rig.check(20)
+    assert len(rig.out) == 3 and rig.view == {"a": A}  # said once
+    anew = Rig(2, epoch=1, seen=("1/0", 60)).watching(20, B)
+    assert anew.listed[0].identity == "1/1" and anew.view == {"b": B}
+
+
+def test_a_backup_that_got_past_the_view_is_taken_as_a_whole_list() -> None:
+    rig = Rig().watching(60, A)
+    rig.fail(ef.Watch)
+    rig.tick()
+    rig.check(20)
+    rig.tick()
+    rig.check(61)
+    assert rig.at(Phase.LISTING)
+    rig.page(61, B)
+    assert rig.view == {"b": B}
+
+
+def test_a_raft_term_that_went_back_shows_a_backup() -> None:
+    rig = Rig().watching(60, A)
+    rig.tick()
+    rig.check(60, term=7)
+    rig.fail(ef.Watch)
+    rig.tick()
+    rig.check(70, term=2)
+    assert rig.at(Phase.LISTING) and "restored" in rig.said[-1]
+
+
+def test_what_was_seen_before_the_start_holds() -> None:
+    rig = Rig(1, seen=("1/0", 60))
+    rig.do(ef.Started())
+    rig.check(59)
+    assert rig.at(Phase.RESTING) and isinstance(rig.out[0], Silenced)
+    rig.tick()
+    rig.check(60)
+    assert rig.at(Phase.LISTING)
+
+
+def test_a_new_cluster_begins_a_new_order_by_a_whole_list() -> None:
+    rig = Rig(1).watching(60, A)
+    rig.fail(ef.Watch)
+    rig.tick()
+    rig.check(3, cluster="2")
+    rig.check(3, cluster="2")
+    assert rig.at(Phase.LISTING) and rig.view == {"a": A}
+    rig.page(3, B, cluster="2")
+    assert rig.listed[-1].identity == "2/0" and rig.view == {"b": B} and rig.start_of_watch() == 4
+
+
+def test_endpoints_of_two_clusters_do_not_make_the_view_flip() -> None:
+    rig = Rig(2).watching(60, A)
+    old, new = rig.follow.endpoint, 1 - rig.follow.endpoint
+    clusters = {old: "1", new: "2"}
+
+    def answer() -> None:
+        rig.check(60, cluster=clusters[rig.follow.endpoint])
+
+    rig.settled()
+    rig.fail(ef.Watch)
+    rig.tick()
+    answer()  # a stranger, while its own cluster is there still
+    answer()
+    assert rig.at(Phase.OPENING) and rig.follow.endpoint == old
+    rig.fail(ef.Watch)
+    answer()
+    rig.fail(ef.Check)  # its own cluster is away
+    answer()
+    rig.page(60, B, cluster="2")
+    rig.created(60, cluster="2")
+    assert rig.view == {"b": B}
+    rig.fail(ef.Watch)  # from here on the old cluster is left behind
+    for _ in range(20):
+        if rig.at(Phase.RESTING):
+            rig.tick()
+        if rig.follow.endpoint == old:
+            answer()
+        else:
+            rig.fail(ef.Check)
+    assert rig.view == {"b": B} and len(rig.listed) == 2 and isinstance(rig.out[-1], Silenced)
+
+
+def test_another_cluster_in_the_middle_of_a_list_or_watch_is_left() -> None:
+    for step in ("page", "created", "check"):
+        rig = Rig(2).watching(60, A)
+        rig.do(ef.WatchCanceled(rig.call(ef.Watch), 60, Trouble.FAILED, ""))
+        if step == "page":
+            rig.page(70, B, cluster="2")
+        else:
+            rig.page(70, A)
+            rig.created(70, cluster="2" if step == "created" else "1")
+            if step == "check":
+                rig.tick()
+                rig.check(70, cluster="2")
+        assert rig.at(Phase.ASKING, Phase.RESTING) and "b" not in rig.view
+
+
+# --- auth
+
+
+def test_a_stale_token_is_renewed_once() -> None:
+    rig = Rig()
+    rig.do(ef.Started())
+    rig.fail(ef.Check, Trouble.STALE_TOKEN)
+    assert rig.at(Phase.ASKING) and len(rig.asked) == 2
+    rig.fail(ef.Check, Trouble.STALE_TOKEN)
+    assert rig.at(Phase.RESTING) and isinstance(rig.out[-1], Refused)
+    rig.tick()
+    rig.check(5)
+    rig.fail(ef.Range, Trouble.STALE_TOKEN)
+    rig.page(5, A)
+    rig.created(5)
+    rig.tick()
+    rig.check(5)
+    rig.do(ef.WatchCanceled(rig.call(ef.Watch), 0, Trouble.STALE_TOKEN, "x"))
+    assert rig.at(Phase.OPENING) and rig.start_of_watch() == 6
+
+
+def test_who_is_not_let_in_anywhere_is_told_so() -> None:
+    rig = Rig(2)
+    rig.do(ef.Started())
+    rig.fail(ef.Check, Trouble.DENIED)
+    rig.fail(ef.Check, Trouble.FAILED)
+    assert isinstance(rig.out[-1], Silenced)
+    rig.tick()
+    rig.fail(ef.Check, Trouble.DENIED)
+    rig.fail(ef.Check, Trouble.DENIED)
+    assert isinstance(rig.out[-1], Refused) and "lets this node in" in rig.out[-1].reason
+
+
+# --- a model of etcd, with faults
+
+
+class Cluster:
+    """Revisions and what changed in each; one key changes at most once in a revision, as in etcd."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.log: list[dict[str, Member | None]] = [{}, {}]  # index is the revision; etcd's first is 1
+        self.states: list[dict[str, Member]] = [{}, {}]
+        self.compacted = 0
+
+    @property
+    def revision(self) -> int:
+        return len(self.log) - 1
+
+    def commit(self, changes: dict[str, Member | None]) -> None:
+        state = dict(self.states[-1])
+        for name, value in changes.items():
+            if value is None:
+                state.pop(name, None)
+            else:
+                state[name] = value
+        self.log.append(changes)
+        self.states.append(state)
+
+    def copy(self, revision: int) -> Cluster:
+        """A backup of that revision, restored."""
+        out = Cluster(self.name)
+        out.log, out.states = self.log[: revision + 1], self.states[: revision + 1]
+        out.compacted = min(self.compacted, revision)
+        return out
+
+
+@dataclass
+class Endpoint:
+    cluster: Cluster
+    mode: str = "up"  # up, down (refuses), frozen (says nothing)
+    lag: int = 0
+
+    @property
+    def revision(self) -> int:
+        return max(1, self.cluster.revision - self.lag)
+
+    @property
+    def position(self) -> Position:
+        return Position(self.cluster.name, self.revision, 2)
+
+
+@dataclass
+class Stream:
+    call: int
+    endpoint: Endpoint
+    next: int
+    part: int = 0  # changes of revision `next` already sent
+    cluster: Cluster = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.cluster = self.endpoint.cluster
+
+
+class World:
+    """Carries out a follower's actions on model endpoints, some simulated milliseconds later."""
+
+    def __init__(self, seed: int, endpoints: int) -> None:
+        self.rng = random.Random(seed)
+        self.clusters = [Cluster("1")]
+        self.endpoints = [Endpoint(self.clusters[0]) for _ in range(endpoints)]
+        self.follow = EtcdFollow("etcd", endpoints, random.Random(seed))
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Callable[[], ef.Event | None]]] = []
+        self.count = 0
+        self.stream: Stream | None = None
+        self.view: dict[str, Member] = {}
+        self.latest: dict[str, int] = {}
+        self.identity = ""
+        self.healthy = False
+
+    def later(self, wait: float, make: Callable[[], ef.Event | None]) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (self.now + wait, self.count, make))
+
+    def run(self, until: float) -> None:
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, make = heapq.heappop(self.queue)
+            if (event := make()) is not None:
+                self.handle(event)
+        self.now = until
+
+    def handle(self, event: ef.Event) -> None:
+        for action in self.follow.handle(self.now, event):
+            match action:
+                case ef.SetTimer():
+                    token = action.token
+                    self.later(action.at_ms - self.now, lambda token=token: ef.TimerFired(token))  # type: ignore[misc]
+                case Deliver(event=Listed() as listed):
+                    self.apply(listed)
+                case ef.CloseWatch() | ef.Drop():
+                    self.stream = None
+                case ef.Check() | ef.Range() | ef.Watch():
+                    self.ask(action)
+
+    # --- what etcd does
+
+    def ask(self, action: ef.Check | ef.Range | ef.Watch) -> None:
+        endpoint, wait = self.endpoints[action.endpoint], self.rng.uniform(1, 20)
+        if endpoint.mode == "down":
+            self.later(wait, lambda: CallFailed(action.call, Trouble.FAILED, "refused"))
+        elif endpoint.mode == "up":
+            if isinstance(action, ef.Watch):
+                self.stream = stream = Stream(action.call, endpoint, action.start_revision)
+                assert action.start_revision <= endpoint.revision + 1 or endpoint.lag or not self.healthy
+                self.later(wait, lambda: self.create(stream))
+            else:
+                # The answer is of some moment between the question and its arrival.
+                self.later(wait, lambda: self.answer(action, endpoint))
+
+    def answer(self, action: ef.Check | ef.Range, endpoint: Endpoint) -> ef.Event | None:
+        cluster, position = endpoint.cluster, endpoint.position
+        if endpoint.mode != "up":
+            return CallFailed(action.call, Trouble.FAILED, "cut") if endpoint.mode == "down" else None
+        event: ef.Event
+        if isinstance(action, ef.Check):
+            event = ef.CheckAnswered(action.call, position)
+        else:
+            revision = action.revision or position.revision
+            if revision < cluster.compacted or revision > position.revision:
+                event = CallFailed(action.call, Trouble.COMPACTED, "compacted")
+            else:
+                names = sorted(n for n in cluster.states[revision] if n.encode() > action.after_key)
+                some = names[: self.rng.randint(1, 3)]
+                rows = tuple(cluster.states[revision][n] for n in some)
+                last = some[-1].encode() if some else b""
+                event = ef.PageAnswered(action.call, position, rows, last, len(some) < len(names))
+        self.later(self.rng.uniform(0, 10), lambda: event)
+        return None
+
+    def create(self, stream: Stream) -> ef.Event | None:
+        if stream is not self.stream or stream.endpoint.mode != "up":
+            return None
+        self.later(5, lambda: self.speak(stream))
+        return ef.WatchCreated(stream.call, stream.endpoint.position)
+
+    def speak(self, stream: Stream) -> ef.Event | None:
+        """What a watch says next: events, cut anywhere, and whatever the faults make of them."""
+        endpoint, rng = stream.endpoint, self.rng
+        if stream is not self.stream:
+            return None
+        if endpoint.mode == "down" or endpoint.cluster is not stream.cluster:
+            return CallFailed(stream.call, Trouble.FAILED, "cut")
+        self.later(rng.uniform(1, 60), lambda: self.speak(stream))
+        if endpoint.mode == "frozen":
+            return None
+        if stream.next <= stream.cluster.compacted:
+            return ef.WatchCanceled(stream.call, stream.cluster.compacted, Trouble.FAILED, "")
+        at, fault = endpoint.position, 1.0 if self.healthy else rng.random()
+        if fault < 0.02:
+            return CallFailed(stream.call, rng.choice([Trouble.SPOILED, Trouble.FAILED]), "fault")
+        replayed = range(max(1, stream.next - rng.randint(1, 20)), stream.next) if fault < 0.1 else range(0)
+        old = [ef.Change(r, stream.cluster.log[r][n] or n) for r in replayed for n in stream.cluster.log[r]]
+        new = [
+            ef.Change(r, stream.cluster.log[r][n] or n)
+            for r in range(stream.next, at.revision + 1)
+            for n in sorted(stream.cluster.log[r])[stream.part if r == stream.next else 0 :]
+        ]
+        if not new:
+            quiet = stream.part == 0 and rng.random() < 0.2
+            return ef.WatchProgressed(stream.call, at) if quiet else None
+        cut = rng.randint(1, len(new)) if rng.random() < 0.5 else len(new)
+        rest = new[cut:]
+        if rest:
+            first = rest[0].revision
+            stream.part = (stream.part if first == stream.next else 0) + sum(
+                1 for c in new[:cut] if c.revision == first
+            )
+            stream.next = first
+        else:
+            stream.next, stream.part = at.revision + 1, 0
+        sent = old + new[:cut]
+        return ef.WatchSaid(stream.call, at, tuple(sent), bool(rest))
+
+    # --- what was delivered
+
+    def apply(self, event: Listed) -> None:
+        listing = event.listing
+        assert listing.revision >= self.latest.get(event.identity, 0), "an order went back"
+        self.latest[event.identity] = listing.revision
+        if listing.complete:
+            self.view = {}
+        else:
+            assert event.identity == self.identity, "changes of an order that has not begun"
+        self.identity = event.identity
+        for name in listing.removed:
+            self.view.pop(name, None)
+        self.view |= {m.id: m for m in listing.members}
+        cluster = next(c for c in reversed(self.clusters) if f"{c.name}/0" == event.identity)
+        now, before = cluster.states[listing.revision], cluster.states[listing.revision - 1]
+        if self.follow.whole >= listing.revision or listing.complete:
+            assert self.view == now
+        for name in self.view.keys() | now.keys():
+            assert self.view.get(name) in (now.get(name), before.get(name))
+
+    # --- faults
+
+    def write(self) -> None:
+        cluster = self.endpoints[0].cluster
+        names = self.rng.sample("abcdefghij", self.rng.randint(1, 5))
+        changes = {n: None if self.rng.random() < 0.4 else member(n, self.rng.randint(1, 9)) for n in names}
+        held = cluster.states[-1]
+        cluster.commit({n: v for n, v in changes.items() if v is not None or n in held})
+
+    def fault(self, kind: int) -> None:
+        endpoint = self.rng.choice(self.endpoints)
+        cluster = endpoint.cluster
+        if kind < 3:
+            endpoint.mode = ("up", "down", "frozen")[kind]
+        elif kind == 3:
+            endpoint.lag = self.rng.choice([0, 0, 5, 50])
+        elif kind == 4:
+            cluster.compacted = max(cluster.compacted, cluster.revision - self.rng.randint(0, 3))
+        elif kind == 5 and len(self.clusters) < 4:
+            self.clusters.append(Cluster(str(len(self.clusters) + 1)))
+            for each in self.endpoints:
+                each.cluster = self.clusters[-1]
+        for _ in range(self.rng.randint(0, 6)):
+            self.write()
+
+
+STEPS = st.lists(st.tuples(st.integers(0, 8), st.integers(1, 4000)), max_size=25)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.integers(0, 10_000), st.integers(1, 3), STEPS)
+def test_what_is_delivered_is_a_state_that_etcd_had(
+    seed: int, endpoints: int, steps: list[tuple[int, int]]
+) -> None:
+    world = World(seed, endpoints)
+    world.handle(ef.Started())
+    for kind, wait in steps:
+        world.fault(kind)
+        world.run(world.now + wait)
+    world.healthy = True
+    for endpoint in world.endpoints:
+        endpoint.mode, endpoint.lag = "up", 0
+    world.run(world.now + 30_000)
+    assert world.follow.phase is Phase.WATCHING and world.follow.told is ef.Told.WELL
+    assert world.view == world.endpoints[0].cluster.states[-1]
