--- a/dillport/decide/etcd_follow.py
+++ b/dillport/decide/etcd_follow.py
@@ -549,7 +549,7 @@
             self.cluster, self.term, self.members = self.talking, 0, set()
         before = self.members
         self.members = {m.id for m in listing.members} | {f.key for f in listing.faults if f.key in before}
-        self._loud(len(before), len(before - self.members), revision)
+        self._loud(len(before), 0, len(before - self.members), revision)
         self.seen = self.whole = revision
         self.need_list, self.adopting = False, ""
         self._deliver(Listed(self.source, self.identity, listing))
@@ -596,8 +596,7 @@
             gone = self.members.intersection(listing.removed)
             self.members -= gone
             self.members.update(m.id for m in listing.members)
-            if 2 * ended <= before:
-                self._loud(before, ended + len(gone), newest)
+            self._loud(before, ended, len(gone), newest)
             self.chain = before, ended + len(gone)
             self._deliver(Listed(self.source, self.identity, listing))
         if event.fragment:
@@ -771,9 +770,10 @@
         self.told = Told.WELL
         self._out.append(Deliver(event))
 
-    def _loud(self, before: int, ended: int, revision: int) -> None:
+    def _loud(self, before: int, already: int, more: int, revision: int) -> None:
         """An empty fleet may be what an outage of etcd made of its leases; the rule on drains says obey."""
-        if ended >= LOUD_LEAST and 2 * ended > before:
+        ended, most = already + more, max(LOUD_LEAST, before // 2 + 1)
+        if already < most <= ended:
             text = f"{ended} of {before} members ended at once, by revision {revision}; obeyed"
             self._say("warning", text)
 
