--- a/dillport/proto/etcd_watch.py
+++ b/dillport/proto/etcd_watch.py
@@ -389,12 +389,23 @@
         if self._complete or self._fault is not None or self.ended:
             return
         if self.kind is Kind.WATCH and self._status == 200:
-            self._finish()
+            try:
+                json.loads(b"".join(self._line) or b"{}")
+            except (ValueError, RecursionError):
+                self._line.clear()
+                self._break(Why.CUT_SHORT, "the connection ended within a line")
+            else:
+                self._finish()  # a server that ends puts no newline behind its error, nor always a last chunk
         elif self._status and self._size and not self._parser.should_keep_alive():
             self._finish()  # an answer without a length ends with its connection
         else:
             self._break(Why.CUT_SHORT, "the connection ended before the answer")
 
+    @property
+    def pending(self) -> bool:
+        """Whether a `pull` has something to read already."""
+        return bool(self._events or self._lines) and not self.ended
+
     def pull(self) -> Message | None:
         """The next message, or None where more bytes are needed."""
         while not self.ended:
@@ -402,7 +413,7 @@
                 return self._guard(self._next_events)
             if self._lines:
                 line = self._lines.popleft()
-                if line.strip():
+                if line.strip() or self._status != 200 or self.kind is not Kind.WATCH:
                     return self._guard(self._read, line)
                 continue
             if self._fault is not None:
