Switch etcd on by the operators' file, and off and over on SIGHUP

[membership.etcd] starts a second source beside the platform's list; a table that goes takes all it said with it, one that changes begins where the old one was and never behind it. The platform's word on address and weight goes first.

A control socket that cannot be made no longer keeps a node from serving: one that still drains may hold the path. It is tried again every 2 s.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -409,6 +409,8 @@
         return touched
 
     def _mass(self, source: Source, gone: int, before: int) -> None:
+        if source.pieces:
+            return  # whoever puts the pieces together says so
         if gone >= LOUD_LEAST and 2 * gone > before:
             text = f"{source.name}: {gone} of {before} backends removed at once; obeyed"
             self._out.append(Say(text, loud=True))
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
@@ -19,16 +20,18 @@
 from dillport.decide.membership import Listed, Source
 from dillport.net.config import Config, ConfigError, load
 from dillport.net.control import Control, ControlError
-from dillport.net.fleet import Fleet
+from dillport.net.fleet import EtcdPart, Fleet
 from dillport.net.front import Front
 from dillport.net.node import Node
 from dillport.net.reload import reread
 from dillport.net.sources import platform
+from dillport.net.sources.etcd import EtcdSource
 from dillport.net.sources.platform import PlatformSource
 from dillport.operators import ControlSettings, Operators
 
 LOG_LINES, LOG_TIME = 50, 10.0  # at most so many lines in so many seconds
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
+CONTROL_RETRY = 2.0  # s until a control socket that could not be made is tried again
 LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
 
 
@@ -64,13 +67,11 @@
 class OperatorsPart:
     """What follows from the operators' file while the node runs. `path` is None where there is no file."""
 
-    def __init__(self, path: Path | None, operators: Operators, control: Control) -> None:
-        self.path, self.operators, self.control = path, operators, control
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> None:
-        """Carry out what is on; raises ControlError."""
-        await self.control.listen(_socket(self.operators.control))
+    def __init__(self, path: Path | None, operators: Operators, control: Control, etcd: EtcdPart) -> None:
+        self.path, self.operators, self.control, self.etcd = path, operators, control, etcd
+        self._etcd(operators)
+        self._changed = asyncio.Event()
+        self._task = asyncio.get_running_loop().create_task(self._keep())
 
     def reload(self) -> None:
         """Read the file again; a bad one changes nothing."""
@@ -79,15 +80,42 @@
 
     def apply(self, new: Operators) -> None:
         """Carry out other settings than those before."""
-        task = asyncio.get_running_loop().create_task(self._move(_socket(new.control)))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self.operators = new
+        self._etcd(new)
+        self._changed.set()
 
-    async def _move(self, path: Path | None) -> None:
+    def _etcd(self, operators: Operators) -> None:
         try:
-            await self.control.listen(path)
-        except ControlError as err:
-            logging.error("reload: the control socket stays at %s: %s", self.control.path, err)
+            self.etcd.apply(operators.membership.etcd)
+        except ValueError as err:  # the file was well when it was checked, a moment ago
+            logging.error("etcd: %s; what was there before goes on", err)
+
+    async def close(self) -> None:
+        """Switch off what is on."""
+        self.etcd.stop()
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self.control.close()
+
+    async def _keep(self) -> None:
+        """Keep the control socket where it is wanted, and try again while that fails.
+
+        Guards against a node that does not serve because one that still drains holds the path.
+        """
+        said = ""
+        while True:
+            self._changed.clear()
+            wait = None
+            try:
+                await self.control.listen(_socket(self.operators.control))
+            except ControlError as err:
+                wait = CONTROL_RETRY
+                if said != str(err):
+                    logging.error("control: %s; it is tried again every %g s", err, wait)
+                said = str(err)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait):
+                    await self._changed.wait()
 
 
 def _socket(settings: ControlSettings | None) -> Path | None:
@@ -101,7 +129,8 @@
     """
     loop = asyncio.get_running_loop()
     node = Node(config)
-    fleet = Fleet(node, [Source(platform.NAME)])
+    listed = Source(platform.NAME)
+    fleet = Fleet(node, [listed])
     node.discovery = discovery = PlatformSource(
         config.discovery, config.settings.must_ask, node.now, fleet.hand,
         lambda: fleet.resume(platform.NAME), node.list_failed,
@@ -109,20 +138,21 @@
     front = Front(node, config.client_sockets)
     control = Control()
     control.register("members", fleet.report)
-    part = OperatorsPart(path, operators or Operators(), control)
+    etcd = EtcdPart(fleet, (listed,), lambda settings, seen: EtcdSource(settings, fleet.hand, seen=seen))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
 
+    fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
+    if not config.settings.must_ask:
+        discovery.watch(True)
+    part = OperatorsPart(path, operators or Operators(), control, etcd)
+
     def hangup() -> None:
         reload(discovery)
         part.reload()
 
     loop.add_signal_handler(signal.SIGHUP, hangup)
-    fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
-    await part.start()
-    if not config.settings.must_ask:
-        discovery.watch(True)
     try:
         await front.listen(config.listen)
         gc.freeze()
@@ -135,7 +165,7 @@
         discovery.watch(False)
         node.pool.close()
     finally:
-        await control.close()
+        await part.close()
     await asyncio.sleep(0.05)  # the last answers leave
     logging.info("%s ends", config.name)
 
@@ -146,9 +176,6 @@
     logging.getLogger().handlers[0].addFilter(Brake())
     try:
         uvloop.run(serve(config, path, operators))
-    except ControlError as err:
-        print(f"dillport: control: {err}", file=sys.stderr)
-        return 2
     except OSError as err:
         print(f"dillport: listen: {err}", file=sys.stderr)
         return 2
--- a/dillport/net/control.py
+++ b/dillport/net/control.py
@@ -67,7 +67,12 @@
                 sock = _bound(path)
                 found = path.stat()
                 made = found.st_dev, found.st_ino
-                server = await asyncio.start_unix_server(self._client, sock=sock, limit=MAX_LINE)
+                try:
+                    server = await asyncio.start_unix_server(self._client, sock=sock, limit=MAX_LINE)
+                except BaseException:  # cancelled as the node ends
+                    sock.close()
+                    path.unlink(missing_ok=True)
+                    raise
             await self._stop()
             if path is not None:
                 self._server, self._made = server, made
