--- a/dillport/lab/etcd/client.py
+++ b/dillport/lab/etcd/client.py
@@ -60,14 +60,17 @@
 
 
 class Call:
-    """One call on a connection of its own, and its answer as it comes; an async context manager."""
+    """A call on a connection of its own, and its answer as it comes; an async context manager.
+
+    `chunks` holds the answer's chunks as they came, `whole` says that its end was told.
+    """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
         self.code = 0
         self.headers: dict[str, str] = {}
-        self.chunks: list[bytes] = []  # as they came
-        self.whole = False  # the end of the answer was told, not just the connection ended
+        self.chunks: list[bytes] = []
+        self.whole = False
         self._rest = b""
 
     @classmethod
@@ -85,12 +88,25 @@
         url = urlsplit(endpoint)
         secure = context if url.scheme == "https" else None
         reader, writer = await asyncio.open_connection(url.hostname, url.port, ssl=secure, limit=2**24)
+        out = cls(reader, writer)
+        out.ask(path, body, token, method, headers)
+        return out
+
+    def ask(
+        self,
+        path: str,
+        body: object = None,
+        token: str = "",
+        method: str = "POST",
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Send a request, the first on this connection or one more after a whole answer."""
         data = body if isinstance(body, bytes) else json.dumps({} if body is None else body).encode()
-        lines = [f"{method} {path} HTTP/1.1", f"Host: {url.netloc}", f"Content-Length: {len(data)}"]
+        lines = [f"{method} {path} HTTP/1.1", "Host: localhost", f"Content-Length: {len(data)}"]
         lines += [f"Authorization: {token}"] if token else []
         lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
-        writer.write("\r\n".join([*lines, "", ""]).encode("ascii") + data)
-        return cls(reader, writer)
+        self.writer.write("\r\n".join([*lines, "", ""]).encode("ascii") + data)
+        self.code, self.headers, self.whole = 0, {}, False
 
     async def __aenter__(self) -> Self:
         return self
--- a/dillport/lab/etcd/http.py
+++ b/dillport/lab/etcd/http.py
@@ -59,6 +59,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        writer.transport.set_write_buffer_limits(high=0)  # drained means handed to the system
         peer = writer.get_extra_info("peername")
         self.peer: tuple[str, int] = (peer[0], peer[1]) if peer else ("", 0)
 
