--- a/dillport/proto/etcd_watch.py
+++ b/dillport/proto/etcd_watch.py
@@ -29,6 +29,7 @@
 MAX_LINE = 8 * 1024 * 1024  # bytes of one line of a watch, and of a whole answer to any other call
 MAX_HEAD = 16 * 1024  # bytes of a status line with its headers, of trailers, of a chunk's size line
 PAGE = 500  # keys of a page of a range, unless asked otherwise
+LONG = 64 * 1024  # bytes of a line that is worth reading event by event
 SLICE = 250  # events in one message: more of one line come as several, as if etcd had cut them
 
 
@@ -294,6 +295,15 @@
     return Header(str(cluster), str(member), revision, term)
 
 
+def _frame(text: str) -> tuple[dict[str, Any], _Rows | None]:
+    """A long line without its events, and these by themselves, where there are some."""
+    begin, end = EVENTS.search(text), text.rfind("]")
+    if begin is None or end < begin.end():
+        return _object(json.loads(text)), None
+    raw = _object(json.loads(text[: begin.end()] + text[end:]))
+    return raw, _Rows([], text, begin.end(), end)
+
+
 def _kv(raw: object, deleted: bool = False) -> KeyValue:
     """The key and the revision have to be there; a value that is not base64 costs its own key alone."""
     row = _object(raw)
@@ -320,6 +330,41 @@
     return kv
 
 
+DECODER = json.JSONDecoder()
+BETWEEN = re.compile(r"[ \t\r\n]*(,?)[ \t\r\n]*")
+# As a key: inside a text its quotes would be escaped.
+EVENTS = re.compile(r'"events"[ \t\r\n]*:[ \t\r\n]*\[[ \t\r\n]*')
+
+
+class _Rows:
+    """The events of a line, taken some at a time; of a long line they are read no sooner than that.
+
+    Guards against a line of megabytes that would hold up whoever shares the thread: `json` cannot pause.
+    """
+
+    def __init__(self, rows: list[Any], text: str = "", at: int = 0, end: int = 0) -> None:
+        self._rows, self._text, self._at, self._end = rows, text, at, end
+        self._taken = 0
+
+    def __bool__(self) -> bool:
+        return self._taken < len(self._rows) or self._at < self._end
+
+    def take(self, count: int) -> list[Any]:
+        """Up to `count` rows; raises ValueError for what is not JSON."""
+        while len(self._rows) - self._taken < count and self._at < self._end:
+            row, at = DECODER.raw_decode(self._text, self._at)
+            found = BETWEEN.match(self._text, at, self._end)
+            if found is None or bool(found[1]) == (found.end() == self._end):
+                raise ValueError(f"no list of events: char {at}")
+            self._rows.append(row)
+            self._at = found.end()
+        out = self._rows[self._taken : self._taken + count]
+        self._taken += len(out)
+        if self._at < self._end:
+            self._rows, self._taken = [], 0
+        return out
+
+
 class Answer:
     """Reads the answer to one call.
 
@@ -343,7 +388,7 @@
         self._status = 0
         self._complete = False
         self._lines: deque[bytes] = deque()
-        self._events: deque[Any] = deque()  # rows of a line that was begun
+        self._events = _Rows([])  # of a line that was begun
         self._frame: tuple[Header, bool] | None = None  # what goes with them
         self._fault: Broken | None = None
 
@@ -499,19 +544,23 @@
             text = str(err)
         self.ended, self.reusable = True, False
         self._lines.clear()
-        self._events.clear()
+        self._events = _Rows([])
         return Broken(why, text[:120])
 
     def _read(self, line: bytes) -> Message:
         if self._status != 200:
             return self._refused(line)
-        raw = _object(json.loads(line))
+        rows = None
+        if self.kind is Kind.WATCH and len(line) >= LONG:
+            raw, rows = _frame(line.decode("utf-8"))
+        else:
+            raw = _object(json.loads(line))
         if "error" in raw:
             return self._error(raw)
         if self.kind is Kind.RANGE:
             return self._page(raw)
         if self.kind is Kind.WATCH:
-            return self._watch(_object(raw.get("result")))
+            return self._watch(_object(raw.get("result")), rows)
         token = raw.get("token")
         if not isinstance(token, str) or not token or not (token.isascii() and token.isprintable()):
             raise _Shape("the answer to a log-in has no token")
@@ -544,7 +593,7 @@
         more, count = _flag(raw.get("more")), _number(raw.get("count"))
         return RangePage(header, tuple(kvs), more, count, tuple(unreadable))
 
-    def _watch(self, raw: dict[str, Any]) -> Message:
+    def _watch(self, raw: dict[str, Any], later: _Rows | None) -> Message:
         """A watch that is refused is created and canceled in one line: canceled goes first."""
         header = _header(raw.get("header"))
         if _flag(raw.get("canceled")):
@@ -553,9 +602,12 @@
             return WatchCanceled(header, _number(raw.get("compact_revision")), text[:300])
         if _flag(raw.get("created")):
             return WatchCreated(header)
-        if not (rows := _rows(raw.get("events"))):
+        told = _rows(raw.get("events"))
+        if not told and later is None:
             return WatchProgress(header)
-        self._events.extend(rows)
+        if later is not None and "events" not in raw:
+            raise _Shape("there are events where none belong")
+        self._events = later or _Rows(told)
         self._frame = header, _flag(raw.get("fragment"))
         return self._next_events()
 
@@ -563,6 +615,5 @@
         """Some of a line's events. An event without a key may be anyone's removal: it breaks the answer."""
         assert self._frame is not None
         header, fragment = self._frame
-        count = min(SLICE, len(self._events))
-        events = tuple(_event(self._events.popleft()) for _ in range(count))
+        events = tuple(_event(row) for row in self._events.take(SLICE))
         return WatchEvents(header, events, fragment or bool(self._events))
--- a/tests/proto/test_etcd_watch.py
+++ b/tests/proto/test_etcd_watch.py
@@ -192,6 +192,44 @@
     assert message == ew.WatchProgress(HEADER)
 
 
+@pytest.mark.parametrize("cut", [0, 4000])
+def test_a_long_line_is_read_event_by_event(cut: int) -> None:
+    events = [put(b"/m/%d" % i, 5, b"x" * 300) for i in range(400)]
+    whole = {"header": HEAD, "fragment": True, "events": events}
+    plain, spaced = (json.dumps({"result": whole}, indent=i).replace("\n", "").encode() for i in (None, 1))
+    assert len(plain) > ew.LONG
+    for text in (plain, spaced):
+        first, second = said(Kind.WATCH, chunked(text + b"\n"), cut)
+        assert isinstance(first, ew.WatchEvents) and isinstance(second, ew.WatchEvents)
+        keys = [kv.key for kv in first.events + second.events]
+        assert keys == [b"/m/%d" % i for i in range(400)] and first.fragment and second.fragment
+    answer = Answer(Kind.WATCH)
+    head, _, tail = plain.rpartition(b"}}, {")
+    answer.feed(chunked(head + b"}} {" + tail + b"\n"))
+    assert isinstance(answer.pull(), ew.WatchEvents)  # what is wrong further on was not read yet
+    assert isinstance(answer.pull(), ew.Broken)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"result":{"header":H,"events":[E,]}}',
+        '{"result":{"header":H,"events":[E E]}}',
+        '{"result":{"header":H,"events":[E],"more":[1]}}',
+        '{"result":{"header":H},"events":[E]}',
+        '{"result":{"header":H,"events":[E}}',
+        '{"result":{"header":H,"events":[E]}}]',
+        '{"result":{"header":H,"events":{"events":[E]}}}',
+    ],
+)
+def test_a_long_line_that_is_none_of_etcds(text: str) -> None:
+    event = json.dumps(put(b"/m/a", 5, b"x" * ew.LONG))
+    for cut in (0, 5000):
+        data = text.replace("E", event).replace("H", json.dumps(HEAD)).encode()
+        messages = said(Kind.WATCH, chunked(data + b"\n"), cut)
+        assert isinstance(messages[-1], ew.Broken) and messages[-1].why in (Why.NOT_JSON, Why.WRONG_SHAPE)
+
+
 def test_an_unreadable_entry_of_a_page_costs_itself() -> None:
     spoiled = {"key": b64(b"/m/a"), "value": "=!", "mod_revision": "4"}
     rows = [{"key": "!!"}, {}, 7, spoiled, put(b"/m/b", 5)["kv"]]
