--- a/tests/system/test_world.py
+++ b/tests/system/test_world.py
@@ -5,7 +5,7 @@
 import asyncio
 import io
 import json
-import os
+import tempfile
 from pathlib import Path
 
 import pytest
@@ -170,7 +170,10 @@
     assert json.loads(path.read_text().splitlines()[0])["kind"] == "ServerStarted"
 
 
-def test_demo_names_a_breach_and_bad_words(capsys: pytest.CaptureFixture[str]) -> None:
+def test_demo_names_a_breach_and_bad_words(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))  # another demo may run on the machine
     records: list[Record] = [Asked("r9", "r9", "n0", "lookup", "", "t", "f", 1.0, 2.0)]
     records.append(Answered("r9", 500, 200, True, "x"))
     got = judge(records, demo.SITE)
@@ -180,4 +183,4 @@
     with pytest.raises(SystemExit):
         demo.main(["--seconds", "1"])
     assert "--seconds is 1, it has to be 5 or more" in capsys.readouterr().err
-    assert not any(name.startswith("dillport-demo-") for name in os.listdir("/tmp"))
+    assert not any(tmp_path.iterdir())
