--- a/tests/system/test_etcd_conformance.py
+++ b/tests/system/test_etcd_conformance.py
@@ -298,6 +298,7 @@
             await follower.settled()
             used = follower.source.follow.endpoint
             cluster.freeze(used)
+            await asyncio.sleep(0.2)  # a signal takes effect some time after it was sent
             await cluster.put(key("b"), value())
             assert await follower.until(lambda: "b" in follower.view) < LEFT
             assert follower.source.follow.endpoint != used and follower.wholes == 1
