An entry's number too large for a float costs its entry alone

JSON has whole numbers of any length. `size` or `up_since_ms` of 400 digits raised OverflowError, which no reader of lists expects: the platform's watch ended in its callback with lines unread and was never asked for again, etcd's page never came, and one in `known` ended the start. Now it is a fault of its entry. The test failed with OverflowError before.

--- a/dillport/members.py
+++ b/dillport/members.py
@@ -92,7 +92,10 @@
 def _number(value: object, what: str) -> float:
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < math.inf:
         raise ValueError(f"{what} is no number from 0 on: {value!r:.120}")
-    return float(value)
+    try:
+        return float(value)
+    except OverflowError:
+        raise ValueError(f"{what} is too large: {value!r:.120}") from None
 
 
 def member(row: object, name: str | None = None) -> Member:
