An interface behind an IPv6 address is a plain name

The scope of `fe80::1%SCOPE` was taken as it came: line breaks and terminal escapes reached the log with the address, and a long one raised UnicodeError in the look-up at connect, which left the connection counted for good. Now it has 1 to 15 of the characters of a device's name, or costs its entry. All six cases of the test were taken as addresses before.

--- a/dillport/members.py
+++ b/dillport/members.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import math
+import re
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -14,6 +15,7 @@
     "terminating": api.Phase.DRAINING,
     "terminated": api.Phase.GONE,
 }
+_INTERFACE = re.compile(r"[A-Za-z0-9._-]{1,15}")  # Linux allows 15 bytes
 MAX_TEXT = 256  # characters of an id, a zone or a kind: what a list holds has a bound
 
 
@@ -78,7 +80,9 @@
 
 @lru_cache(maxsize=1024)  # many members share a host, and this check is most of what an entry costs
 def _literal(host: str) -> None:
-    ipaddress.ip_address(host)
+    scope = getattr(ipaddress.ip_address(host), "scope_id", None)
+    if scope is not None and not _INTERFACE.fullmatch(scope):
+        raise ValueError(f"{host!r:.120} has no name of an interface behind its %")
 
 
 def _text(value: object, what: str) -> str:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from dillport.members import listing
+from dillport.members import address, listing
 
 GOOD = {"id": "good", "host_port": "127.0.0.1:1", "phase": "in_service"}
 
@@ -16,3 +16,11 @@
     got = listing({"revision": 1, "complete": True, "members": [GOOD, GOOD | {"id": "odd"} | row]})
     assert [one.id for one in got.members] == ["good"]
     assert [fault.key for fault in got.faults] == ["odd"]
+
+
+@pytest.mark.parametrize("scope", ["lo\n2026 ERROR forged", "\x1b[31m", "\0", "x" * 300, "a b", "ä"])
+def test_an_interface_behind_an_address_is_a_plain_name(scope: str) -> None:
+    """Guards the log against a forged line, and a connection against a name that no look-up takes."""
+    assert address("[fe80::1%eth0.1]:80") == ("fe80::1%eth0.1", 80)
+    with pytest.raises(ValueError, match="interface"):
+        address(f"[fe80::1%{scope}]:80")
