A fault of the program in the merge does not end a source

An exception in the membership, or in whoever takes its view, went up through the source that handed the news. The etcd source then left out the rest of what was decided, its timer and its watch with it: it was alive, and did nothing for good. `Fleet.hand` now logs the fault with its traceback and goes on with the next action.

--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -39,17 +39,28 @@
         self.loop = asyncio.get_running_loop()
 
     def hand(self, event: membership.Event) -> None:
-        """An event of a source."""
-        for action in self.membership.handle(self.sink.now(), event):
-            match action:
-                case membership.Apply():
-                    self.sink.apply(action)
-                case membership.Continue():
-                    self.loop.call_soon(self.hand, membership.Continued())
-                case membership.Say():
-                    log.log(logging.WARNING if action.loud else logging.INFO, "%s", action.text)
-                case membership.Reject():
-                    pass  # the sources find out by `resume`, and ask again when their time comes
+        """An event of a source. Never raises: a source in the middle of its work would stay so."""
+        try:
+            actions = self.membership.handle(self.sink.now(), event)
+        except Exception:
+            log.exception("membership: %s failed", type(event).__name__)
+            return
+        for action in actions:
+            try:
+                self._act(action)
+            except Exception:
+                log.exception("membership: %s was not carried out", type(action).__name__)
+
+    def _act(self, action: membership.Action) -> None:
+        match action:
+            case membership.Apply():
+                self.sink.apply(action)
+            case membership.Continue():
+                self.loop.call_soon(self.hand, membership.Continued())
+            case membership.Say():
+                log.log(logging.WARNING if action.loud else logging.INFO, "%s", action.text)
+            case membership.Reject():
+                pass  # the sources find out by `resume`, and ask again when their time comes
 
     def resume(self, name: str) -> int | None:
         """The revision to watch a source from; None: only its whole list will do."""
