A line of discovery that fails in an unforeseen way costs its watch, not the source

An exception other than the three that were foreseen left the callback with lines still waiting, so the call never counted as ended and discovery was not asked again: one entry with a number of 400 digits did that until lately. Now any exception is logged with its traceback and the watch is given up for the whole list, as a bad line is. In the test the second call never came before.

--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -109,7 +109,9 @@
                 if not self.builder.read(SLICE):
                     self.loop.call_soon(self._read)
                     return
-            except (ListError, ValueError, RecursionError) as err:
+            except Exception as err:
+                if not isinstance(err, (ListError, ValueError, RecursionError)):
+                    log.exception("discovery: a line was not read")  # guards the lines behind it
                 # What it said is lost, and later changes do not repeat it: only the whole list will do.
                 self.whole = False
                 self.lines.clear()
