Where nodes ask by themselves, a whole list that brought nothing is asked for again

An answer 200 that holds no list, or a list that does not call itself complete, ended the call as a good one: no watch could go on from it, the module was not told of a failure, and nothing was ever asked again. Now the module hears that the call failed and says when the next one is due. The case of the table that said nothing says so.

--- a/dillport/decide/platform_follow.py
+++ b/dillport/decide/platform_follow.py
@@ -121,7 +121,8 @@
         if event.whole and revision is not None and not event.extra:
             return self._next(revision)
         if self.must_ask:
-            return [] if event.whole else [TellFailed()]
+            # A whole list that was not applied leaves nothing to watch from: it has to be asked for again.
+            return [] if event.whole and event.extra else [TellFailed()]
         if event.extra:
             return []
         self.waiting = True
--- a/tests/decide/test_platform_follow.py
+++ b/tests/decide/test_platform_follow.py
@@ -64,7 +64,7 @@
     ("event", "does"),
     [
         (p.Ended(False), [p.TellFailed()]),
-        (p.Ended(True), []),
+        (p.Ended(True), [p.TellFailed()]),  # it brought nothing that a watch could go on from
         (p.Ended(False, extra=True), [p.TellFailed()]),
         (p.Ended(True, extra=True), []),
     ],
