Take the first list of a source that operators set up anew, of equal revision too

On SIGHUP with another prefix or format the new source lists at once; where etcd was quiet its revision was that of the old prefix, so the list counted as said before: the old prefix's servers stayed in use until etcd restarted its order, and the new one's never came. The rest of a revision that the old source had been told in part was lost the same way, removals included. A source made anew now needs its whole list, and takes one of equal revision. All three tests waited in vain before.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -166,6 +166,7 @@
     name: str
     role: Role = Role.FULL
     pieces: bool = False  # changes of one revision may come in several pieces
+    made: int = 0  # counts how often it was set up anew, maybe for other keys: its first list is news then
     identity: str | None = None
     revision: int | None = None
     state: State = State.UNHEARD
@@ -243,6 +244,8 @@
         for name, source in sources.items():
             self.sources[name] = kept = before.get(name, source)
             kept.role, kept.pieces = source.role, source.pieces
+            if kept.made != source.made:
+                kept.made, kept.spoiled, kept.state = source.made, True, State.SYNCING
             if kept.role is Role.ADD:
                 kept.removed.clear()
         touched = {*self.view, *self.shadowed}
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -95,6 +95,7 @@
         self.fleet, self.others, self.make = fleet, others, make
         self.settings: EtcdSettings | None = None
         self.source: EtcdLike | None = None
+        self._made = 0
 
     def apply(self, settings: EtcdSettings | None) -> None:
         """Switch it on, off or over; what was seen is not gone behind. Raises ValueError: a bad TLS file."""
@@ -106,7 +107,8 @@
         self.settings, self.source = settings, source
         sources = self.others
         if settings is not None:
-            sources = (*sources, Source(ETCD, Role(settings.role), pieces=True))
+            self._made += 1
+            sources = (*sources, Source(ETCD, Role(settings.role), pieces=True, made=self._made))
         self.fleet.hand(membership.Configured(sources))
         if source is not None:
             source.start()
--- a/tests/net/test_fleet.py
+++ b/tests/net/test_fleet.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import logging
+from dataclasses import replace
+from typing import Any
 
 import pytest
 
 from dillport.decide.etcd_follow import EtcdConfig
 from dillport.decide.membership import Apply, Source
 from dillport.members import Member
-from dillport.net.fleet import ETCD, Fleet
+from dillport.net.fleet import ETCD, EtcdPart, Fleet
 from dillport.net.sources.etcd import EtcdSource
-from tests.net.test_etcd_source import WAIT, Gateway, run, until, value
+from dillport.operators import EtcdSettings
+from tests.net.test_etcd_source import WAIT, Gateway, b64, run, until, value
 
 
 class Sink:
@@ -57,3 +60,49 @@
     with caplog.at_level(logging.ERROR):
         run(test)
     assert "ZeroDivisionError" in caplog.text
+
+
+@pytest.mark.parametrize("change", [{"prefix": "/other/"}, {"format": "grpc-naming"}])
+def test_another_prefix_or_format_of_a_quiet_etcd_is_taken_at_once(change: dict[str, Any]) -> None:
+    """Guards against a list that was not taken as its revision is not newer than that of the other prefix."""
+
+    async def test() -> None:
+        gateway, sink = await Gateway().start(), Sink()
+        gateway.keys = {b"/m/a": value()}
+        fleet = Fleet(sink, [Source("platform")])
+        others = (Source("platform"),)
+        part = EtcdPart(fleet, others, lambda config, seen: EtcdSource(config, fleet.hand, seen=seen))
+        settings = EtcdSettings(endpoints=(gateway.url,), prefix="/m/")
+        part.apply(settings)
+        await until(lambda: list(sink.view) == ["a"])
+        gateway.keys = {b"/other/b": value(2), b"/m/c": b'{"Op":0,"Addr":"10.0.0.1:3"}'}
+        part.apply(replace(settings, **change))
+        await until(lambda: "a" not in sink.view)
+        await until(lambda: len(sink.view) == 1)
+        part.stop()
+        gateway.stop()
+
+    run(test)
+
+
+def test_the_rest_of_a_revision_is_not_lost_with_the_source_that_was_told_its_beginning() -> None:
+    async def test() -> None:
+        gateway, sink = await Gateway().start(), Sink()
+        gateway.keys = {b"/m/a": value(), b"/m/b": value(2)}
+        fleet = Fleet(sink, [])
+        part = EtcdPart(fleet, (), lambda config, seen: EtcdSource(config, fleet.hand, seen=seen))
+        settings = EtcdSettings(endpoints=(gateway.url,), prefix="/m/")
+        part.apply(settings)
+        await until(lambda: len(sink.view) == 2)
+        async with asyncio.timeout(WAIT):
+            stream = await gateway.streams.get()
+        gateway.keys, gateway.revision = {}, 11
+        ended = {"type": "DELETE", "kv": {"key": b64(b"/m/a"), "mod_revision": "11"}}
+        stream.line(events=[ended], fragment=True)
+        await until(lambda: list(sink.view) == ["b"])
+        part.apply(replace(settings, endpoints=(gateway.url.replace("127.0.0.1", "localhost"),)))
+        await until(lambda: not sink.view)
+        part.stop()
+        gateway.stop()
+
+    run(test)
