What an etcd endpoint says of an error stays on one line of the log

The text of an error and the reason of a cancelled watch went into the log as they came: whoever answers in etcd's place could forge lines of the log and drive the terminal it is read on. Now such a text is escaped. Both cases of the test had the raw text before.

--- a/dillport/proto/etcd_watch.py
+++ b/dillport/proto/etcd_watch.py
@@ -243,6 +243,11 @@
     """JSON, but not etcd's."""
 
 
+def _plain(text: str) -> str:
+    """What an endpoint says, for the log: on one line, without what a terminal would obey."""
+    return text[:300] if text[:300].isprintable() else ascii(text[:300])
+
+
 def _number(value: object) -> int:
     """A 64-bit number, which the gateway writes as text; one that was left out is 0."""
     if value is None:
@@ -581,7 +586,7 @@
         text = about.get("message") or (inner if isinstance(inner, str) else "")
         if not isinstance(text, str) or (code is not None and not isinstance(code, int)):
             raise _Shape(f"no error of etcd's: {raw!r:.60}")
-        return GatewayError(code or 0, text[:300], self._status)
+        return GatewayError(code or 0, _plain(text), self._status)
 
     def _page(self, raw: dict[str, Any]) -> RangePage:
         header, kvs, unreadable = _header(raw.get("header")), [], []
@@ -599,7 +604,7 @@
         if _flag(raw.get("canceled")):
             reason = raw.get("cancel_reason", "")
             text = reason if isinstance(reason, str) else ""
-            return WatchCanceled(header, _number(raw.get("compact_revision")), text[:300])
+            return WatchCanceled(header, _number(raw.get("compact_revision")), _plain(text))
         if _flag(raw.get("created")):
             return WatchCreated(header)
         told = _rows(raw.get("events"))
--- a/tests/proto/test_etcd_watch.py
+++ b/tests/proto/test_etcd_watch.py
@@ -129,6 +129,19 @@
     assert flags == ([expected] if expected else [])
 
 
+@pytest.mark.parametrize(
+    ("kind", "data"),
+    [
+        (Kind.RANGE, sized(error(2, "gone\nERROR forged \x1b[31m"), "500 Oh")),
+        (Kind.WATCH, chunked(line(canceled=True, cancel_reason="gone\nERROR forged \x1b[31m") + b"\n")),
+    ],
+)
+def test_what_an_endpoint_says_stays_on_one_line_of_the_log(kind: Kind, data: bytes) -> None:
+    (message,) = said(kind, data)
+    text = message.text if isinstance(message, ew.GatewayError) else getattr(message, "reason", "")
+    assert "gone" in text and "forged" in text and text.isprintable()
+
+
 def test_a_log_in_hides_its_token() -> None:
     (message,) = said(Kind.LOGIN, sized({"header": HEAD, "token": "sqTUuRHeDKjcScot.23"}))
     assert isinstance(message, ew.Authenticated) and message.token == "sqTUuRHeDKjcScot.23"
