A certificate or key renewed in its place is a change on SIGHUP

Settings are compared by what the operators' file says, and a renewed certificate has the path of the old one: SIGHUP said that nothing changed, and the node went on with the old certificate until it ran out. The settings now hold a digest of the three files, which no repr shows; another one is another setting, as a new password is. The test renews a certificate and saw no change before.

--- a/dillport/operators.py
+++ b/dillport/operators.py
@@ -13,13 +13,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import difflib
+import hashlib
 import ipaddress
 import os
 import re
 import reprlib
 import tomllib
-from collections.abc import Callable, Iterator, Mapping, Set
+from collections.abc import Callable, Iterable, Iterator, Mapping, Set
 from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Annotated, Any, TypeVar, cast, get_args, get_origin, get_type_hints
@@ -347,6 +349,7 @@
     epoch: Annotated[int, whole(0)] = 0
     role: Annotated[str, choice("full", "add", "remove")] = "full"
     password: str = field(default="", repr=False)
+    certificates: str = field(default="", repr=False)  # a digest: they are renewed in their place
 
     @classmethod
     def together(cls, values: dict[str, Any], given: Set[str], at: At) -> None:
@@ -363,6 +366,7 @@
                     at.key(one).fault(f"no {other} beside it", "both or neither")
         if schemes == {"https"}:
             _certificates(values.get("ca"), values.get("cert"), values.get("key"), at)
+        values["certificates"] = _digest(values.get(name) for name in ("ca", "cert", "key"))
         if "password_file" in values:
             values["password"] = _secret(values["password_file"], at.key("password_file"))
 
@@ -397,6 +401,17 @@
         at.key("cert").fault(f"files that cannot be loaded ({_reason(err)})", allowed)
 
 
+def _digest(paths: Iterable[Path | None]) -> str:
+    """What is in the files, as a text of no use to anybody else; empty without a file."""
+    out, found = hashlib.sha256(), False
+    for path in paths:
+        if path is not None:
+            found = True
+            with contextlib.suppress(OSError), path.open("rb") as file:
+                out.update(hashlib.file_digest(file, "sha256").digest())
+    return out.hexdigest() if found else ""
+
+
 def _reason(err: Exception) -> str:
     return getattr(err, "reason", None) or getattr(err, "strerror", None) or str(err) or type(err).__name__
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -44,7 +44,7 @@
     lines = path.read_text(encoding="utf-8").splitlines()
     keys = [line.removeprefix("# ") for line in lines if re.match(r"# (\[|\w+ = )", line)]
     told: Any = tomllib.loads("\n".join(keys))
-    assert set(told["membership"]["etcd"]) == {f.name for f in fields(EtcdSettings) if f.name != "password"}
+    assert set(told["membership"]["etcd"]) == {f.name for f in fields(EtcdSettings) if f.repr}
     assert set(told["control"]) == {f.name for f in fields(ControlSettings)}
     bare = EtcdSettings()
     for name in ("endpoints", "prefix", "format", "epoch", "role"):
@@ -307,3 +307,19 @@
     assert changes(old, old) == []
     assert changes(old, Operators()) == ["membership.etcd is off"]
     assert changes(Operators(), old)[0].startswith("membership.etcd is on: etcd at http://127.0.0.1:2379")
+
+
+def test_a_certificate_renewed_in_its_place_is_a_change(folder: Path, tmp_path: Path) -> None:
+    """Guards against a node that goes on with a certificate until it runs out, as its path is the same."""
+    for name in ("tls.crt", "tls.key"):
+        (tmp_path / name).write_bytes((folder / name).read_bytes())
+    told = etcd(endpoints=["https://a:1"], ca="tls.crt", cert="tls.crt", key="tls.key")
+    old = parse(told, tmp_path)
+    assert changes(old, parse(told, tmp_path)) == []
+    subprocess.run(
+        [real_program("openssl"), "req", "-x509", "-key", "tls.key", "-subj", "/CN=localhost", "-days", "3",
+         "-out", "tls.crt"], cwd=tmp_path, check=True, capture_output=True,
+    )  # fmt: skip
+    new = parse(told, tmp_path)
+    assert changes(old, new) == ["membership.etcd.certificates changed"] and old != new
+    assert new.membership.etcd is not None and new.membership.etcd.certificates not in repr(new)
