A removal is not forgotten while another source still lists the server

Of 30,000 servers that both sources list and etcd removes at once, the first 10,000 removals were forgotten by the bound of 20,000, and so 10,000 removed servers went on getting work by the platform's word. The bound now holds for those whom nobody else lists. The test of the bound asked for the old behaviour; it now asks that the view is empty, and that the bound holds once the other source has let go.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -27,7 +27,7 @@
 from dillport.members import Address, Fault, Listing, Member
 
 SLICE = 500  # entries of a whole list that are looked at in one go
-MAX_REMOVED = 20_000  # removals remembered a source, while there are others; the oldest is forgotten first
+MAX_REMOVED = 20_000  # removals remembered a source beside those of whom another source lists
 MAX_FAULTS = 1000  # unreadable entries shown a source; further ones are counted
 LOUD_LEAST = 4  # removals at once, over half of what the source listed, that are worth a line of their own
 
@@ -388,8 +388,12 @@
                 source.removed.pop(name, None)
                 source.removed[name] = None
             out.append(name)
-        while len(source.removed) > MAX_REMOVED:
-            del source.removed[next(iter(source.removed))]
+        for name in list(islice(source.removed, 2 * len(out))):
+            if len(source.removed) <= MAX_REMOVED:
+                break
+            del source.removed[name]
+            if any(name in other.members or name in other.pending for other in self.sources.values()):
+                source.removed[name] = None  # it would be used again; its turn comes when nobody lists it
         return out
 
     def _unreadable(self, source: Source, faults: Iterable[Fault]) -> list[str]:
