Use a server whose list was under way and whose entry cannot be read in the next

Of a whole list that waited in slices, an entry that the next list spoiled became the source's last good one, and nobody looked at it: the server stayed unused until something else was said of it. The test had it missing before.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -324,9 +324,11 @@
         gone = [name for name in listed if name not in named and name not in unread]
         gone += [name for name in listing.removed if name not in listed]
         source.revision, source.spoiled, source.faults = listing.revision, False, {}
-        self._take(source, [last for name, last in source.pending.items() if name in unread])
+        kept = [last for name, last in source.pending.items() if name in unread]
+        self._take(source, kept)
         source.pending, before = {}, len(listed)
-        touched = self._remove(source, gone)
+        touched = [last.entry.backend for last in kept]
+        touched += self._remove(source, gone)
         touched += self._unreadable(source, listing.faults)
         for name, member in named.items():
             if member.entry.phase is not Phase.UP:
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -582,3 +582,13 @@
     rig.list("platform", changes(2, removed=tuple(names[1:])))
     assert rig.view == {names[0]: "up"} and not rig.membership.shadowed
     assert resolved < 10 * count
+
+
+def test_a_backend_whose_list_was_under_way_and_that_cannot_be_read_in_the_next_is_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(m, "SLICE", 1)
+    rig = Rig(Source("platform"))
+    rig.hand(m.Listed("platform", "one", whole(1, member("a"), member("b"))))
+    rig.list("platform", whole(2, member("a"), faults=(Fault("b", "odd"),)))
+    assert rig.view == {"a": "up", "b": "up"}  # its last good entry stays
