An error page is no sign that discovery is current

Any byte of an answer counted as a sign of life: while discovery answered 503, the log said `in sync again` and `is silent` by turns with each try, and `dillport members` showed either. Only a call that is answered 200 shows that the last word is current. In the test three answers of 503 brought three such signs before.

--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -89,7 +89,8 @@
             match message:
                 case platform_list.Beat():
                     self._awake()
-                    self.owner.beat()
+                    if self.parser.accepted:
+                        self.owner.beat()
                 case platform_list.Line():
                     self.lines.append(message.text)
                 case platform_list.Finished():
--- a/dillport/proto/platform_list.py
+++ b/dillport/proto/platform_list.py
@@ -57,6 +57,11 @@
         self._rest = bytearray()
         self._out: list[Message] = []
 
+    @property
+    def accepted(self) -> bool:
+        """Whether the call is answered as asked, as far as is known."""
+        return self._parser.get_status_code() == 200
+
     def receive(self, data: bytes) -> list[Message]:
         """Bytes as they come, cut anywhere."""
         if self.over:
--- a/tests/net/test_platform_source.py
+++ b/tests/net/test_platform_source.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from dillport.decide.membership import Event, Listed, Spoiled
+from dillport.decide import platform_follow
+from dillport.decide.membership import Event, Heard, Listed, Spoiled
 from dillport.members import ListingBuilder
 from dillport.net.sources.platform import PlatformSource
 from tests.net.test_etcd_source import WAIT, run, until
@@ -53,3 +54,48 @@
     with caplog.at_level(logging.ERROR):
         run(test)
     assert "ZeroDivisionError" in caplog.text
+
+
+class Answers:
+    """A discovery that gives every call the same answer and ends it."""
+
+    def __init__(self, status: bytes, body: bytes) -> None:
+        self.text = b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+        self.asked = 0
+        self.port = 0
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.asked += 1
+        writer.write(self.text)
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (b"503 Service Unavailable", b"try later"),
+    ],
+)
+def test_an_answer_that_brings_nothing_is_no_sign_of_life_and_waits_grow(status: bytes, body: bytes) -> None:
+    """Guards discovery against a thousand nodes that ask for a list they cannot use ten times a second."""
+
+    async def test() -> None:
+        told: list[Event] = []
+        discovery = Answers(status, body)
+        await discovery.start()
+        address = ("127.0.0.1", discovery.port)
+        source = PlatformSource(
+            address, False, lambda: time.monotonic() * 1000, told.append, lambda: None, lambda: None
+        )
+        source.watch(True)
+        await until(lambda: discovery.asked == 3)
+        assert source.follow.backoff.next_ms >= 4 * platform_follow.FIRST_MS
+        source.watch(False)
+        assert status.startswith(b"200") or not any(isinstance(event, Heard) for event in told)
+
+    run(test)
