A whole list that cannot be taken does not begin the waits anew

After a line that could not be read, or a move, only a whole list will do. One that is older than what was seen, or does not call itself complete, was refused and yet counted as an answer: each node asked for the whole list ten times a second for as long as discovery was behind. Now the waits grow to 2 s as after any other failure. In the test the wait after three such lists was that of the first try before.

--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -192,9 +192,10 @@
         self.hand(membership.Heard(NAME))
 
     def listed(self, listing: Listing) -> None:
-        """A list, or a line of the watch."""
-        self._follow(platform_follow.Answered())
+        """A list, or a line of the watch. It is no answer if nothing can be watched after it."""
         self.hand(membership.Listed(NAME, identity(self.address), listing))
+        if self.resume() is not None:
+            self._follow(platform_follow.Answered())
 
     def spoiled(self, reason: str) -> None:
         """A line that could not be read at all."""
--- a/tests/net/test_platform_source.py
+++ b/tests/net/test_platform_source.py
@@ -79,6 +79,7 @@
     ("status", "body"),
     [
         (b"503 Service Unavailable", b"try later"),
+        (b"200 OK", b'{"revision":1,"complete":true,"members":[]}'),  # older than what was seen
     ],
 )
 def test_an_answer_that_brings_nothing_is_no_sign_of_life_and_waits_grow(status: bytes, body: bytes) -> None:
