Say loudly that discovery went back, and do not call it in sync

After a restart of discovery with lower revisions its watch brought a whole list older than what was seen. It was rightly not applied, but the first byte had made the source `in sync`, so it passed for a call that was overtaken: no line in the log, and drains went unheard for good. A watch tells things in order, so an older whole list in one is now refused loudly, and neither bytes nor older changes call the source in sync again.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -61,6 +61,7 @@
     identity: str
     listing: Listing
     saved: bool = False  # out of what the node was given at its start
+    watched: bool = False  # by a watch, which tells things in their order: a call may be overtaken by it
 
 
 @dataclass(slots=True, frozen=True)
@@ -171,6 +172,7 @@
     revision: int | None = None
     state: State = State.UNHEARD
     spoiled: bool = False  # a line was lost: only a whole list will do
+    behind: bool = False  # it went back: that it lives does not show that its last word is current
     heard_ms: float | None = None
     reason: str = ""  # why it is silent or refused
     members: dict[str, Member] = field(default_factory=dict, repr=False)
@@ -277,8 +279,9 @@
             else:
                 what = f"its whole list is of revision {listing.revision}, older than {source.revision}"
                 source.old += 1
-                if source.state is not State.IN_SYNC:  # else a call that was overtaken by the watch
+                if event.watched or source.state is not State.IN_SYNC:  # else a call that was overtaken
                     self._lost(source, State.REFUSED, what)
+                    source.behind = True
                 self._out.append(Reject(source.name, what))
         elif not source.whole:
             self._old(source, "changes, where the whole list is needed")
@@ -291,7 +294,7 @@
     def _begin(self, source: Source, identity: str) -> None:
         """A new order: what the old one said stays in force until the new one's whole list is here."""
         source.identity, source.revision, source.spoiled = identity, None, False
-        source.state = State.SYNCING
+        source.state, source.behind = State.SYNCING, False
 
     def _old(self, source: Source, what: str) -> None:
         source.old += 1
@@ -299,20 +302,20 @@
 
     def _heard(self, source: Source) -> None:
         source.heard_ms = self._now_ms
-        if source.whole:
+        if source.whole and not source.behind:
             self._current(source)
 
     def _current(self, source: Source) -> None:
         if source.state in (State.SILENT, State.REFUSED):
             self._out.append(Say(f"{source.name}: in sync again"))
-        source.state, source.reason = State.IN_SYNC, ""
+        source.state, source.reason, source.behind = State.IN_SYNC, "", False
 
     def _lost(self, source: Source, state: State, reason: str) -> None:
         """The view stays: a source that says nothing has taken nothing back."""
         if (source.state, source.reason) != (state, reason):
             text = f"{source.name} is {state.value}: {reason}; its last word stays in force"
             self._out.append(Say(text, loud=state is State.REFUSED))
-        source.state, source.reason = state, reason
+        source.state, source.reason, source.behind = state, reason, False
 
     # --- what was listed
 
--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -121,7 +121,7 @@
                 self.close()
                 break
             listing, self.builder = self.builder.listing(), None
-            self.owner.listed(listing)
+            self.owner.listed(listing, self.watch)
         if not self.dropped:
             self._end()
 
@@ -191,9 +191,9 @@
         """Something came."""
         self.hand(membership.Heard(NAME))
 
-    def listed(self, listing: Listing) -> None:
+    def listed(self, listing: Listing, watched: bool) -> None:
         """A list, or a line of the watch. It is no answer if nothing can be watched after it."""
-        self.hand(membership.Listed(NAME, identity(self.address), listing))
+        self.hand(membership.Listed(NAME, identity(self.address), listing, watched=watched))
         if self.resume() is not None:
             self._follow(platform_follow.Answered())
 
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -592,3 +592,21 @@
     rig.hand(m.Listed("platform", "one", whole(1, member("a"), member("b"))))
     rig.list("platform", whole(2, member("a"), faults=(Fault("b", "odd"),)))
     assert rig.view == {"a": "up", "b": "up"}  # its last good entry stays
+
+
+def test_a_discovery_that_went_back_is_refused_loudly_until_it_says_something_newer() -> None:
+    """Guards against a source that is ignored for good and yet called in sync, without a line in the log."""
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(60, member("a")))
+    rig.hand(m.Heard("platform"))
+    rig.list("platform", whole(5, member("b")), watched=True)
+    assert rig.state("platform") is State.REFUSED
+    assert rig.lines[-1].loud and "older than 60" in rig.lines[-1].text
+    rig.hand(m.Heard("platform"))
+    rig.list("platform", changes(6, member("b")))
+    assert rig.state("platform") is State.REFUSED and len(rig.lines) == 1
+    assert rig.view == {"a": "up"}
+    rig.list("platform", changes(61, member("c")))
+    assert rig.state("platform") is State.IN_SYNC and rig.view == {"a": "up", "c": "up"}
+    rig.list("platform", whole(60))  # a call that the watch has overtaken
+    assert rig.state("platform") is State.IN_SYNC
