Entries that are left out do not take all the room in the log

Each unreadable or shadowed entry had a line; the log passes 50 in 10 s, so one list of 60 bad entries cost the warnings behind it, and one of 10,000 held the loop 32 ms in the log alone. A listing now names 20 of them and counts the rest, which `dillport members` shows. The test has 799 such entries and failed before.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -28,6 +28,7 @@
 
 SLICE = 500  # entries of a whole list that are looked at in one go
 MAX_REMOVED = 20_000  # removals remembered a source beside those of whom another source lists
+MAX_SAID = 20  # lines on entries left out, of one listing or slice: the log is bounded, others need it too
 MAX_FAULTS = 1000  # unreadable entries shown a source; further ones are counted
 LOUD_LEAST = 4  # removals at once, over half of what the source listed, that are worth a line of their own
 
@@ -405,13 +406,13 @@
 
     def _unreadable(self, source: Source, faults: Iterable[Fault]) -> list[str]:
         """An entry that cannot be read costs nothing but itself; that it drains is obeyed all the same."""
-        touched = []
+        touched, said = [], []
         for fault in faults:
             source.unreadable += 1
             source.faults.pop(fault.key, None)
             if len(source.faults) < MAX_FAULTS:
                 source.faults[fault.key] = fault
-            self._out.append(Say(f"{source.name}: entry {fault.key!r:.300} left out: {fault.reason:.300}"))
+            said.append(f"{source.name}: entry {fault.key!r:.300} left out: {fault.reason:.300}")
             if not fault.leaving:
                 continue
             if (last := source.members.get(fault.key)) is not None:
@@ -420,8 +421,14 @@
                 touched.append(fault.key)
             else:
                 touched += self._remove(source, [fault.key])
+        self._left_out(said)
         return touched
 
+    def _left_out(self, said: list[str]) -> None:
+        self._out += [Say(text) for text in said[:MAX_SAID]]
+        if len(said) > MAX_SAID:
+            self._out.append(Say(f"{len(said) - MAX_SAID} more left out like these; see dillport members"))
+
     def _mass(self, source: Source, gone: int, before: int) -> None:
         if source.pieces:
             return  # whoever puts the pieces together says so
@@ -484,6 +491,7 @@
         Done once for all that were settled: guards against weighing each of thousands against each.
         """
         contested, self._contested = self._contested, {}
+        said: list[str] = []
         for address in contested:
             found = [(name, now) for name in self._at.get(address, ()) if (now := self._resolve(name))]
             if not found:
@@ -497,8 +505,9 @@
                 if name not in self.shadowed:
                     self.shadowed.add(name)
                     text = f"{name!r:.300} left out: {winner!r:.300} is up at the same address"
-                    self._out.append(Say(f"{text} {address[0]}:{address[1]}"))
+                    said.append(f"{text} {address[0]}:{address[1]}")
                 self._put(name, None, changes)
+        self._left_out(said)
 
     def _put(self, name: str, now: Member | None, changes: dict[str, Member]) -> None:
         held = self.view.get(name)
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -610,3 +610,15 @@
     assert rig.state("platform") is State.IN_SYNC and rig.view == {"a": "up", "c": "up"}
     rig.list("platform", whole(60))  # a call that the watch has overtaken
     assert rig.state("platform") is State.IN_SYNC
+
+
+def test_thousands_of_bad_entries_leave_room_in_the_log() -> None:
+    """Guards the lines that matter: the log has a bound, and each entry that is left out had a line in it."""
+    rig = Rig(Source("platform"))
+    rig.list("platform", whole(1, faults=tuple(Fault(f"f{i}", "odd") for i in range(500))))
+    rig.list("platform", whole(2, *(member(f"s{i}", port=7) for i in range(300))))
+    assert len(rig.lines) < 50
+    assert sum("left out" in line.text for line in rig.lines) > 5
+    assert any("480 more" in line.text for line in rig.lines)
+    assert any("279 more" in line.text for line in rig.lines)
+    assert len(rig.membership.shadowed) == 299
