--- a/dillport/net/sources/etcd.py
+++ b/dillport/net/sources/etcd.py
@@ -300,7 +300,7 @@
         try:
             if refused is None:
                 link = await self._dial(action.endpoint)
-        except (OSError, TimeoutError) as err:
+        except (OSError, TimeoutError, UnicodeError) as err:  # the last of a name that cannot be looked up
             refused = ew.Broken(ew.Why.CUT_SHORT, _why(err))
         self._watching = None
         if refused is not None:
@@ -382,7 +382,7 @@
                     return message
             self._link = link = await self._dial(endpoint)
             return await link.call(kind, data)
-        except (OSError, TimeoutError) as err:
+        except (OSError, TimeoutError, UnicodeError) as err:  # the last of a name that cannot be looked up
             return ew.Broken(ew.Why.CUT_SHORT, _why(err))
 
     async def _dial(self, endpoint: int) -> Link:
--- a/tests/net/test_etcd_source.py
+++ b/tests/net/test_etcd_source.py
@@ -513,3 +513,17 @@
     assert ef.endpoint("https://[::1]:2379/") == ("::1", 2379, True)
     with pytest.raises(ValueError, match="no endpoint"):
         EtcdSource(EtcdConfig((), "/m/"), told.append)
+
+
+def test_a_name_that_no_look_up_takes_is_said(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a traceback, and an endpoint that is left for a reason that is not its own."""
+
+    async def test() -> None:
+        rig = Rig("http://a..b:1", "http://" + "x" * 64 + ":1")
+        reason = (await rig.next(Silenced)).reason
+        assert reason.count("no connection") == 2
+        rig.source.stop()
+
+    with caplog.at_level(logging.ERROR):
+        run(test)
+    assert not caplog.records
