A log-in beside a read that hangs leaves no connection behind

A watch that is cancelled for a stale token logs in while a check may still be out on the shared connection. A new one was made then, and the old one was nobody's: neither failing over nor `stop` closed it, so each such renewal cost the process and etcd a connection for good. It is closed now.

--- a/dillport/net/sources/etcd.py
+++ b/dillport/net/sources/etcd.py
@@ -380,6 +380,8 @@
                 message = await link.call(kind, data)
                 if not isinstance(message, ew.Broken) or link.heard:
                     return message
+            if self._link is not None:
+                self._link.close()  # a call that nobody waits for any more may be out on it
             self._link = link = await self._dial(endpoint)
             return await link.call(kind, data)
         except (OSError, TimeoutError, UnicodeError) as err:  # the last of a name that cannot be looked up
--- a/tests/net/test_etcd_source.py
+++ b/tests/net/test_etcd_source.py
@@ -527,3 +527,28 @@
     with caplog.at_level(logging.ERROR):
         run(test)
     assert not caplog.records
+
+
+def test_a_log_in_beside_a_read_that_hangs_leaves_no_connection_behind() -> None:
+    async def test() -> None:
+        gateway, held = await Gateway().start(), False
+
+        def script(path: str, head: dict[str, str], body: dict[str, Any]) -> bytes | None:
+            if path == "/v3/auth/authenticate":
+                return sized({"header": gateway.header, "token": "t"})
+            return b"HTTP/1.1 100 Continue\r\n\r\n" if held else None
+
+        gateway.script = script
+        rig = Rig(gateway, user="u", password="p")
+        async with asyncio.timeout(WAIT):
+            stream = await gateway.streams.get()
+        await rig.next(Heard)
+        held, count = True, gateway.count("/v3/kv/range")
+        await until(lambda: gateway.count("/v3/kv/range") > count)
+        stream.line(canceled=True, cancel_reason="etcdserver: invalid auth token")
+        await until(lambda: gateway.count("/v3/watch") == 2)
+        rig.source.stop()
+        await until(lambda: not gateway.writers)
+        gateway.stop()
+
+    run(test)
