--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -143,16 +143,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
 
-    fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
-    if not config.settings.must_ask:
-        discovery.watch(True)
-    part = OperatorsPart(path, operators or Operators(), control, etcd)
-
-    def hangup() -> None:
+    def hangup() -> None:  # never before the loop's next turn, when all below is there
         reload(discovery)
         part.reload()
 
     loop.add_signal_handler(signal.SIGHUP, hangup)
+    fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
+    if not config.settings.must_ask:
+        discovery.watch(True)
+    part = OperatorsPart(path, operators or Operators(), control, etcd)
     try:
         await front.listen(config.listen)
         gc.freeze()
