Show odd names on one line in `dillport check`, and none that cannot be printed

The ids of unreadable servers and the node's name were printed as they came: line breaks and terminal escapes went to the terminal, and half of a surrogate pair, which JSON allows, ended the command in a traceback. They are escaped as `members` does it. The test had the traceback before.

--- a/dillport/cli.py
+++ b/dillport/cli.py
@@ -168,13 +168,13 @@
     config, faults = _read_config()
     if config is not None:
         print(f"configuration {os.environ[CONFIG]}: no fault")
-        print(f"  {config.name or 'a node without a name'} listens on {_at(config.listen)}")
+        print(f"  {_cell(config.name or 'a node without a name')} listens on {_at(config.listen)}")
         print(f"  discovery is at {_at(config.discovery)}")
         print(f"  {_count(len(config.known.members), 'server')} known at the start")
         names = ", ".join(cls.name for cls in config.settings.classes)
         print(f"  {_count(len(config.settings.classes), 'class', 'es')}: {names}")
         for fault in config.known.faults:
-            print(f"  the server {fault.key} cannot be read and is left out: {fault.reason}")
+            print(f"  the server {_cell(fault.key)} cannot be read and is left out: {_cell(fault.reason)}")
     if path is None:
         print(f"settings: none (neither --settings nor {SETTINGS}): all that they could switch on is off")
     elif not wrong:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -177,6 +177,16 @@
     assert "\x1b" not in got.stdout and r"'\x1b[2Jx'" in got.stdout
 
 
+def test_check_shows_odd_names_on_one_line_as_they_are_written(tmp_path: Path) -> None:
+    """Guards the terminal, and the command: half of a surrogate pair, legal in JSON, cannot be printed."""
+    told = configuration([{"id": "\x1b[2Jx\ud800\nforged", "host_port": "no", "phase": "in_service"}], 1)
+    told["name"] = "n\ud800\n0"
+    got = says("check", PROXY_CONFIG=written(tmp_path / "c.json", json.dumps(told)))
+    assert got.returncode == 0 and got.stderr == ""
+    assert "\x1b" not in got.stdout and not any(line.startswith("forged") for line in got.stdout.splitlines())
+    assert r"the server '\x1b[2Jx\ud800\nforged' cannot be read" in got.stdout
+
+
 def test_a_reader_that_leaves_early_is_no_trouble(config: Path) -> None:
     got = subprocess.run(
         ["/bin/sh", "-c", f"{sys.executable} -B -m dillport members | true"],
