Keep the log line `discovery: bad line`, a warning, as the page for people on call has it

It had become `platform: bad line` among the infos. A rule that watches the log for the documented line was blind. The test asks for the level and the whole beginning of the line; it failed before.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -229,8 +229,7 @@
             case Heard():
                 self._heard(source)
             case Spoiled():
-                source.spoiled, source.state = True, State.SYNCING
-                self._out.append(Say(f"{source.name}: bad line: {event.reason}"))
+                source.spoiled, source.state, source.reason = True, State.SYNCING, event.reason
             case Silenced():
                 self._lost(source, State.SILENT, event.reason)
             case Refused():
--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -199,6 +199,7 @@
 
     def spoiled(self, reason: str) -> None:
         """A line that could not be read at all."""
+        log.warning("discovery: bad line: %s", reason)
         self.hand(membership.Spoiled(NAME, reason))
 
     def ended(self, call: Call) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -573,7 +573,7 @@
         async with running(tmp_path, backend) as rig:
             await rig.discovery.asked.get()
             rig.discovery.send(b'{"revision": 42, "members": 7}\n')
-            await rig.logged("bad line")
+            await rig.logged("WARNING discovery: bad line")
             assert await rig.discovery.asked.get() == "/discovery/hosts"
             rig.discovery.whole(43, backend.member())
             assert await rig.discovery.asked.get() == "/discovery/hosts?watch=1&from=43"
