A lab world with etcd beside discovery; what etcd wrote to whom is judged

The judge needs to know what was written to which node. Each node gets endpoints of its own, and the stand-in's records become Told as they are made. A member that was frozen no longer records what it says to a client that has closed its end, and a list with one garbled entry counts as told.

--- a/dillport/lab/etcd/gateway.py
+++ b/dillport/lab/etcd/gateway.py
@@ -228,14 +228,16 @@
             self.shared.auth.check(asked.token, one.key, one.end, write=False)
         found = self.shared.store.range(one, self.view())
         body = wire.dumps(wire.found(found, self.header()))
+        legible = self.garbage in (None, Garbage.HUGE_VALUE, Garbage.NOT_BASE64)  # but for one entry
+        if legible and not connection.over:
+            put, peer = names(kv.key for kv in found.kvs), connection.peer
+            key, end = names((one.key, one.end))
+            kind, shown = "count" if one.count_only else "range", one.revision or self.view()
+            self.shared.record(Record(now_ms(), self.index, kind, shown, put, (), peer, key, end, found.more))
         if self.garbage is not None:
             await self._spoiled(connection, asked, body)
-            return None
-        put, peer = names(kv.key for kv in found.kvs), connection.peer
-        key, end = names((one.key, one.end))
-        kind, shown = "count" if one.count_only else "range", one.revision or self.view()
-        self.shared.record(Record(now_ms(), self.index, kind, shown, put, (), peer, key, end, found.more))
-        connection.body(body, asked.last)
+        else:
+            connection.body(body, asked.last)
         return None
 
     async def _spoiled(self, connection: Connection, asked: Asked, body: bytes) -> None:
--- a/dillport/lab/etcd/http.py
+++ b/dillport/lab/etcd/http.py
@@ -114,6 +114,11 @@
         every += ["Transfer-Encoding: chunked"] if length is None else []
         return "\r\n".join([f"HTTP/1.1 {status}", *every, "", ""]).encode("latin-1")
 
+    @property
+    def over(self) -> bool:
+        """Whether nobody reads any more, as far as this side knows."""
+        return self.writer.is_closing() or self.reader.at_eof()
+
     def write(self, data: bytes) -> None:
         """Hand bytes to the socket, unless the connection is over."""
         if not self.writer.is_closing():
--- a/dillport/lab/etcd/shared.py
+++ b/dillport/lab/etcd/shared.py
@@ -28,7 +28,8 @@
     """What an endpoint told a client, and when.
 
     `at_ms` is the monotonic clock's, taken right before the bytes were handed to the socket, while nothing
-    older waited there. Garbage tells nothing and is not recorded. `kind` is "watch" (an event's revision,
+    older waited there. Garbage tells nothing and is not recorded, nor is what goes to a client that has
+    closed its end: a member that was frozen may only find out later. `kind` is "watch" (an event's revision,
     what it put and deleted), "range" (the revision that it shows, what was found from `key` to before `end`,
     and whether there is `more`), or "count" (a range that tells no keys).
     """
@@ -61,9 +62,12 @@
     changed: Callable[[], None]
     records: list[Record] = field(default_factory=list)
     lost: int = 0  # records that were one too many
+    heard_by: Callable[[Record], None] | None = None  # gets each record as it is made
 
     def record(self, record: Record) -> None:
-        """Keep it."""
+        """Keep it, and let it be known."""
+        if self.heard_by is not None:
+            self.heard_by(record)
         if len(self.records) < MAX_RECORDS:
             self.records.append(record)
         else:
--- a/dillport/lab/etcd/stream.py
+++ b/dillport/lab/etcd/stream.py
@@ -234,6 +234,8 @@
         yield piece
 
     def _record(self, events: list[Event]) -> None:
+        if self.connection.over:
+            return
         at_ms = now_ms()
         for revision in sorted({event.now.modified for event in events}):
             of_it = [event for event in events if event.now.modified == revision]
--- /dev/null
+++ b/dillport/lab/fleet_world.py
@@ -0,0 +1,320 @@
+"""A world with two sources of the list: discovery, and the stand-in for etcd with all its faults.
+
+    async with FleetWorld(directory, servers=6) as world:
+        script = [Step(1, "etcd freezes", lambda w: w.etcd.freeze(0))]
+        await world.play(rate=100, seconds=5, script=script)
+
+- `Scribe` writes down, as `Told`, what the stand-in wrote to which node: from then on the judge counts.
+- `Writer` enters servers in etcd, as whoever runs them would; it waits while there is no quorum.
+- `FleetWorld` gives each node endpoints of its own (so it is known who was told what), an operators' file and
+  a control socket.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import shutil
+import signal
+import tempfile
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from pathlib import Path
+from typing import Any
+
+from dillport.lab.etcd.client import EtcdError, prefix_end
+from dillport.lab.etcd.shared import Record
+from dillport.lab.etcd.standin import StandIn
+from dillport.lab.records import Journal, Told, now_ms
+from dillport.lab.world import Node, World
+from dillport.net import control
+
+PREFIX = "/dillport/members/"
+SOURCE = "etcd"
+RETRY_S = 0.05  # between two tries to write where there is no quorum
+STEADY_S = 20.0  # that a node gets to be in sync with all of its sources
+PHASES = {"in_service": "up", "terminating": "draining", "terminated": "gone"}
+PER_TXN = 100  # entries that are written in one revision; etcd takes 128
+
+
+class Scribe:
+    """What etcd wrote to which node, as `Told`. `node_of` names the node that asks an endpoint.
+
+    The order is by cluster id and the operators' epoch, and begins by a whole list: events of a watch under
+    another cluster id tell nothing until that cluster's whole list was told. A whole list is told with its
+    last page, at the revision of its first; `gone` is told of each id that this node was once told of and
+    that is not in it.
+    """
+
+    def __init__(
+        self, journal: Journal, cluster: StandIn, node_of: Callable[[int], str],
+        listed_elsewhere: Callable[[str, str], bool],
+    ) -> None:  # fmt: skip
+        self.journal, self.cluster, self.node_of = journal, cluster, node_of
+        self.listed_elsewhere = listed_elsewhere
+        self.epochs: dict[str, int] = {}
+        self.adds_only: set[str] = set()  # nodes at which etcd takes nothing away that another source lists
+        self.off: set[str] = set()  # nodes at which etcd is none of the sources
+        self._ever: dict[str, dict[str, None]] = {}  # by node: all ids that it was told of
+        self._order: dict[str, str] = {}  # by node: the order whose whole list was told last
+        self._pages: dict[int, tuple[int, dict[str, str]]] = {}  # by endpoint: a list that goes on
+        self._end = prefix_end(PREFIX.encode()).decode()
+        cluster.shared.heard_by = self.heard
+
+    def heard(self, record: Record) -> None:
+        """An endpoint wrote something."""
+        node = self.node_of(record.endpoint)
+        named = self.cluster.members[record.endpoint].cluster_id
+        cluster_id = self.cluster.shared.cluster_id if named is None else named
+        order = f"{cluster_id}/{self.epochs.get(node, 0)}"
+        if node in self.off:
+            return
+        if record.kind == "watch":
+            if order == self._order.get(node):
+                self._changes(node, order, record)
+        elif record.end == self._end:  # else a read of one key, which names nobody
+            self._page(node, order, record)
+
+    def _changes(self, node: str, order: str, record: Record) -> None:
+        for name, key in _names(record.put):
+            self._tell(node, order, record.revision, name, key, record.at_ms)
+        for name, _ in _names(record.deleted):
+            self._gone(node, order, record.revision, name, record.at_ms)
+
+    def _page(self, node: str, order: str, record: Record) -> None:
+        revision, keys = self._pages.pop(record.endpoint, (record.revision, {}))
+        if record.key == PREFIX:
+            revision, keys = record.revision, {}
+        keys |= dict(_names(record.put))
+        if record.more:
+            self._pages[record.endpoint] = (revision, keys)
+            return
+        self._order[node] = order
+        for name, key in keys.items():
+            self._tell(node, order, revision, name, key, record.at_ms)
+        for name in sorted(self._ever.get(node, {}).keys() - keys.keys()):
+            self._gone(node, order, revision, name, record.at_ms)
+
+    def _tell(self, node: str, order: str, revision: int, name: str, key: str, at_ms: float) -> None:
+        """What a value says; one that cannot be read says nothing, but that a server leaves."""
+        self._ever.setdefault(node, {})[name] = None
+        held = self.cluster.store.get(key.encode(), revision)
+        row: dict[str, Any] = {}
+        with contextlib.suppress(ValueError):
+            raw = json.loads(held.value) if held else None
+            row = raw if isinstance(raw, dict) else {}
+        phase = PHASES.get(str(row.get("phase")))
+        if phase == "gone":
+            self._gone(node, order, revision, name, at_ms)
+        elif phase == "draining" and node in self.adds_only and self.listed_elsewhere(node, name):
+            return
+        elif phase is not None and (phase == "draining" or _address(row)):
+            since = row.get("up_since_ms", 0.0)
+            self.journal.add(Told(node, SOURCE, order, revision, name, phase, at_ms, float(since)))
+
+    def _gone(self, node: str, order: str, revision: int, name: str, at_ms: float) -> None:
+        if node not in self.adds_only or not self.listed_elsewhere(node, name):
+            self.journal.add(Told(node, SOURCE, order, revision, name, "gone", at_ms))
+
+    def switch_off(self, node: str) -> None:
+        """The operators took etcd out: its word is void, and whom no other source lists is gone."""
+        self.off.add(node)
+        self._order.pop(node, None)
+        for name in self._ever.get(node, {}):
+            phase = "up" if self.listed_elsewhere(node, name) else "gone"
+            self.journal.add(Told(node, SOURCE, "off", 0, name, phase, now_ms()))
+
+
+def _names(keys: Iterable[str]) -> list[tuple[str, str]]:
+    """Ids and their keys; what is no id names nobody."""
+    pairs = [(key.removeprefix(PREFIX), key) for key in keys]
+    return [(name, key) for name, key in pairs if name and "/" not in name]
+
+
+def _address(row: dict[str, Any]) -> bool:
+    return str(row.get("host_port")).rpartition(":")[2].isdecimal()
+
+
+class Writer:
+    """Enters servers in etcd: one revision a change, in order, later where there is no quorum.
+
+    `takes` says of whom; a table of `leases` holds the lease that a server's key hangs on, by id.
+    """
+
+    def __init__(self, cluster: StandIn, takes: Callable[[str], bool]) -> None:
+        self.cluster, self.takes = cluster, takes
+        self.leases: dict[str, int] = {}
+        self._turn = asyncio.Lock()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def publish(self, *entries: dict[str, Any]) -> None:
+        """Enter changes."""
+        rows = [row for row in entries if self.takes(row["id"])]
+        if rows:
+            self._keep(self.write(rows))
+
+    async def write(self, entries: Iterable[dict[str, Any]]) -> None:
+        """Enter them and return once they are there."""
+        rows = list(entries)
+        async with self._turn:
+            for start in range(0, len(rows), PER_TXN):
+                await self._write(rows[start : start + PER_TXN])
+
+    async def _write(self, rows: list[dict[str, Any]]) -> None:
+        left = {row["id"] for row in rows if row["phase"] == "terminated"}
+        there = {row["id"]: json.dumps(row).encode() for row in rows if row["id"] not in left}
+        while True:
+            try:
+                plain = {PREFIX + name: value for name, value in there.items() if name not in self.leases}
+                if plain or left:
+                    await self.cluster.txn(plain, [PREFIX + name for name in sorted(left)])
+                for name in there.keys() & self.leases.keys():
+                    await self.cluster.put(PREFIX + name, there[name], self.leases[name])
+                return
+            except EtcdError:
+                await asyncio.sleep(RETRY_S)
+
+    def _keep(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def written(self) -> None:
+        """Return once all that was published is there."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
+
+    def close(self) -> None:
+        """What is not written is left."""
+        for task in self._tasks:
+            task.cancel()
+
+
+class FleetWorld(World):
+    """`endpoints` a node; `platform` and `in_etcd` say which servers a source is told of, by their names.
+
+    `etcd` is the stand-in, `writer` who writes to it. An endpoint's number is `world.member(node, place)`.
+    """
+
+    def __init__(
+        self, directory: Path, *, endpoints: int = 2, role: str = "full",
+        platform: Callable[[str], bool] = lambda name: True,
+        in_etcd: Callable[[str], bool] = lambda name: True, **more: Any,
+    ) -> None:  # fmt: skip
+        self._next = more.pop("prepare", None)
+        super().__init__(directory, prepare=self._prepare, **more)
+        self.per_node, self.role = endpoints, role
+        self._platform = platform
+        self.etcd = StandIn(endpoints * self.node_count, seed=self.seed, quorum_wait_ms=5_400)
+        self.writer = Writer(self.etcd, in_etcd)
+        self.scribe = Scribe(self.journal, self.etcd, self._node_of, self._elsewhere)
+        self.sockets = Path(tempfile.mkdtemp(prefix="dillport-lab-"))
+        self._begun = False
+
+    def on_platform(self, name: str) -> bool:
+        """Whether discovery is told of a server."""
+        return self._platform(name)
+
+    def publish(self, *entries: dict[str, Any]) -> None:
+        """Enter changes in whichever source the servers belong to."""
+        rows = [row for row in entries if self.on_platform(row["id"])]
+        if rows:
+            self.discovery.publish(*rows)
+        self.writer.publish(*entries)
+
+    def member(self, node: int = 0, place: int = 0) -> int:
+        """The number of an endpoint of a node's."""
+        return node * self.per_node + place
+
+    def members(self, node: int | None = None) -> list[int]:
+        """The numbers of a node's endpoints, or of all."""
+        begin, end = (0, self.node_count) if node is None else (node, node + 1)
+        return list(range(begin * self.per_node, end * self.per_node))
+
+    def _node_of(self, endpoint: int) -> str:
+        return f"n{endpoint // self.per_node}"
+
+    def _elsewhere(self, node: str, name: str) -> bool:
+        row = self.discovery.agents[node].book.members.get(name)
+        return row is not None and row.get("phase") == "in_service"
+
+    async def _prepare(self, node: Node) -> None:
+        if not self._begun:
+            self._begun = True
+            await self.etcd.__aenter__()
+            await self.writer.write(row for row in self.fleet.members() if self.writer.takes(row["id"]))
+        self.settings(node)
+        node.args += ["--settings", str(self.settings_of(node))]
+        if self._next is not None and isinstance(done := self._next(node), Awaitable):
+            await done
+
+    async def start(self) -> None:
+        """Bring up all of it; the nodes are in sync with their sources."""
+        await super().start()
+        async with asyncio.TaskGroup() as tasks:
+            for node in self.nodes:
+                tasks.create_task(self.state(node, "in sync"))
+
+    async def close(self) -> None:
+        """End it all."""
+        self.writer.close()
+        await super().close()
+        if self._begun:
+            await self.etcd.__aexit__(None, None, None)
+        shutil.rmtree(self.sockets, ignore_errors=True)
+
+    # --- the operators
+
+    def settings_of(self, node: Node) -> Path:
+        """A node's operators' file."""
+        return self.directory / f"{node.name}.toml"
+
+    def settings(self, node: Node, *, epoch: int = 0, etcd: bool = True) -> None:
+        """Write a node's operators' file."""
+        own = self.members(node.number)
+        lines = ["[control]", f"socket = {json.dumps(str(self.sockets / node.name))}"]
+        if etcd:
+            urls = [self.etcd.endpoints[index] for index in own]
+            lines += ["[membership.etcd]", f"endpoints = {json.dumps(urls)}", f'prefix = "{PREFIX}"',
+                      f"epoch = {epoch}", f'role = "{self.role}"']  # fmt: skip
+        self.settings_of(node).write_text("\n".join(lines) + "\n", encoding="utf-8")
+        if self.role == "add":
+            self.scribe.adds_only.add(node.name)
+
+    def reset(self, node: Node, *, epoch: int = 0, etcd: bool = True) -> None:
+        """Write it anew and have it read again: what etcd says is then of another order, or void."""
+        self.settings(node, epoch=epoch, etcd=etcd)
+        self.scribe.epochs[node.name] = epoch
+        if not etcd:
+            self.scribe.switch_off(node.name)
+        else:
+            self.scribe.off.discard(node.name)
+        node.signal(signal.SIGHUP)
+
+    async def report(self, node: Node) -> dict[str, Any]:
+        """What the node says that its sources say; no verdict hangs on it."""
+        return await asyncio.to_thread(control.ask, self.sockets / node.name, "members")
+
+    async def state(self, node: Node, wanted: str, source: str = SOURCE) -> float:
+        """Wait until a source is in this state at the node, as it says; the seconds that took."""
+        begun = now_ms()
+        async with asyncio.timeout(STEADY_S):
+            while True:
+                with contextlib.suppress(control.ControlError):
+                    found = (await self.report(node))["sources"]
+                    if any(one["name"] == source and one["state"] == wanted for one in found):
+                        return (now_ms() - begun) / 1000
+                await asyncio.sleep(0.02)
+
+    # --- faults of several endpoints at once
+
+    def cut_watches(self, members: Iterable[int]) -> None:
+        """Break all connections to endpoints, and refuse new ones until `mend`."""
+        for index in members:
+            self.etcd.refuse(index)
+            self.etcd.drop(index)
+
+    async def mend(self, members: Iterable[int]) -> None:
+        """Let connections come up again."""
+        for index in members:
+            await self.etcd.restart(index)
--- a/dillport/lab/world.py
+++ b/dillport/lab/world.py
@@ -219,7 +219,8 @@
         """Bring up servers, discovery and nodes."""
         for number in range(1, self.server_count + 1):
             await self.fleet.add(f"s{number}", self.machine).start()
-        self.discovery = Discovery(self.journal, self.fleet.members())
+        listed = [row for row in self.fleet.members() if self.on_platform(row["id"])]
+        self.discovery = Discovery(self.journal, listed)
         self.registries.append(self.discovery)
         self._tick(now_ms())
         self.nodes = [Node(self, number) for number in range(self.node_count)]
@@ -281,6 +282,10 @@
 
     # --- what scripts do
 
+    def on_platform(self, name: str) -> bool:
+        """Whether discovery is told of a server."""
+        return True
+
     def publish(self, *entries: dict[str, Any]) -> None:
         """Enter changes in every registry."""
         for registry in self.registries:
