Watch etcd from the revision that was seen, lest a compacted delete be lost

etcd 3.4 drops a delete at the very revision of a compaction, and lets a watch from there in without a word: a watch that broke, servers deleted in one txn, a compaction up to it, and the node kept them for good. A watch from the revision before, which is passed over, is canceled instead, and the whole list follows.

--- a/dillport/decide/etcd_follow.py
+++ b/dillport/decide/etcd_follow.py
@@ -2,7 +2,7 @@
 
 `EtcdFollow.handle` takes an event and a clock time and returns actions; whoever drives it has the sockets. An
 endpoint is first asked for a small linearizable read (a *check*), which shows its cluster, its revision and
-that it reaches its quorum; then for the whole list, in pages of one revision; then for a watch from the next
+that it reaches its quorum; then for the whole list, in pages of one revision; then for a watch from that
 revision on. A watch that breaks is taken up again where it was, at any endpoint of the same cluster.
 
 What is delivered never goes back:
@@ -562,7 +562,10 @@
         self.check_call = self._check_token = 0
         self.chain = None
         self.watch_call = self._next()
-        self._out.append(Watch(self.watch_call, self.endpoint, self.whole + 1))
+        # Guards against a delete that is lost: a compaction at its very revision drops it, and etcd 3.4 lets
+        # a watch from there in all the same. From one revision before it, which was seen and is passed over,
+        # such a watch is canceled. 0 would mean from now on; etcd begins with 1.
+        self._out.append(Watch(self.watch_call, self.endpoint, max(self.whole, 1)))
         self._phase_token = self._timer(PAGE_MS)
 
     def _created(self, position: Position) -> None:
