Go over to another etcd cluster only where none of the present one answers a check

A watch that broke within its first second, of an endpoint that was asked and had answered, counted as one that is away: with a stranger among the endpoints the node took the stranger's list and never came back. What answered a check in the round now counts as there.

--- a/dillport/decide/etcd_follow.py
+++ b/dillport/decide/etcd_follow.py
@@ -308,7 +308,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Outcome:
-    """An endpoint's verdict, and the cluster it is of where that matters."""
+    """An endpoint's verdict, and the cluster it is of as far as it said."""
 
     verdict: Verdict
     reason: str
@@ -705,6 +705,7 @@
     def _leave(self, verdict: Verdict, reason: str, cluster: str = "") -> None:
         """For the next endpoint; where all were asked, the round is over."""
         left, watched = self.endpoint, self.phase is Phase.WATCHING
+        met = "" if self.phase is Phase.ASKING else self.talking
         if self.told is Told.WELL and self.phase is not Phase.ASKING:
             self._say("warning", f"{self.names[left]} is left: {reason}")
         self._clear()
@@ -717,7 +718,7 @@
             self._rest(self.rng.uniform(0, SPREAD_MS))
             return
         self.settled = False
-        self.outcomes[left] = Outcome(verdict, reason, cluster)
+        self.outcomes[left] = Outcome(verdict, reason, cluster or met)
         if len(self.outcomes) == len(self.order):
             self._round()
         else:
@@ -733,7 +734,9 @@
         outcomes, self.outcomes = self.outcomes, {}
         verdicts = {o.verdict for o in outcomes.values()}
         strange = [i for i in self.order if outcomes[i].verdict is Verdict.STRANGER]
-        if strange and Verdict.BEHIND not in verdicts:
+        # One that answered a check and failed later is there: its cluster has not gone.
+        present = any(o.cluster == self.cluster for o in outcomes.values())
+        if strange and not present and Verdict.BEHIND not in verdicts:
             self.adopting = outcomes[strange[0]].cluster
             text = f"no endpoint of cluster {self.cluster} answers; going over to cluster {self.adopting}"
             self._say("warning", text)
--- a/tests/decide/test_etcd_follow.py
+++ b/tests/decide/test_etcd_follow.py
@@ -623,7 +623,9 @@
     answer()  # a stranger, while its own cluster is there still
     answer()
     assert rig.at(Phase.OPENING) and rig.follow.endpoint == old
-    rig.fail(ef.Watch)
+    rig.fail(ef.Watch)  # its watch fails, and yet its own cluster is there
+    assert rig.at(Phase.RESTING) and not rig.follow.adopting
+    rig.tick()
     answer()
     rig.fail(ef.Check)  # its own cluster is away
     answer()
