--- a/dillport/lab/discovery.py
+++ b/dillport/lab/discovery.py
@@ -38,27 +38,24 @@
 
 @dataclass
 class Book:
-    """The list by revision, which grows by one with each change: the last `HISTORY` of them, and all ids."""
+    """The list by revision, which grows by one with each change: the last `HISTORY` of them."""
 
     revision: int
     members: dict[str, Entry]
     changes: deque[Change] = field(default_factory=lambda: deque(maxlen=HISTORY))
-    ever: dict[str, None] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.ever |= dict.fromkeys(self.members)
         self.changes.append(Change(self.revision, (), tuple(self.members.values())))
 
     def copy(self) -> Book:
         """The list as it is, without what came before it."""
-        return Book(self.revision, dict(self.members), ever=dict(self.ever))
+        return Book(self.revision, dict(self.members))
 
     def put(self, revision: int, entries: Iterable[Entry]) -> Change:
         """Apply a change."""
         rows = tuple(entries)
         for row in rows:
             name = str(row.get("id"))
-            self.ever[name] = None
             if row.get("phase") == "terminated":
                 self.members.pop(name, None)
             else:
@@ -152,6 +149,7 @@
         self.asked: deque[str] = deque(maxlen=1000)  # targets of calls
         self.backlog: list[Change] = []  # news that came while it was stalled or silent
         self.seen = book.revision  # the latest revision that was written to the node
+        self.ever: dict[str, None] = {}  # all ids that the node was told of
         self.away_at_ms = -OVERDUE_MS  # when it last was out of reach by script
         self.host, self.port = "127.0.0.1", 0
         self.listener: asyncio.Server | None = None
@@ -231,7 +229,8 @@
         return {"revision": self.book.revision, "complete": True, "members": members}
 
     def tell_known(self) -> None:
-        """A node starts with that configuration, and so was told."""
+        """A node starts with that configuration, and so was told; it knows of nothing else."""
+        self.ever.clear()
         self.record(self.book.revision, self.book.members.values(), complete=True)
 
     def record(
@@ -241,9 +240,10 @@
         at = now_ms()
         told = {str(row.get("id")): row for row in rows}
         if complete:
-            told |= {name: {"phase": "terminated"} for name in self.book.ever if name not in told}
+            told |= {name: {"phase": "terminated"} for name in self.ever if name not in told}
         if written:
             self.seen = max(self.seen, revision)
+            self.ever |= dict.fromkeys(told)
         for name, row in told.items():
             phase, since = PHASES.get(str(row.get("phase"))), row.get("up_since_ms", 0)
             if phase is not None:
--- a/dillport/lab/etcd/gateway.py
+++ b/dillport/lab/etcd/gateway.py
@@ -35,6 +35,11 @@
     return any(name == "commonName" for part in shown.get("subject", ()) for name, _ in part)
 
 
+def _senseless(kind: Garbage) -> str:
+    """A value that nobody can want, as JSON has it."""
+    return wire.b64(b"\0" * 2_000_000) if kind is Garbage.HUGE_VALUE else "!!! not base64"
+
+
 class Endpoint:
     """A member of the cluster, as clients see it; all that is wrong with it is set here."""
 
@@ -227,7 +232,10 @@
         if one.key:
             self.shared.auth.check(asked.token, one.key, one.end, write=False)
         found = self.shared.store.range(one, self.view())
-        body = wire.dumps(wire.found(found, self.header()))
+        value = wire.found(found, self.header())
+        if self.shared.garbled and found.kvs:
+            value["kvs"] = [self.garble(kv.key, wire.key_value(kv)) for kv in found.kvs]
+        body = wire.dumps(value)
         legible = self.garbage in (None, Garbage.HUGE_VALUE, Garbage.NOT_BASE64)  # but for one entry
         if legible and not connection.over:
             put, peer = names(kv.key for kv in found.kvs), connection.peer
@@ -259,9 +267,12 @@
         """A key and value that nobody can want."""
         revision = self.view()
         numbers = {"create_revision": str(revision), "mod_revision": str(revision), "version": "1"}
-        if kind is Garbage.HUGE_VALUE:
-            return {"key": wire.b64(key), **numbers, "value": wire.b64(b"\0" * 2_000_000)}
-        return {"key": wire.b64(key), **numbers, "value": "!!! not base64"}
+        return {"key": wire.b64(key), **numbers, "value": _senseless(kind)}
+
+    def garble(self, key: bytes, kv: Json) -> Json:
+        """A key and value as they are told: with what makes no sense, if the key is one of those."""
+        kind = self.shared.garbled.get(key)
+        return kv if kind is None else kv | {"value": _senseless(kind)}
 
     async def _put(self, connection: Connection, asked: Asked, fields: wire.Fields) -> Json:
         return await self._write(wire.put(fields), asked)
--- a/dillport/lab/etcd/shared.py
+++ b/dillport/lab/etcd/shared.py
@@ -62,6 +62,7 @@
     changed: Callable[[], None]
     records: list[Record] = field(default_factory=list)
     lost: int = 0  # records that were one too many
+    garbled: dict[bytes, Garbage] = field(default_factory=dict)  # keys whose values make no sense
     heard_by: Callable[[Record], None] | None = None  # gets each record as it is made
 
     def record(self, record: Record) -> None:
--- a/dillport/lab/etcd/standin.py
+++ b/dillport/lab/etcd/standin.py
@@ -311,6 +311,12 @@
         """Answer range calls with something that makes no sense, until told otherwise (None)."""
         self.members[member].garbage, self.members[member].garbage_key = kind, key.encode()
 
+    def garble(self, key: str, kind: Garbage | None) -> None:
+        """Tell a key's value as NOT_BASE64 or HUGE_VALUE from now on, in events and lists; None ends it."""
+        self.shared.garbled.pop(key.encode(), None)
+        if kind is not None:
+            self.shared.garbled[key.encode()] = kind
+
     def rename(self, member: int, cluster_id: int | None) -> None:
         """Be a member of another cluster, by what it says; None ends it."""
         self.members[member].cluster_id = cluster_id
--- a/dillport/lab/etcd/stream.py
+++ b/dillport/lab/etcd/stream.py
@@ -140,8 +140,10 @@
                 self._leader()
                 wait_s = await self._tell()
                 stir = asyncio.ensure_future(self.stir.wait())
-                await asyncio.wait((gone, stir), timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
-                stir.cancel()
+                try:
+                    await asyncio.wait((gone, stir), timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    stir.cancel()
         finally:
             gone.cancel()
             await asyncio.wait((gone,))  # the connection reads on, and only one may
@@ -219,6 +221,13 @@
         for index, piece in enumerate(pieces):
             self._record(piece)
             written = [wire.event(event, watch.asked.prev_kv) for event in piece]
+            if self.shared.garbled:
+                told = zip(piece, written, strict=True)
+                written = [
+                    row if event.deleted
+                    else row | {"kv": self.endpoint.garble(event.now.key, wire.key_value(event.now))}
+                    for event, row in told
+                ]  # fmt: skip
             more = index < len(pieces) - 1
             self.say(header=header, watch_id=watch.id, fragment=more, events=written)
 
@@ -239,7 +248,8 @@
         at_ms = now_ms()
         for revision in sorted({event.now.modified for event in events}):
             of_it = [event for event in events if event.now.modified == revision]
-            put = names(event.now.key for event in of_it if not event.deleted)
+            sense = (event for event in of_it if event.now.key not in self.shared.garbled)
+            put = names(event.now.key for event in sense if not event.deleted)
             deleted = names(event.now.key for event in of_it if event.deleted)
             index, peer = self.endpoint.index, self.connection.peer
             self.shared.record(Record(at_ms, index, "watch", revision, put, deleted, peer))
--- a/dillport/lab/fleet_world.py
+++ b/dillport/lab/fleet_world.py
@@ -25,6 +25,7 @@
 from dillport.lab.etcd.client import EtcdError, prefix_end
 from dillport.lab.etcd.shared import Record
 from dillport.lab.etcd.standin import StandIn
+from dillport.lab.etcd.store import Range
 from dillport.lab.records import Journal, Told, now_ms
 from dillport.lab.world import Node, World
 from dillport.net import control
@@ -100,7 +101,7 @@
         self._ever.setdefault(node, {})[name] = None
         held = self.cluster.store.get(key.encode(), revision)
         row: dict[str, Any] = {}
-        with contextlib.suppress(ValueError):
+        with contextlib.suppress(ValueError, RecursionError):
             raw = json.loads(held.value) if held else None
             row = raw if isinstance(raw, dict) else {}
         phase = PHASES.get(str(row.get("phase")))
@@ -120,7 +121,7 @@
         """The operators took etcd out: its word is void, and whom no other source lists is gone."""
         self.off.add(node)
         self._order.pop(node, None)
-        for name in self._ever.get(node, {}):
+        for name in self._ever.pop(node, {}):
             phase = "up" if self.listed_elsewhere(node, name) else "gone"
             self.journal.add(Told(node, SOURCE, "off", 0, name, phase, now_ms()))
 
@@ -231,6 +232,13 @@
         begin, end = (0, self.node_count) if node is None else (node, node + 1)
         return list(range(begin * self.per_node, end * self.per_node))
 
+    def used(self, node: int = 0) -> int:
+        """The endpoint on which a node has its watch; raises ValueError where it has none, or two for now."""
+        found = [index for index in self.members(node) if self.etcd.members[index].streams]
+        if len(found) != 1:
+            raise ValueError(f"n{node} watches at {found}")
+        return found[0]
+
     def _node_of(self, endpoint: int) -> str:
         return f"n{endpoint // self.per_node}"
 
@@ -306,8 +314,35 @@
                         return (now_ms() - begun) / 1000
                 await asyncio.sleep(0.02)
 
+    async def current(self, wait_s: float = STEADY_S) -> list[str]:
+        """Wait until each source at each node holds what is really in it; what does not by then, in lines."""
+        await self.writer.written()
+        until = now_ms() + wait_s * 1000
+        while True:
+            found = [line for node in self.nodes for line in await self._behind(node)]
+            if not found or now_ms() > until:
+                return found
+            await asyncio.sleep(0.05)
+
+    async def _behind(self, node: Node) -> list[str]:
+        raw, members = PREFIX.encode(), (await self.report(node))["members"]
+        keys = self.etcd.store.range(Range(raw, prefix_end(raw))).kvs
+        there = {SOURCE: {name for name, _ in _names(kv.key.decode() for kv in keys)},
+                 self.discovery.source: set(node.agent.book.members)}  # fmt: skip
+        out = []
+        for source, names in there.items():
+            says = {row["id"] for row in members if row["sources"].get(source) in ("up", "draining")}
+            if says != names:
+                out.append(f"{node.name} has {sorted(says)} of {source}, where {sorted(names)} are")
+        return out
+
     # --- faults of several endpoints at once
 
+    def every(self, act: Callable[[int], object]) -> None:
+        """Do something to each endpoint."""
+        for index in self.members():
+            act(index)
+
     def cut_watches(self, members: Iterable[int]) -> None:
         """Break all connections to endpoints, and refuse new ones until `mend`."""
         for index in members:
--- a/dillport/lab/records.py
+++ b/dillport/lab/records.py
@@ -196,8 +196,9 @@
 class Told:
     """A source wrote to a node what it has of a server: `up`, `draining` or `gone`.
 
-    A whole list tells of all servers that the source ever had. Order is by revision within an identity (an
-    address, a cluster id). Where `written` is false it only counts as told, having been there long enough.
+    A whole list tells of all servers that the node was ever told of. Order is by revision within an identity
+    (an address, a cluster id). Where `written` is false it only counts as told, having been there long
+    enough.
     """
 
     node: str
--- a/tests/lab/test_etcd_faults.py
+++ b/tests/lab/test_etcd_faults.py
@@ -219,6 +219,26 @@
     run(test)
 
 
+def test_a_value_that_is_garbled_in_events_and_lists() -> None:
+    async def test() -> None:
+        async with StandIn() as etcd, await watch(etcd) as stream:
+            for kind, size in ((Garbage.NOT_BASE64, 14), (Garbage.HUGE_VALUE, 2_666_668), (None, 4)):
+                etcd.garble("a", kind)
+                revision = await etcd.put("a", b"1")
+                (event,) = (await told(stream))["result"]["events"]
+                (kv,) = (await read(etcd))["kvs"]
+                assert event["kv"] == kv and kv["mod_revision"] == str(revision) and len(kv["value"]) == size
+            await etcd.delete("a")
+            assert await keys(stream) == ["-" + b64("a")]
+            # What could not be read tells nothing, and a list names it all the same.
+            puts = [(one.kind, one.put) for one in etcd.records]
+            assert puts == [("watch", ()), ("range", ("a",))] * 2 + [
+                ("watch", ("a",)), ("range", ("a",)), ("watch", ()),
+            ]  # fmt: skip
+
+    run(test)
+
+
 def test_a_line_that_does_not_end(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(streams, "ENDLESS", 3_000_000)
 
