--- a/dillport/lab/discovery.py
+++ b/dillport/lab/discovery.py
@@ -149,7 +149,7 @@
         self.asked: deque[str] = deque(maxlen=1000)  # targets of calls
         self.backlog: list[Change] = []  # news that came while it was stalled or silent
         self.seen = book.revision  # the latest revision that was written to the node
-        self.ever: dict[str, None] = {}  # all ids that the node was told of
+        self.ever = dict.fromkeys(book.members)  # all ids that the node was told of
         self.away_at_ms = -OVERDUE_MS  # when it last was out of reach by script
         self.host, self.port = "127.0.0.1", 0
         self.listener: asyncio.Server | None = None
