Take etcd's whole list of the revision that was seen: it is asked for where something may be lost

A watch that lost an event is followed by a whole list of maybe the very revision that was seen, and a restored backup may have just that revision. Such a list was taken for old news, and the view kept what etcd no longer has.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -1,8 +1,9 @@
 """Several sources of the list of backends, one view out that never goes back.
 
 Each source has an order of its own: an identity (the platform's is its address, etcd's its cluster id) and
-revisions in it. What is not newer than what was seen in that order is not applied, whole lists included. A
-new identity begins a new order, by a whole list only.
+revisions in it. What is not newer than what was seen in that order is not applied, whole lists included. One
+of equal revision is taken after a line that could not be read, and where a source's revisions come in pieces.
+A new identity begins a new order, by a whole list only.
 
 The view of one backend, over all sources:
 
@@ -271,7 +272,8 @@
             self._begin(source, event.identity)
         newer = source.revision is None or listing.revision > source.revision
         if listing.complete:
-            if newer or (listing.revision == source.revision and source.spoiled):
+            # An equal one is taken where something may have been lost on the way: a line, or a piece.
+            if newer or (listing.revision == source.revision and (source.spoiled or source.pieces)):
                 self._whole(source, listing, event.saved)
             elif listing.revision == source.revision:
                 self._current(source)
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -144,6 +144,16 @@
     assert rig.view == {"b": "up"} and rig.membership.resume("platform") == 5
 
 
+def test_an_equal_whole_list_is_taken_where_revisions_come_in_pieces() -> None:
+    """It is asked for where something may have been lost, or a backup has just this revision."""
+    rig = Rig(Source("etcd", pieces=True))
+    rig.list("etcd", whole(5, member("a"), member("b")))
+    rig.list("etcd", whole(5, member("b", DRAINING), member("c")))
+    assert rig.view == {"b": "draining", "c": "up"} and rig.membership.resume("etcd") == 5
+    rig.list("etcd", whole(4, member("a")))
+    assert rig.view == {"b": "draining", "c": "up"} and len(rig.rejected) == 1
+
+
 def test_a_move_begins_a_new_order_by_a_whole_list_only() -> None:
     rig = Rig(Source("platform"))
     rig.list("platform", whole(60, member("a")), "10.0.0.1:1")
