--- /dev/null
+++ b/benchmarks/child.py
@@ -0,0 +1,136 @@
+"""The process that is measured: a whole node or the parts of its membership, with a look at its loop each ms.
+
+    python -m benchmarks.child pool|module|node
+
+It reads the node's configuration and the operators' file as a node does. `pool` has the real sources, the
+merge and the pool of connections, and nothing else; `module` has the decision module behind them too; `node`
+is the node. At SIGTERM it writes JSON to standard output: `lags` are [moment, how late the loop was],
+`collections` are [moment, length, generation] of Python's garbage collector, all in ms, from 1 ms on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from dillport import operators
+from dillport.decide import membership
+from dillport.decide.membership import Listed, Source
+from dillport.net import assemble
+from dillport.net.config import Config, load
+from dillport.net.fleet import EtcdPart, Fleet, ViewSink
+from dillport.net.node import Node
+from dillport.net.sources import platform
+from dillport.net.sources.etcd import EtcdSource
+from dillport.net.sources.platform import PlatformSource
+from dillport.net.upstream import Pool
+from dillport.operators import Operators
+
+EVERY = 0.001  # s between two looks at the loop
+WORTH = 1.0  # ms of lateness, or of a collection, that are kept
+LOOK = "BENCHMARK_LOOK"  # set to 0: no looks at the loop, which cost CPU time
+
+
+class Probe:
+    """Looks at the loop each millisecond: how late it comes to that is how long something else held it."""
+
+    def __init__(self) -> None:
+        self.lags: list[tuple[float, float]] = []
+        self.collections: list[tuple[float, float, int]] = []
+        self.loop = asyncio.get_running_loop()
+        self._due = self._began = 0.0
+        gc.callbacks.append(self._collected)
+
+    def start(self) -> None:
+        """Look from now on."""
+        self._due = time.monotonic() + EVERY
+        self.loop.call_later(EVERY, self._look)
+
+    def _look(self) -> None:
+        now = time.monotonic()
+        late = (now - self._due) * 1000
+        if late >= WORTH:
+            self.lags.append((now * 1000, late))
+        self.start()
+
+    def _collected(self, phase: str, info: Mapping[str, Any]) -> None:
+        now = time.monotonic() * 1000
+        if phase == "start":
+            self._began = now
+        elif now - self._began >= WORTH:
+            self.collections.append((now, now - self._began, info["generation"]))
+
+
+class PoolSink:
+    """Takes changes of the view as a node does, without its decision module."""
+
+    def __init__(self, config: Config) -> None:
+        self.pool = Pool(config.settings, config.upstream_sockets)
+
+    def now(self) -> float:
+        """Milliseconds; never goes back."""
+        return time.monotonic() * 1000
+
+    def apply(self, change: membership.Apply) -> None:
+        """Take a change."""
+        self.pool.update(change.members, [m.id for m in change.removed])
+
+
+async def parts(config: Config, settings: Operators, sink: ViewSink) -> None:
+    """The membership of a node, put together as `assemble.serve` does, until SIGTERM."""
+    listed = Source(platform.NAME)
+    fleet = Fleet(sink, [listed])
+    discovery = PlatformSource(
+        config.discovery, False, sink.now, fleet.hand, lambda: fleet.resume(platform.NAME), lambda: None
+    )
+    etcd = EtcdPart(fleet, (listed,), lambda table, seen: EtcdSource(table, fleet.hand, seen=seen))
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
+    discovery.watch(True)
+    etcd.apply(settings.membership.etcd)
+    gc.freeze()
+    logging.info("the parts are up")
+    await stop.wait()
+    discovery.watch(False)
+    etcd.stop()
+
+
+async def watched(mode: str, config: Config, path: Path | None, settings: Operators) -> Probe:
+    """Run it with the probe beside it."""
+    probe = Probe()
+    if os.environ.get(LOOK) != "0":
+        probe.start()
+    if mode == "node":
+        await assemble.serve(config, path, settings)
+    else:
+        await parts(config, settings, Node(config) if mode == "module" else PoolSink(config))
+    return probe
+
+
+def main() -> int:
+    """The command; the exit code."""
+    if len(sys.argv) != 2 or sys.argv[1] not in ("pool", "module", "node"):
+        print(__doc__, file=sys.stderr)
+        return 2
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(message)s")
+    config, named = load(os.environ), os.environ.get("DILLPORT_SETTINGS")
+    path = Path(named) if named else None
+    probe = uvloop.run(watched(sys.argv[1], config, path, operators.load(path) if path else Operators()))
+    print(json.dumps({"lags": probe.lags, "collections": probe.collections}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/herd.py
@@ -0,0 +1,144 @@
+"""A thousand nodes that lost their source at the same moment: how many come back within any one second.
+
+The deciders alone, in virtual time: nothing here takes as long as it says. All nodes lose etcd, or the
+platform's discovery, at once; it is back OUTAGE_MS later, and each node finds out when its own time comes.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from bisect import bisect_left
+from collections.abc import Callable, Iterator
+
+from benchmarks.report import Row
+from dillport.decide import etcd_follow as ef
+from dillport.decide import platform_follow as pf
+
+NODES = 1000
+CALM_MS, OUTAGE_MS, AFTER_MS = 20_000.0, 60_000.0, 30_000.0
+CALL_MS = 1.0  # that a call takes, answered or refused
+FROM_MS, UNTIL_MS = CALM_MS, CALM_MS + OUTAGE_MS  # of the outage
+WHERE = ef.Position("77", 100, 1)
+
+
+class Clock:
+    """Virtual time: what is due, in order."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+
+    def at(self, when_ms: float, act: Callable[[], None]) -> None:
+        """Have something happen."""
+        heapq.heappush(self._due, (max(when_ms, self.now_ms), next(self._count), act))
+
+    def run(self, until_ms: float) -> None:
+        """Let time pass."""
+        while self._due and self._due[0][0] <= until_ms:
+            self.now_ms, _, act = heapq.heappop(self._due)
+            act()
+
+
+class EtcdNode:
+    """One node's `EtcdFollow` against endpoints that answer, refuse or say nothing."""
+
+    def __init__(self, clock: Clock, seed: int, frozen: bool) -> None:
+        self.clock, self.frozen = clock, frozen
+        self.follow = ef.EtcdFollow("etcd", 3, random.Random(seed))
+        self.back: list[float] = []  # moments of what an etcd that is there again said
+        self.watch = 0
+
+    @property
+    def away(self) -> bool:
+        """Whether etcd is not there."""
+        return FROM_MS <= self.clock.now_ms < UNTIL_MS
+
+    def hand(self, event: ef.Event) -> None:
+        """An event; what was decided on it."""
+        heard = isinstance(event, ef.CheckAnswered) and event.call == self.follow.check_call
+        if heard and self.clock.now_ms >= UNTIL_MS:
+            self.back.append(self.clock.now_ms)
+        for action in self.follow.handle(self.clock.now_ms, event):
+            match action:
+                case ef.SetTimer():
+                    self._later(action.at_ms - self.clock.now_ms, ef.TimerFired(action.token))
+                case ef.Check():
+                    self._call(action.call, ef.CheckAnswered(action.call, WHERE))
+                case ef.Range():
+                    self._call(action.call, ef.PageAnswered(action.call, WHERE, (), b"", False))
+                case ef.Watch():
+                    self.watch = action.call
+                    self._call(action.call, ef.WatchCreated(action.call, WHERE))
+
+    def _call(self, call: int, answer: ef.Event) -> None:
+        if not self.away:
+            self._later(CALL_MS, answer)
+        elif self.frozen:  # what it was asked is answered once it goes on
+            self._later(UNTIL_MS - self.clock.now_ms + CALL_MS, answer)
+        else:
+            self._later(CALL_MS, ef.CallFailed(call, ef.Trouble.FAILED, "refused"))
+
+    def _later(self, wait_ms: float, event: ef.Event) -> None:
+        self.clock.at(self.clock.now_ms + wait_ms, lambda: self.hand(event))
+
+    def lose(self) -> None:
+        """etcd goes: whoever only stands still does not say so."""
+        if not self.frozen:
+            self.hand(ef.CallFailed(self.watch, ef.Trouble.FAILED, "the connection ended"))
+
+
+class PlatformNode:
+    """One node's `PlatformFollow` against a discovery that is there or refuses."""
+
+    def __init__(self, clock: Clock, seed: int, frozen: bool) -> None:
+        self.clock = clock
+        self.follow = pf.PlatformFollow(random.Random(seed), False)
+        self.back: list[float] = []
+
+    def hand(self, event: pf.Event) -> None:
+        """An event; what was decided on it. The list that it holds is that of revision 1."""
+        now_ms = self.clock.now_ms
+        for action in self.follow.handle(now_ms, event, 1):
+            match action:
+                case pf.Wait():
+                    self.clock.at(action.until_ms, lambda: self.hand(pf.Due()))
+                case pf.WatchFrom():
+                    if now_ms >= UNTIL_MS:
+                        self.back.append(now_ms)
+                    away = FROM_MS <= now_ms < UNTIL_MS
+                    answer = pf.Ended(False) if away else pf.Answered()
+                    self.clock.at(now_ms + CALL_MS, lambda said=answer: self.hand(said))  # type: ignore[misc]
+
+    def lose(self) -> None:
+        """Discovery goes: its watches end."""
+        self.hand(pf.Ended(False))
+
+
+def crowd(moments: list[float], within_ms: float = 1000.0) -> int:
+    """The most moments that lie within any such span."""
+    ordered = sorted(moments)
+    return max((bisect_left(ordered, at + within_ms) - n for n, at in enumerate(ordered)), default=0)
+
+
+def herd(nodes: int = NODES) -> Iterator[Row]:
+    """The figures."""
+    for kind, frozen, what in (
+        (EtcdNode, False, "etcd, which refused connections"),
+        (EtcdNode, True, "etcd, which stood still"),
+        (PlatformNode, False, "discovery, which refused connections"),
+    ):
+        clock, rng = Clock(), random.Random(7)
+        fleet = [kind(clock, seed, frozen) for seed in range(nodes)]
+        for node in fleet:
+            begin = ef.Started() if isinstance(node, EtcdNode) else pf.Wanted(True)
+            clock.at(rng.uniform(0, 1000.0), lambda n=node, e=begin: n.hand(e))  # type: ignore[misc]
+            clock.at(FROM_MS, node.lose)
+        clock.run(UNTIL_MS + AFTER_MS)
+        first = [min(node.back) - UNTIL_MS for node in fleet if node.back]
+        assert len(first) == nodes, f"{nodes - len(first)} nodes did not come back"
+        most = f"{crowd(first)} of {nodes}"
+        yield Row(f"a minute without {what}: most back within any one second", most, "not all of them")
+        yield Row(f"a minute without {what}: the last is back after", f"{max(first) / 1000:.1f} s")
