--- a/benchmarks/drains.py
+++ b/benchmarks/drains.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import os
 from collections.abc import Iterator
@@ -97,6 +98,8 @@
             await etcd.put(PREFIX + name, entry)
         await asyncio.sleep(1.0)
         seconds = BEFORE_S + count * (AWAY_S + BACK_S + 0.01) + 0.5
+        gc.collect()
+        gc.disable()  # guards against pauses of this process, which would be taken for the node's
         load = asyncio.create_task(world.play(rate, seconds))
         await asyncio.sleep(BEFORE_S)
         deletes = []
@@ -109,6 +112,7 @@
             await etcd.put(PREFIX + name, entries[name])
             await asyncio.sleep(BACK_S)
         await load
+        gc.enable()
         records = list(world.journal)
         verdict = world.verdict()
     for delete in deletes:
