Benchmarks say how long the measured process waited for its core

A run beside another program on the same core showed a list that was not taken after three seconds: the process had been ready to run all that time and had not been let.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -23,7 +23,7 @@
 from typing import Any, Self, cast
 
 from benchmarks.child import LOOK
-from benchmarks.report import Row, cpu_ms, memory_mb, on, spread
+from benchmarks.report import Row, cpu_ms, memory_mb, on, spread, waited_ms
 from dillport.lab.clients import Clients, Front, Habits, draw
 from dillport.lab.discovery import Agent, Discovery
 from dillport.lab.etcd.standin import StandIn
@@ -273,7 +273,7 @@
     rows = []
     for source in (PLATFORM, ETCD):
         for mode, what in MODES.items():
-            first, again, pauses, memory = [], [], [], []
+            first, again, pauses, memory, waited = [], [], [], [], []
             for _ in range(runs):
                 async with (
                     sources(servers.entries, source) as told,
@@ -289,6 +289,7 @@
                         await asyncio.sleep(SETTLE_S)
                         end = now_ms()
                     memory.append(memory_mb(child.pid)[0])
+                    waited.append(waited_ms(child.pid))
                     told.check(servers.count, -(-servers.count // 100))
                 one, two = child.stall(up, middle), child.stall(middle, end)
                 first.append(one[0])
@@ -299,6 +300,7 @@
             rows.append(Row(f"{source}, {what}: longest stall, another list", spread(again, "ms"), aim))
             rows.append(Row(f"{source}, {what}: longest collection in them", spread(pauses, "ms")))
             rows.append(Row(f"{source}, {what}: memory", spread(memory, "MB")))
+            rows.append(Row(f"{source}, {what}: waited for its core, in all", spread(waited, "ms")))
     return iter(rows)
 
 
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -55,6 +55,11 @@
     return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e6
 
 
+def waited_ms(pid: int) -> float:
+    """How long a process's first thread was ready to run and had no core so far, in ms (Linux)."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e6
+
+
 def cores(text: str) -> set[int]:
     """Cores out of words such as `1-3,5`; raises ValueError."""
     out: set[int] = set()
