--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -117,7 +117,8 @@
         up = [m for m in members if m["phase"] == "up"]
         less = sum(m["weight"] < 2.0 for m in up)
         if (len(up), less) != (count, lighter):
-            raise RuntimeError(f"it has {len(up)} servers of {count}, and {less} changed ones of {lighter}")
+            found = f"it has {len(up)} servers of {count}, and {less} changed ones of {lighter}"
+            raise RuntimeError(f"{found}, after {SETTLE_S:g} s: does something else use its cores?")
 
 
 @contextlib.asynccontextmanager
