--- a/dillport/lab/etcd/standin.py
+++ b/dillport/lab/etcd/standin.py
@@ -284,10 +284,10 @@
         self.members[member].cut = on
         self._changed()
 
-    def replay(self, member: int, revision: int) -> None:
-        """Tell every open watch once more what happened from a revision on."""
+    def replay(self, member: int, revision: int, last: int | None = None) -> None:
+        """Tell every open watch once more what happened from a revision on, up to `last` if given."""
         for stream in self._streams(member):
-            stream.replay(revision)
+            stream.replay(revision, last)
 
     def twice(self, member: int, on: bool = True) -> None:
         """Tell every event twice."""
--- a/dillport/lab/etcd/store.py
+++ b/dillport/lab/etcd/store.py
@@ -263,12 +263,15 @@
             kvs = [KeyValue(kv.key, b"", kv.created, kv.modified, kv.version, kv.lease) for kv in kvs]
         return Found(tuple(kvs), more, count)
 
-    def events(self, first: int, view: int) -> Iterator[tuple[int, tuple[Event, ...]]]:
+    def events(
+        self, first: int, view: int, *, live: bool = False
+    ) -> Iterator[tuple[int, tuple[Event, ...]]]:
         """What happened from revision `first` up to `view`, one revision at a time.
 
-        A delete at the very revision of a compaction is not among it (see above).
+        A delete at the very revision of a compaction is not among it (see above), but for who is told `live`:
+        a member that was behind does one thing after the other, and the compaction came later.
         """
-        gone = self.compacted_at(view)
+        gone = 0 if live else self.compacted_at(view)
         for revision in range(max(first, 2), view + 1):
             events = self._history.get(revision, ())
             if revision <= gone:
--- a/dillport/lab/etcd/stream.py
+++ b/dillport/lab/etcd/stream.py
@@ -180,7 +180,7 @@
                 self.say(header=header, watch_id=watch.id, canceled=True, compact_revision=gone)
                 return None
             await self._catch_up(watch, view)
-        for revision, events in store.events(watch.next, view):
+        for revision, events in store.events(watch.next, view, live=True):
             watch.next = revision + 1
             await self._say_events(watch, events, revision)
         watch.next = max(watch.next, view + 1)
@@ -256,12 +256,13 @@
 
     # --- faults
 
-    def replay(self, first: int) -> None:
-        """Tell once more what was told already, from a revision on."""
+    def replay(self, first: int, last: int | None) -> None:
+        """Tell once more what was told already, from a revision on, up to `last` if that is given."""
         for watch in self.watches.values():
-            last = min(watch.next - 1, self.endpoint.view())
-            for revision, events in list(self.shared.store.events(first, last)):
-                self.tell(watch, events, revision)
+            told = min(watch.next - 1, self.endpoint.view())
+            end = told if last is None else min(told, last)
+            for _, events in list(self.shared.store.events(first, end)):
+                self.tell(watch, events, told)  # as to a watch that was behind: the header is of now
 
     def cancel(self, reason: str, compact_revision: int) -> None:
         """Cancel all watches; the stream stays open."""
--- a/dillport/lab/schedules.py
+++ b/dillport/lab/schedules.py
@@ -201,8 +201,9 @@
         self.take_off(at_s + 0.05, self.free()[:3], "terminated", "etcd")
         self.at(at_s + 0.1, "compacted", _compact)
         self.at(end, f"{text} there again", lambda w: w.mend(pick(w)))
-        for wait in (0.1, 0.4):
-            self.at(end + wait, f"{text} replays all", self.each(lambda w, i: w.etcd.replay(i, 1), pick))
+        for wait, short in ((0.1, 0), (0.4, 2)):
+            act = self.each(partial(_replay, short=short), pick)
+            self.at(end + wait, f"{text} replays all but {short}", act)
 
     def drop(self, at_s: float) -> None:
         """Connections end."""
@@ -246,10 +247,12 @@
                     self.each(lambda w, i: w.etcd.twice(i, on=False), pick))  # fmt: skip
 
     def replay(self, at_s: float) -> None:
-        """Old events are told once more, twice over."""
+        """Old events are told once more: all of them, or but for the last few."""
         text, pick = self.some_members()
+        short = self.rng.choice((0, 1, 2, 5))
         for wait in (0.0, 0.3):
-            self.at(at_s + wait, f"{text} replays", self.each(lambda w, i: w.etcd.replay(i, 1), pick))
+            act = self.each(partial(_replay, short=short), pick)
+            self.at(at_s + wait, f"{text} replays all but {short}", act)
 
     def compact(self, at_s: float) -> None:
         """The history is gone."""
@@ -334,6 +337,10 @@
         world.discovery.publish(*rows)
 
 
+def _replay(world: FleetWorld, index: int, short: int) -> None:
+    world.etcd.replay(index, 1, world.etcd.store.revision - short)
+
+
 async def _compact(world: FleetWorld) -> None:
     revision = await world.etcd.revision()
     if revision > world.etcd.store.compacted:
--- a/tests/lab/test_etcd_faults.py
+++ b/tests/lab/test_etcd_faults.py
@@ -104,6 +104,23 @@
     run(test)
 
 
+def test_a_member_that_was_behind_tells_of_a_delete_before_its_compaction() -> None:
+    async def test() -> None:
+        async with StandIn() as etcd:
+            await put(etcd, "a", "b")
+            async with await watch(etcd) as stream:
+                etcd.lag(0, 1)
+                await etcd.delete("a")
+                await etcd.compact(4)
+                assert await silent(stream)
+                etcd.lag(0, 0)
+                assert await keys(stream) == ["-" + b64("a")]
+            async with await watch(etcd, start_revision=4) as stream:  # who comes later is told nothing
+                assert await silent(stream)
+
+    run(test)
+
+
 def test_a_member_cut_off_from_the_others() -> None:
     async def test() -> None:
         async with StandIn(3) as etcd:
@@ -155,21 +172,18 @@
             for _ in range(3):
                 await told(stream)
             etcd.replay(0, 2)
-            want = [
-                (2, [{"kv": kv("a", 2, 2, 1)}]),
-                (3, [gone("a", 3)]),
-                (4, [{"kv": kv("b", 4, 4, 1)}]),
-            ]
-            for revision, events in want:
+            for events in ([{"kv": kv("a", 2, 2, 1)}], [gone("a", 3)], [{"kv": kv("b", 4, 4, 1)}]):
                 result = (await told(stream))["result"]
-                assert result == {"header": {"revision": str(revision)}, "events": events}
+                assert result == {"header": {"revision": "4"}, "events": events}  # as to one that was behind
+            etcd.replay(0, 1, 2)
+            assert await keys(stream) == [b64("a")] and await silent(stream)
             etcd.twice(0)
             await put(etcd, "c")
             assert await keys(stream) == await keys(stream) == [b64("c")]
             etcd.twice(0, on=False)
             await put(etcd, "d")
             assert await keys(stream) == [b64("d")] and await silent(stream)
-            assert [one.revision for one in etcd.records] == [2, 3, 4, 2, 3, 4, 5, 5, 6]
+            assert [one.revision for one in etcd.records] == [2, 3, 4, 2, 3, 4, 2, 5, 5, 6]
 
     run(test)
 
--- a/tests/system/test_half_removed.py
+++ b/tests/system/test_half_removed.py
@@ -163,7 +163,8 @@
         await world.etcd.compact(await world.etcd.revision())
 
     def replay() -> None:
-        world.every(lambda index: world.etcd.replay(index, 1))
+        last = world.etcd.store.revision - 1  # all but the deletes
+        world.every(lambda index: world.etcd.replay(index, 1, last))
 
     return [
         Step(DELETE_S - 0.2, "", lambda w: world.cut_watches(world.members())),
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -157,8 +157,14 @@
 async def old_news(path: Path) -> None:
     """Old events are replayed and sent twice, an endpoint lags by 50 revisions; the view never goes back."""
     async with FleetWorld(path, site=SITE, seed=32, servers=8, platform="s1".__eq__) as world:
+        begin = await world.etcd.revision()
+        await world.writer.write(world.fleet.members())
         await renew(world, 60)
 
+        def replay(world: FleetWorld) -> None:
+            """From when all of them were listed up to before the first of them went."""
+            world.every(lambda i: world.etcd.replay(i, 1, begin + 1))
+
         def behind(world: FleetWorld) -> None:
             """The endpoint that is not in use lags, the one in use drops."""
             used = world.used()
@@ -168,21 +174,23 @@
         script = [
             on(0.2, lambda w: off(w, "s2", "s3")),
             on(0.3, lambda w: off(w, "s4", phase="terminating")),
-            on(0.5, lambda w: w.every(lambda i: w.etcd.replay(i, 1))),
-            on(0.6, lambda w: w.every(lambda i: w.etcd.twice(i))),
+            on(0.5, replay),
+            on(0.6, lambda w: w.every(w.etcd.twice)),
             on(0.7, lambda w: off(w, "s5")),
-            on(0.9, lambda w: w.every(lambda i: w.etcd.replay(i, 1))),
+            on(0.9, replay),
             on(1.2, behind),
+            on(1.6, lambda w: off(w, "s6")),  # heard of where nobody lags
             # Nobody is as far as what was seen: no endpoint will do, and the view stays.
-            on(2.0, lambda w: w.every(lambda i: w.etcd.lag(i, 50))),
-            on(2.1, lambda w: w.every(lambda i: w.etcd.drop(i))),
-            on(2.8, lambda w: w.etcd.replay(0, 1)),
-            on(3.3, lambda w: w.every(lambda i: w.etcd.lag(i, 0))),
+            on(2.4, lambda w: w.every(lambda i: w.etcd.lag(i, 50))),
+            on(2.5, lambda w: w.every(w.etcd.drop)),
+            on(3.0, replay),
+            on(3.5, lambda w: w.every(lambda i: w.etcd.lag(i, 0))),
         ]
-        await world.play(RATE, 4.2, script)
+        await world.play(RATE, 4.4, script)
         judged(world)
         assert not sent(world, "s2 s3 s4 s5", 0.8)  # not within the grace either: nothing brought it back
-        assert sent(world, "s1 s6 s7 s8", 3.0) > 20
+        assert at_s(world, told(world, "s6")[0]) < 2.3 and not sent(world, "s6", 2.4)
+        assert sent(world, "s1 s7 s8", 3.0) > 20
         await world.state(world.nodes[0], "in sync")
 
 
