--- a/dillport/lab/discovery.py
+++ b/dillport/lab/discovery.py
@@ -289,9 +289,10 @@
         for change in backlog:
             self.tell(change.revision, change.entries)
 
-    def replay(self, count: int) -> None:
-        """Tell the last changes once more, each under its old revision."""
-        for change in list(self.book.changes)[-count:]:
+    def replay(self, count: int, but: int = 0) -> None:
+        """Tell the last changes once more, each under its old revision, and leave out the very last `but`."""
+        changes = list(self.book.changes)
+        for change in changes[-count - but : len(changes) - but]:
             self.tell(change.revision, change.entries)
 
     def go_back(self, count: int) -> None:
--- a/dillport/lab/schedules.py
+++ b/dillport/lab/schedules.py
@@ -24,6 +24,7 @@
 from typing import cast
 
 from dillport.lab.clients import Habits
+from dillport.lab.discovery import HISTORY
 from dillport.lab.etcd.shared import Garbage
 from dillport.lab.fleet_world import FleetWorld
 from dillport.lab.judge import Verdict
@@ -205,6 +206,14 @@
             act = self.each(partial(_replay, short=short), pick)
             self.at(end + wait, f"{text} replays all but {short}", act)
 
+    def stale(self, at_s: float) -> None:
+        """Discovery takes servers off, and then tells its oldest list and old changes once more."""
+        node = f"n{self.rng.randrange(self.nodes)}"
+        self.take_off(at_s, self.free()[:3], self.rng.choice(("terminated", "terminating")), "platform")
+        self.at(at_s + 0.2, f"discovery of {node} tells its oldest list", partial(_older, node=node))
+        self.at(at_s + 0.4, f"discovery of {node} replays all but 1",
+                lambda w: w.discovery.agents[node].replay(HISTORY, 1))  # fmt: skip
+
     def drop(self, at_s: float) -> None:
         """Connections end."""
         text, pick = self.some_members()
@@ -323,8 +332,8 @@
 
 # How often each is drawn, in parts.
 INCIDENTS: dict[str, int] = {
-    "delete": 5, "drain": 3, "half": 1, "again": 3, "restart": 2, "hidden": 2, "drop": 2, "out": 2,
-    "freeze": 2, "stall": 1, "lag": 2, "cut": 2, "twice": 1, "replay": 2, "compact": 2, "cancel": 1,
+    "delete": 4, "drain": 3, "half": 1, "again": 3, "restart": 2, "hidden": 2, "stale": 2, "drop": 2,
+    "out": 2, "freeze": 2, "stall": 1, "lag": 2, "cut": 2, "twice": 1, "replay": 2, "compact": 2, "cancel": 1,
     "fragment": 1, "garbage": 2, "bounce": 2, "discovery": 5,
 }  # fmt: skip
 
@@ -364,10 +373,9 @@
     rng, span = draft.rng, draft.last - 0.2
     count = round(span / 2.4 * rng.randint(6, 11))
     moments = sorted(rng.uniform(0.2, draft.last - 0.3) for _ in range(count))
-    # Two deletes at least, so that no schedule proves nothing.
-    kinds = ["delete", rng.choice(("hidden", "half")), *rng.choices(list(INCIDENTS), list(INCIDENTS.values()),
-                                                                    k=count - 2)]  # fmt: skip
-    rng.shuffle(kinds)
+    # Servers are taken off early, so that there is time to see what is still sent to them.
+    first = [rng.choice(("delete", "drain")), rng.choice(("hidden", "stale", "half"))]
+    kinds = first + rng.choices(list(INCIDENTS), list(INCIDENTS.values()), k=count - 2)
     for at_s, kind in zip(moments, kinds, strict=True):
         draft.kinds[kind] += 1
         getattr(draft, kind)(at_s)
