--- a/dillport/lab/schedules.py
+++ b/dillport/lab/schedules.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
@@ -25,6 +26,7 @@
 
 from dillport.lab.clients import Habits
 from dillport.lab.discovery import HISTORY
+from dillport.lab.etcd.client import EtcdError
 from dillport.lab.etcd.shared import Garbage
 from dillport.lab.fleet_world import FleetWorld
 from dillport.lab.judge import Verdict
@@ -351,9 +353,11 @@
 
 
 async def _compact(world: FleetWorld) -> None:
-    revision = await world.etcd.revision()
-    if revision > world.etcd.store.compacted:
-        await world.etcd.compact(revision)
+    """Nothing is compacted while nobody has a quorum: another incident may have seen to that."""
+    with contextlib.suppress(EtcdError):
+        revision = await world.etcd.revision()
+        if revision > world.etcd.store.compacted:
+            await world.etcd.compact(revision)
 
 
 def _older(world: FleetWorld, node: str) -> None:
