The judge gives a node the time that the machine kept it waiting for a core

The kernel says how long a process was ready and had no core; the world writes that down, and the judge counts what fell into the second before.

--- a/dillport/lab/records.py
+++ b/dillport/lab/records.py
@@ -3,7 +3,7 @@
 Nothing here comes from a node: the judge reads these records and nothing else. Clients record `Wanted`,
 `Asked`, `Crossed`, `Answered`, `ClientLeft`, `Unreached`; servers `ServerStarted`, `ServerEnded`, `Received`,
 `TurnedAway`, `Ran`, `Replied`, `LetGo`; sources of the list `Told`; the world `NodeStarted`, `NodeSignalled`,
-`NodeEnded`, `HeldUp`.
+`NodeEnded`, `NodeHeldUp`, `HeldUp`.
 """
 
 from __future__ import annotations
@@ -241,6 +241,15 @@
     code: int
 
 
+@dataclass(slots=True, frozen=True)
+class NodeHeldUp:
+    """The machine kept a node's process waiting for a core: so long in all since the record before."""
+
+    node: str
+    at_ms: float
+    late_ms: float
+
+
 @dataclass(slots=True, frozen=True)
 class HeldUp:
     """The world's own loop ran late: what it recorded in the `late_ms` before may have come earlier."""
@@ -251,13 +260,15 @@
 
 Record = (
     Wanted | Asked | Crossed | Answered | ClientLeft | Unreached | ServerStarted | ServerEnded | Received
-    | TurnedAway | Ran | Replied | LetGo | Told | NodeStarted | NodeSignalled | NodeEnded | HeldUp
+    | TurnedAway | Ran | Replied | LetGo | Told | NodeStarted | NodeSignalled | NodeEnded
+    | NodeHeldUp | HeldUp
 )  # fmt: skip
 KINDS: dict[str, type[Any]] = {
     kind.__name__: kind
     for kind in (
         Wanted, Asked, Crossed, Answered, ClientLeft, Unreached, ServerStarted, ServerEnded, Received,
-        TurnedAway, Ran, Replied, LetGo, Told, NodeStarted, NodeSignalled, NodeEnded, HeldUp,
+        TurnedAway, Ran, Replied, LetGo, Told, NodeStarted, NodeSignalled, NodeEnded, NodeHeldUp,
+        HeldUp,
     )
 }  # fmt: skip
 
--- a/dillport/lab/world.py
+++ b/dillport/lab/world.py
@@ -30,7 +30,15 @@
 from dillport.lab.clients import Clients, Front, Habits, draw
 from dillport.lab.discovery import Agent, Discovery
 from dillport.lab.judge import Verdict, judge
-from dillport.lab.records import HeldUp, Journal, NodeEnded, NodeSignalled, NodeStarted, now_ms
+from dillport.lab.records import (
+    HeldUp,
+    Journal,
+    NodeEnded,
+    NodeHeldUp,
+    NodeSignalled,
+    NodeStarted,
+    now_ms,
+)
 from dillport.lab.servers import Fleet, Machine, Server
 from dillport.lab.site import Site
 
@@ -67,6 +75,7 @@
         self.host, self.port = f"127.{world.fleet.net}.250.{number + 1}", 0
         self.process: asyncio.subprocess.Process | None = None
         self.log: deque[str] = deque(maxlen=LOG_LINES)
+        self._waited = (0, 0.0)
         self._tasks: set[asyncio.Task[None]] = set()
         self._serves = asyncio.Event()
 
@@ -142,6 +151,25 @@
         finally:
             writer.close()
 
+    def kept_waiting(self, least: float) -> float:
+        """For how long in all its process was ready and had no core since this last gave a time, in ms.
+
+        The kernel's word (/proc, `schedstat`), not the node's; 0 where there is none, for a new process, and
+        up to `least`.
+        """
+        process = self.process
+        if process is None or process.returncode is not None:
+            return 0.0
+        try:
+            waited = int(Path(f"/proc/{process.pid}/schedstat").read_bytes().split()[1]) / 1e6
+        except (OSError, IndexError, ValueError):
+            return 0.0
+        pid, before = self._waited
+        if pid == process.pid and waited - before <= least:
+            return 0.0
+        self._waited = (process.pid, waited)
+        return waited - before if pid == process.pid else 0.0
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to its process."""
         if self.process is not None and self.process.returncode is None:
@@ -251,6 +279,9 @@
         at = now_ms()
         if at - due_ms > LATE_MS:
             self.journal.add(HeldUp(at, at - due_ms))
+        for node in self.nodes:
+            if late := node.kept_waiting(LATE_MS):
+                self.journal.add(NodeHeldUp(node.name, at, late))
         loop = asyncio.get_running_loop()
         self._ticker = loop.call_later(TICK_MS / 1000, self._tick, at + TICK_MS)
 
--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -19,6 +19,7 @@
     JournalError,
     LetGo,
     NodeEnded,
+    NodeHeldUp,
     NodeSignalled,
     NodeStarted,
     Ran,
@@ -184,6 +185,18 @@
     assert not verdict(late, HeldUp(1_300, 30)).ok
 
 
+def test_a_node_that_had_no_core_is_given_that_time() -> None:
+    late = [*asked("r9", "read", 100), *attempt("r9", "s0", 102, took=1_120), *answered("r9", 1_210, "s0")]
+    waits: list[Record] = [NodeHeldUp("n0", at, 35.0) for at in (700.0, 1_000.0, 1_215.0)]
+    assert not verdict(late).ok and verdict(late, waits).ok  # 110 ms late, 105 of them without a core
+    assert not verdict(late, waits[:1]).ok
+    assert not verdict(late, [replace(w, node="n1") for w in waits if isinstance(w, NodeHeldUp)]).ok
+    assert not verdict(late, [replace(w, at_ms=150.0) for w in waits if isinstance(w, NodeHeldUp)]).ok
+    gone = Told("n0", "platform", "p", 1, "s0", "gone", 1_000.0)
+    after = served("r9", "read", 3_090)
+    assert verdict(gone, after).broken(3) and verdict(gone, after, NodeHeldUp("n0", 3_095.0, 50.0)).ok
+
+
 def test_connection_ended_without_an_answer() -> None:
     got = verdict(asked("r9", "read", 100), Answered("r9", 150, 0, False))
     one(got, 1, "r9", "its connection ended without an answer")
