--- a/tests/test_mechanism.py
+++ b/tests/policy/test_mechanism.py
@@ -537,7 +537,7 @@
     b.handle(now, api.ListUpdate(api.ListKind.FAILED, []))
     for i in range(300):
         lines += [a.text for a in _arrive(b, f"h{i}", 70_000.0) if isinstance(a, api.Log)]
-    page = (Path(__file__).parents[1] / "docs" / "on-call.md").read_text(encoding="utf-8")
+    page = (Path(__file__).parents[2] / "docs" / "on-call.md").read_text(encoding="utf-8")
     starts = {line.split(":")[0] for line in lines}
     assert len(lines) <= 4 and starts <= {"panic", "list", "shedding"} and len(starts) >= 2
     assert all(f"`{word}:" in page for word in ("panic", "list", "shedding"))
