--- a/dillport/index.py
+++ b/dillport/index.py
@@ -94,7 +94,7 @@
     def place(self, b: Backend, now: float) -> None:
         """Put a backend where it belongs."""
         back = max(b.until, b.busy)
-        warm = b.entry.started_at + self.ramp_time if b.entry.started_at > 0 else 0.0
+        warm = b.entry.started_at + self.ramp_time if b.entry.started_at > 0 < self.ramp_time else 0.0
         if b.inside and b.due == (back if back > now else warm) and b.due > now:
             return  # away or cold, as it was
         if b.level is not None:
@@ -158,7 +158,7 @@
 def warmth(entry: api.Entry, now: float, cold_share: float, ramp_time: float) -> float:
     """The part of its capacity that a backend surely has by now."""
     age = now - entry.started_at
-    if entry.started_at <= 0 or age >= ramp_time:
+    if entry.started_at <= 0 or ramp_time <= 0 or age >= ramp_time:
         return 1.0
     return cold_share + (1.0 - cold_share) * max(0.0, age) / ramp_time
 
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -66,7 +66,7 @@
         self.width = 0  # so many of the first in the order are in the subset
         self.bad, self.spill = [0.0, 0.0], 0.0  # share gone bad near and far; share of requests sent far
         self.fleet = 0.0  # most backends listed, for long: what a warm one's share is measured by
-        self.fade = FADE * settings.ramp_time
+        self.fade = max(FADE * settings.ramp_time, 1.0)
         self.backends: dict[str, Backend] = {}
         self.requests: dict[str, Request] = {}
         self.held: dict[str, Request] = {}
--- a/tests/policy/test_mechanism.py
+++ b/tests/policy/test_mechanism.py
@@ -632,3 +632,12 @@
     timer = next(a for a in acts if isinstance(a, api.SetTimer))
     assert timer.when <= 1000.0 + SAFE.aim / 2
     assert isinstance(answers(b.handle(timer.when, api.Timer(timer.token)))[0], api.Refuse)
+
+
+def test_a_site_without_a_ramp_may_shrink_and_have_clocks_that_differ() -> None:
+    """Guards against a division by a ramp of nothing, which a site may state."""
+    b = Balancer(replace(BASE, ramp_time=0.0), 1)
+    b.handle(1000.0, api.ListUpdate(api.ListKind.FULL, [entry(f"b{i}", started_at=1500.0) for i in range(4)]))
+    assert sends(_arrive(b, "r"))
+    b.handle(1001.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b1", phase=api.Phase.GONE)]))
+    assert sends(_arrive(b, "s", 1002.0))
