--- a/dillport/index.py
+++ b/dillport/index.py
@@ -164,11 +164,19 @@
 
 
 def weight(b: Backend) -> float:
-    """The weight of a draw at the cap, but for the backend's own count. It may be listed as 0."""
-    share: float = max(b.entry.weight, 1e-6) / b.slow
+    """The weight of a draw at the cap, but for the backend's own count."""
+    share = bounded(b.entry.weight) / b.slow
     return share * share
 
 
+def bounded(listed: float) -> float:
+    """A listed weight as it is reckoned with; it may be 0, or any number that the list could hold.
+
+    Guards against a draw from nothing where all have that, and against one that overflows.
+    """
+    return min(max(listed, 1e-6), 1e12)
+
+
 def grade(b: Backend) -> int:
     """Its weight's power of two: weight < 2 ** grade, and at least half of that."""
     return math.frexp(weight(b))[1]
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 from dillport import interface as api
-from dillport.index import Index, part, warmth, weight
-from dillport.state import Attempt, Backend, Class, Level, Request
+from dillport.index import Index, bounded, part, warmth, weight
+from dillport.state import WHOLE, Attempt, Backend, Class, Level, Request, Room
 
 TRIFLE = 0.012  # a price of no more than this part of the result does not restrict the choice of backends
 SAMPLE = 3  # backends looked at in one round: the paper's lowest-estimate search, sampled
@@ -73,9 +73,7 @@
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
         self.token = self.out = self.asks_failed = self.arrived = self.shed = 0
         self.limit, self.least, self.bank, self.logged = LIMIT_LEAST, LIMIT_LEAST, RETRY_BANK, -LOG_EVERY
-        # By kind, of those that are up and have room: how many, their weights' inverses summed, how many have
-        # a weight; and the weight of an idle backend.
-        self.sums: dict[str, list[float]] = {}
+        self.rooms: dict[str, Room] = {}  # by kind
         self.began = math.inf  # when the first answer steered the limit
         self.ease, self.listed = 1.0, 0.0  # factor of the least limit; when it was last told
         self.lost = 0.0  # share of attempts that got no answer of late
@@ -104,9 +102,7 @@
         low = min(b.estimate for b in pool)
         if low < m:
             return self.rng.choice([b for b in pool if b.estimate == low])
-        # A weight may be 0: guards against a draw from nothing where all in the pool have that.
-        parts = [(max(b.entry.weight, 1e-6) / b.slow) ** 2 / (1 + b.out) for b in pool]
-        return self.rng.choices(pool, parts)[0]
+        return self.rng.choices(pool, [weight(b) / (1 + b.out) for b in pool])[0]
 
     def _report(self, b: Backend, report: api.Report | None, fresh: bool) -> None:
         """An idle sign zeroes the estimate, but for own attempts still out: a late sign knows none."""
@@ -585,7 +581,7 @@
         """Something that a choice goes by has changed: keep the index true, and the sums of live weights."""
         if not self.looks:
             self.index.place(b, self.now)
-        if b.tally is not None and (b.full > CHOOSY) is not math.isnan(b.tally[1]):
+        if b.tally is not None and (b.full > CHOOSY) is not (b.tally[1] < 0):
             self._tally(b)
 
     def _list(self, ev: api.ListUpdate) -> None:
@@ -678,21 +674,23 @@
         """
         if not self.cfg.live_weights:
             return
-        if b.tally is not None and not math.isnan(b.tally[1]):
-            sums = self.sums[b.tally[0]]
-            sums[0] -= 1
-            sums[1] = sums[1] - b.tally[1] if sums[0] else 0.0
-            sums[2] -= b.tally[1] > 0
+        if b.tally is not None and b.tally[1] >= 0:
+            room = self.rooms[b.tally[0]]
+            room.count -= 1
+            room.inverses -= b.tally[1]
+            room.weighted -= b.tally[1] > 0
         b.tally = None
         if b.entry.phase is not api.Phase.UP:
             return
-        entry, out = b.entry, math.nan
-        sums = self.sums.setdefault(entry.kind, [0, 0.0, 0, 0.0])
-        sums[3] = max(sums[3], entry.weight)
+        entry, told = b.entry, -1
+        room = self.rooms.setdefault(entry.kind, Room())
+        room.size = max(room.size, bounded(entry.weight))
         if b.full <= CHOOSY:
-            out = 1 / entry.weight if entry.weight else 0.0
-            sums[0], sums[1], sums[2] = sums[0] + 1, sums[1] + out, sums[2] + (out > 0)
-        b.tally = entry.kind, out
+            told = round(WHOLE / bounded(entry.weight)) if entry.weight else 0
+            room.count += 1
+            room.inverses += told
+            room.weighted += told > 0
+        b.tally = entry.kind, told
 
     def _relax(self) -> None:
         """Live weights tell how many requests each core holds: let the least limit rise while that is few.
@@ -701,8 +699,8 @@
         own time to serve. Could hurt where weights are late by more than a burst takes to crowd a fleet, or
         where discovery falls silent after a rise: it stays until the next list.
         """
-        count = sum(sums[0] for sums in self.sums.values())
-        held = sum(sums[3] * sums[1] - sums[2] for sums in self.sums.values())
+        count = sum(room.count for room in self.rooms.values())
+        held = sum(room.size * room.inverses / WHOLE - room.weighted for room in self.rooms.values())
         most, rise, fall = EASE
         part = min(1.0, (self.now - self.listed) / self.longest_aim)
         if held > ROOMY * count:
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -8,6 +8,8 @@
 
 from dillport import interface as api
 
+WHOLE = 1 << 64  # in which inverses of weights are counted
+
 
 @dataclass(slots=True, eq=False)
 class Backend:
@@ -25,7 +27,7 @@
     listed: bool = False  # in the order
     near: bool = True  # within reach without a price
     rank: float = 0.0  # its place in this node's own order
-    tally: tuple[str, float] | None = None  # its part in the sums of live weights
+    tally: tuple[str, int] | None = None  # its part in the sums of live weights: kind and inverse, -1: none
     # Where the index has it.
     inside: bool = False  # in the window
     level: Level | None = None  # ready
@@ -95,6 +97,19 @@
         self.size -= 1
 
 
+@dataclass(slots=True, eq=False)
+class Room:
+    """What the live weights of one kind tell, over those that are up and have room.
+
+    The sum is one of whole numbers: a float would drift, and lose all others to one very small weight.
+    """
+
+    count: int = 0
+    inverses: int = 0  # of the weights, summed, in parts of one in WHOLE
+    weighted: int = 0  # how many have a weight
+    size: float = 0.0  # the largest weight ever seen: that of an idle backend
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt of a request."""
--- a/tests/policy/test_mechanism.py
+++ b/tests/policy/test_mechanism.py
@@ -11,6 +11,7 @@
 
 from dillport import interface as api
 from dillport.policy import Balancer
+from dillport.state import WHOLE
 from tests.helpers import BASE, KEYED, LOOKING, SAFE, answers, entry, node, sends
 
 NAMES = [f"b{i}" for i in range(8)]
@@ -641,3 +642,17 @@
     assert sends(_arrive(b, "r"))
     b.handle(1001.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b1", phase=api.Phase.GONE)]))
     assert sends(_arrive(b, "s", 1002.0))
+
+
+def test_any_weight_a_list_may_hold_is_lived_with() -> None:
+    """Guards against a sum of live weights that one tiny weight spoils for good, and against overflows."""
+    b = node(replace(BASE, weighted=True, live_weights=True), NAMES, weight=0.5)
+    for odd in (1e-17, 5e-324, 1e300, 0.0):
+        b.handle(1001.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b3", weight=odd)]))
+        for x in b.backends.values():
+            x.estimate = 99
+            b._place(x)
+        assert sends(_arrive(b, f"r{odd}", 1001.0))
+    b.handle(1002.0, api.ListUpdate(api.ListKind.CHANGES, [entry(n, weight=0.5, kind="new") for n in NAMES]))
+    assert b.rooms[""].count == b.rooms[""].inverses == b.rooms[""].weighted == 0
+    assert b.rooms["new"].inverses == 2 * WHOLE * len(NAMES)
