A restarted server is cold at once, also where it stood idle

The index took no note of a new start time where neither count, estimate nor weight had changed: the server got its whole share at once, whatever it can take.

--- a/dillport/index.py
+++ b/dillport/index.py
@@ -100,7 +100,7 @@
         if b.level is not None:
             shelf, out = self.shelves[b.apart], b.shelved
             if (
-                b.inside and b.out == out and b.estimate == b.row and b.until <= now and b.busy <= now
+                b.inside and b.out == out and b.estimate == b.row and back <= now and warm <= now
                 and (b.full > self.choosy) == b.apart and grade(b) == b.grade
             ):  # fmt: skip
                 return
--- a/tests/policy/test_mechanism.py
+++ b/tests/policy/test_mechanism.py
@@ -656,3 +656,12 @@
     b.handle(1002.0, api.ListUpdate(api.ListKind.CHANGES, [entry(n, weight=0.5, kind="new") for n in NAMES]))
     assert b.rooms[""].count == b.rooms[""].inverses == b.rooms[""].weighted == 0
     assert b.rooms["new"].inverses == 2 * WHOLE * len(NAMES)
+
+
+def test_an_idle_backend_that_restarts_is_cold_at_once() -> None:
+    """Guards against its whole share sent to a backend whose counts did not tell of the restart."""
+    b = node(replace(BASE, fall_multiple=0.0), NAMES)
+    b.limit = 99.0
+    b.handle(20_000.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b3", started_at=20_000.0)]))
+    got = {s.backend for i in range(30) for s in sends(_arrive(b, f"r{i}", 20_000.0))}
+    assert got == set(NAMES) - {"b3"}
