--- a/dillport/index.py
+++ b/dillport/index.py
@@ -35,10 +35,11 @@
         self.size = 0  # of the window
         self.shelves: tuple[Shelf, Shelf] = ({}, {})  # ready ones; the second are those that turn away
         self.cold: list[Backend] = []
-        self.away: list[tuple[float, int, Backend]] = []  # a heap; entries that no longer hold stay a while
+        self.away: list[tuple[float, int, Backend]] = []  # a heap; some no longer hold
         # All of it by zone or by cell, for the classes whose repeats are dropped by such a group.
         self.kinds: tuple[api.Group, ...] = ()
         self.groups: dict[tuple[api.Group, object], dict[str, Backend]] = {}
+        self.waiting = 0  # entries in it that hold; there are no more than twice as many and TURN
         self._entries = 0
 
     # --- the order and its window
@@ -114,7 +115,10 @@
                 self.cold[b.in_cold] = last
                 last.in_cold = b.in_cold
             b.in_cold = -1
-        b.due = math.inf
+        if b.due < math.inf:
+            b.due = math.inf
+            self.waiting -= 1
+            self._trim()
         if not b.inside:
             return
         if back > now:
@@ -134,20 +138,24 @@
 
     def _wait(self, b: Backend, until: float) -> None:
         b.due = until
+        self.waiting += 1
         self._entries += 1
         heappush(self.away, (until, self._entries, b))
-        if len(self.away) > 4 * self.size + 64:
+
+    def _trim(self) -> None:
+        """Guards against a heap that grows with each wait that was cut short, or stays as large as it was."""
+        if len(self.away) > 2 * self.waiting + TURN:
             self.away = [item for item in self.away if item[2].due == item[0]]
             heapify(self.away)
 
     def settle(self, now: float) -> None:
         """Take back those whose time has come, a bounded number of them as long as others are ready."""
-        away, turn = self.away, 0
-        while away and away[0][0] <= now and (turn < TURN or not any(self.shelves)):
+        turn = 0
+        while (away := self.away) and away[0][0] <= now and (turn < TURN or not any(self.shelves)):
             due, _, b = heappop(away)
             if b.due == due:
                 self.place(b, now)
-                turn += 1
+            turn += 1
 
 
 def part(entry: api.Entry, kind: api.Group) -> object:
