--- a/tests/policy/test_index.py
+++ b/tests/policy/test_index.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 
 import pytest
@@ -18,13 +18,13 @@
 
 from dillport import interface as api
 from dillport.index import TURN, Index
-from dillport.policy import COLD_PART, Balancer
+from dillport.policy import CHOOSY, COLD_PART, Balancer
 from dillport.state import WHOLE, Backend, Level, Request
 from tests.helpers import BASE, KEYED, SAFE, entry, node
 from tests.policy import reference
 from tests.policy.reference import Place
 
-DEAR, CELL = replace(SAFE, name="dear", value=60.0), replace(KEYED, name="cell", group=api.Group.CELL)
+DEAR, CELL = replace(SAFE, name="dear", value=400.0), replace(KEYED, name="cell", group=api.Group.CELL)
 CLASSES = (SAFE, DEAR, KEYED, CELL)
 LIVE = replace(BASE, classes=CLASSES, weighted=True, live_weights=True, max_attempts=4)
 FLEETS = [
@@ -48,7 +48,7 @@
     def __init__(self, cfg: api.Settings, seed: int) -> None:
         super().__init__(cfg, seed)
         self.admitted: list[Backend] = []
-        self.choices = 0
+        self.choices = self.wary = 0
 
     def _choose(self, req: Request, crowd: float, m: int) -> Backend | None:
         members = reference.window(self.backends.values(), self.width, self.out)
@@ -57,8 +57,10 @@
             self.index.settle(self.now)
         got = super()._choose(req, crowd, m)
         pool = reference.eligible(members, self.now, self.cfg, crowd, req.dense, self.admitted)
-        assert (got is None) == (not pool) and (got is None or got.entry.backend in reference.chances(pool, m))
+        fair = reference.chances(pool, m) if pool else {}
+        assert got.entry.backend in fair if got else not pool
         self.choices += 1
+        self.wary += req.dense and any(b.full > CHOOSY for b in members)
         return got
 
     def _admitted(self, req: Request, crowd: float) -> list[Backend]:
@@ -200,15 +202,15 @@
         """Requests."""
         for _ in range(count):
             self.asked += 1
-            cls = self.rng.choice(CLASSES)
+            cls = self.rng.choices(CLASSES, (4, 1, 2, 2))[0]
             left = cls.deadline * self.rng.choice((1.0, 1.0, 0.6))
             self.tell(api.Arrival(f"r{self.asked}", cls.name, self.now + left))
 
-    def end(self, count: int) -> None:
+    def end(self, count: int, statuses: Sequence[api.Status] = STATUSES) -> None:
         """Attempts end, in any order."""
         for _ in range(min(count, len(self.out))):
             rid, number, backend = self.out.pop(self.rng.randrange(len(self.out)))
-            status = self.rng.choice(STATUSES)
+            status = self.rng.choice(statuses)
             closed = status is api.Status.OK or rid in self.over
             loads = (None, api.Report(0.0, 0.0), api.Report(None, 0.0), api.Report(3.0, 1.0), api.Report())
             took = self.rng.choice((0.0, 20.0, 60.0, 500.0))
@@ -235,6 +237,7 @@
     "more": lambda w, n: w.arrive(4 * n),
     "end": lambda w, n: w.end(n),
     "all end": lambda w, n: w.end(10_000),
+    "no room": lambda w, n: w.end(3 * n, [api.Status.FULL]),
     "changes": lambda w, n: w.list(api.ListKind.CHANGES, n),
     "whole": lambda w, n: w.list(api.ListKind.FULL, 5 * n),
     "saved": lambda w, n: w.list(api.ListKind.SAVED, 5 * n),
@@ -266,7 +269,7 @@
 
 def test_long_runs_meet_every_kind_of_choice() -> None:
     """Guards against events that never come to a choice, a cold draw, or a window over the subset."""
-    choices, cold, wide = 0, 0, 0
+    choices, cold, wide, wary = 0, 0, 0, 0
     for seed, cfg in enumerate(FLEETS):
         world = World(cfg, seed, 30)
         for _ in range(200):
@@ -275,7 +278,8 @@
             cold += bool(world.node.admitted)
             wide += world.node.index.size > world.node.width
         choices += world.node.choices
-    assert choices > 500 and cold > 20 and wide > 20, (choices, cold, wide)
+        wary += world.node.wary
+    assert choices > 500 and cold > 20 and wide > 20 and wary > 20, (choices, cold, wide, wary)
 
 
 def chi_square(got: Counter[str], fair: Mapping[str, float], n: int) -> None:
