No panic while anyone in the window is eligible

A request that spills to other zones looks at a few dozen of a wide window: of 10,000 with 9,990 ejected it met none of the ten, and went to an ejected one. It takes the index's choice first now.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -343,8 +343,12 @@
         elif (b := self._choose(req, crowd, m)) is not None:
             self._send(req, b)
             return
-        pool = (pool or self._draw(req, count, *self._some(count, k, 2 * k, far))
-                or self._panic(req, count, 2 * k, far, crowd))
+        pool = pool or self._draw(req, count, *self._some(count, k, 2 * k, far))
+        # Guards against panic where a draw among thousands met none of the few that are eligible.
+        if not pool and far and not bound and (b := self._choose(req, crowd, m)) is not None:
+            self._send(req, b)
+            return
+        pool = pool or self._panic(req, count, 2 * k, far, crowd)
         pool = [b for b in pool if b.out * len(pool) <= sum(x.out for x in pool)]
         if pool:
             self._send(req, self._pick(pool, m))
--- a/tests/policy/test_scale.py
+++ b/tests/policy/test_scale.py
@@ -247,6 +247,21 @@
     assert ask.arrive() == "new"
 
 
+def test_a_spill_to_other_zones_does_not_panic_while_anyone_is_eligible() -> None:
+    """Guards against a draw of a few dozen that misses the few that are eligible and takes ejected ones."""
+    b = fleet(replace(ALONE, charges=api.Charges(cross_zone=0.05)), MANY)
+    left = names(MANY)[5000:5010]
+    b.handle(50_000.0, api.ListUpdate(api.ListKind.CHANGES, [entry(n, zone="b") for n in names(MANY)[5000:]]))
+    for name, x in b.backends.items():
+        if name not in left:
+            ejected(x, 50_000.0)
+            b._place(x)
+    ask = Asker(b)
+    b.limit = b.least = 1e9
+    b.spill = 1.0
+    assert {ask.arrive() for _ in range(100)} <= set(left) and b.logged < 0
+
+
 # --- lists
 
 
