Held requests are released some at a time

With 50,000 held and the last server gone, one outcome looked for room for each of them in one go. It looks at 64 now; what is left is for the next event, or expires as before.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -41,6 +41,7 @@
 RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
 RETRY_BANK = 3.0  # and how many can be saved up
 FIT = 0.9  # part of the expected time that must still fit before the aim, else sending is waste
+RELEASE = 64  # held requests looked at in one go; what is left is by the next event, or expires
 HOLD = 1.0  # usual times of its class that a request is held for room
 THROTTLE = 1.4  # without looking, shedding begins once the cubed share of good sends is under one in this
 SPILL = 0.1  # step of the share sent to other zones, per answer and unit of what they are better by
@@ -310,7 +311,10 @@
             self._finish(req)
 
     def _release(self) -> None:
-        while self.held and self.out + 1 <= self.limit:
+        """Some at a time: guards against one event that looks for room for thousands, and there is none."""
+        for _ in range(RELEASE):
+            if not self.held or self.out + 1 > self.limit:
+                return
             _, req = self.held.popitem()
             (self._dispatch if self._fits(req) else self._finish)(req)
 
--- a/tests/policy/test_scale.py
+++ b/tests/policy/test_scale.py
@@ -19,7 +19,7 @@
 
 from dillport import interface as api
 from dillport.index import TURN
-from dillport.policy import Balancer
+from dillport.policy import RELEASE, Balancer
 from dillport.state import Backend
 from tests.helpers import BASE, SAFE, answers, entry, sends
 from tests.policy.test_index import check
@@ -358,6 +358,30 @@
     check(b)
 
 
+def test_fifty_thousand_held_are_looked_at_in_pieces() -> None:
+    b = fleet(ALONE, 1000)
+    ask = Asker(b)
+    for _ in range(3):
+        ask.arrive()
+    b.limit = b.least = 3.0
+    due = []
+    for _ in range(50_000):
+        ask.arrive()
+        due += [a for a in ask.acts if isinstance(a, api.SetTimer)]
+    assert len(b.held) == len(due) == 50_000
+    usual = lines(ask.arrive)
+    b.handle(50_000.0, api.ListUpdate(api.ListKind.FULL, []))  # nobody left: none of them can be served
+    assert lines(ask.end) < RELEASE * 2 * usual + 1000
+    refused = len(answers(ask.acts))
+    assert refused == RELEASE
+    for timer in due:
+        refused += len(answers(b.handle(timer.when, api.Timer(timer.token))))
+    assert refused == 50_001 and not b.held and len(b.timers) == 1  # of the one that came last
+    while ask.out:
+        ask.end()
+    assert not b.requests
+
+
 def test_no_table_grows_with_arrivals() -> None:
     b = fleet(replace(ALONE, classes=(SAFE, replace(SAFE, name="dear", value=80.0))), 50)
     b.limit = b.least = 60.0
