A class's usual time has a least value

Thousands of answers that took no time bring the mean to the smallest number there is; the next answer's time over that is infinite, and the draw at the cap never ends.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -47,6 +47,7 @@
 SPILL = 0.1  # step of the share sent to other zones, per answer and unit of what they are better by
 LOSSY = 0.05  # share of attempts without an answer from which answers are taken to get lost
 GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples lie evenly on a ring, whichever numbers a zone's nodes have
+USUAL_LEAST = 0.001  # shortest time that a class is taken to need
 EWMA = 0.1  # weight of one sample in a running mean
 AWAY = (1.0, 2.0)  # usual times of its class that a refused client is told to stay away, at least and most
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
@@ -59,7 +60,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.cfg, self.rng, self.now = settings, random.Random(seed), 0.0
         self.acts: list[api.Action] = []
-        self.classes = {c.name: Class(c, c.aim / 4) for c in settings.classes}
+        self.classes = {c.name: Class(c, max(USUAL_LEAST, c.aim / 4)) for c in settings.classes}
         self.longest_aim = max(c.aim for c in settings.classes)
         self.index = Index(settings.ramp_time, CHOOSY)
         keyed = {c.group: None for c in settings.classes if c.effect is api.Effect.KEYED}
@@ -491,7 +492,8 @@
             b.fails = 0
             if attempt.fair:
                 cls.dev += EWMA * (abs(ev.duration - cls.usual) - cls.dev)
-                cls.usual += EWMA * (ev.duration - cls.usual)
+                # Guards against a division by nothing after thousands of answers that took no time.
+                cls.usual = max(USUAL_LEAST, cls.usual + EWMA * (ev.duration - cls.usual))
         elif ev.status is api.Status.FULL:
             b.busy = self.now + cls.usual * self.rng.uniform(0.5, 1.5)
         else:
--- a/tests/policy/test_scale.py
+++ b/tests/policy/test_scale.py
@@ -495,3 +495,21 @@
         ended[one.request] += 1
     assert set(ended.values()) == {1} and len(ended) == 2000 and not b.requests
     check(b)
+
+
+def test_answers_that_take_no_time_are_learned_from() -> None:
+    """Guards against times and weights reckoned by a usual time that has come to nothing."""
+    b = fleet(ALONE, 4)
+    for i in range(8_000):
+        sent = sends(b.handle(50_000.0, api.Arrival(f"r{i}", "read", 51_000.0)))[0]
+        b.handle(50_000.0, api.Outcome(sent.request, 0, sent.backend, api.Status.OK, 0.0, True, IDLE))
+    assert b.classes["read"].usual > 1e-6
+    ask = Asker(b)
+    while len(ask.out) < 8:
+        ask.arrive()
+    while ask.out:
+        ask.end()
+    for x in b.backends.values():
+        capped(x, 50_000.0)
+        b._place(x)
+    assert {ask.arrive() for _ in range(50)} == set(b.backends)
