Servers that come back cold are taken back in pieces too

A whole fleet that is back at the same moment was taken back at once where nobody stood ready: 10,000 restarted servers in one event. It is 1,024 at the most now; none of them is lost, a draw looks at all.

--- a/dillport/index.py
+++ b/dillport/index.py
@@ -16,8 +16,7 @@
 from dillport import interface as api
 from dillport.state import Backend, Level
 
-TURN = 64  # backends that are taken back in one go while others are ready: all may come at the same moment
-
+TURN = 64  # backends taken back in one go, and 16 times as many while none is ready: all may come at once
 
 Shelf = dict[int, Level]  # by own count
 
@@ -149,9 +148,11 @@
             heapify(self.away)
 
     def settle(self, now: float) -> None:
-        """Take back those whose time has come, a bounded number of them as long as others are ready."""
+        """Take back those whose time has come, a bounded number of them: few as long as others are ready."""
         turn = 0
-        while (away := self.away) and away[0][0] <= now and (turn < TURN or not any(self.shelves)):
+        while (away := self.away) and away[0][0] <= now:
+            if turn >= TURN and (turn >= 16 * TURN or any(self.shelves)):
+                return
             due, _, b = heappop(away)
             if b.due == due:
                 self.place(b, now)
--- a/tests/policy/test_scale.py
+++ b/tests/policy/test_scale.py
@@ -231,6 +231,18 @@
     assert len({ask.arrive() for _ in range(2000)}) == 2000
 
 
+def test_a_whole_fleet_that_comes_back_cold_is_taken_back_in_pieces_too() -> None:
+    b = fleet(ALONE, MANY)
+    for x in b.backends.values():
+        ejected(x, 50_000.0)
+        cold(x, 50_000.0)
+        b._place(x)
+    ask = Asker(b, 51_000.5)
+    assert lines(ask.turn) < 16 * TURN * 60
+    assert len(b.index.cold) == 16 * TURN
+    check(b)
+
+
 def test_one_left_gets_all_and_none_left_refuses_all() -> None:
     b = fleet(ALONE, MANY)
     b.handle(50_001.0, api.ListUpdate(api.ListKind.FULL, [entry(names(MANY)[77])]))
