--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from benchmarks.decide import Subject
 from benchmarks.herd import crowd, herd
 from benchmarks.report import Row, cores, part_of, spread, table
 
@@ -45,3 +46,13 @@
     figures = {row.what: row.figure for row in herd(200)}
     most = [int(figure.split()[0]) for what, figure in figures.items() if "any one second" in what]
     assert len(most) == 3 and all(0 < n < 200 for n in most), figures
+
+
+def test_requests_that_were_refused_are_not_taken_for_fast_ones() -> None:
+    subject = Subject(20, 1, 8)
+    subject.requests()
+    assert len(subject.spent) == 1 and len(subject.live) == 8
+    subject.node.trust = -1.0
+    subject.node.rng.random = lambda: 0.99  # type: ignore[method-assign]
+    with pytest.raises((RuntimeError, IndexError)):
+        subject.requests()
