--- a/benchmarks/decide.py
+++ b/benchmarks/decide.py
@@ -3,8 +3,8 @@
     python -m benchmarks.decide [--quick] [--part NAME] ... [--cores CORES]
 
 The module alone (`Balancer.handle`), in this process, on a made-up fleet. All sizes take turns within one run,
-so that whatever else the machine does falls on all of them: the ratios are what to go by. Parts: `request`,
-`change`, `weights`.
+so that whatever else the machine does falls on all of them: go by the ratios. Parts: `request`, `change`,
+`weights`.
 """
 
 from __future__ import annotations
@@ -139,10 +139,10 @@
                 )):  # fmt: skip
                     spent[kind][at].append(subject.tell([entry]))
     gc.unfreeze()
-    for kind, figures in zip(kinds, spent, strict=True):
+    for name, figures in zip(kinds, spent, strict=True):
         told = ", ".join(f"{median(one):.1f}" for one in figures)
         tail = ", ".join(f"{part_of(one, 0.99):.0f}" for one in figures)
-        yield Row(f"{kind}", f"{told} us (99% below {tail})", f"{AIM_CHANGE_US:.0f} us at {SIZES[-1]:,}")
+        yield Row(name, f"{told} us (99% below {tail})", f"{AIM_CHANGE_US:.0f} us at {SIZES[-1]:,}")
 
 
 def weights(turns: int) -> Iterator[Row]:
@@ -157,7 +157,7 @@
             whole.append(sum(spent))
             worst.append(max(spent))
             middle.append(median(spent))
-        figure = f"{median(middle):.2f} ms a piece, the longest {max(worst):.2f}; all in {median(whole):.1f} ms"
+        figure = f"{median(middle):.2f} ms a piece, the longest {max(worst):.2f}; all {median(whole):.1f} ms"
         yield Row(f"{subject.size:,} weights by {piece:,}", figure, f"never {AIM_PIECE_MS:.0f} ms")
         fitting = piece if max(worst) < AIM_PIECE_MS else fitting
     yield Row("largest piece that keeps to it", f"{fitting:,} weights")
