Take out what a request computed again: grades, sums of one level, choices

A send moves a server by its counts alone; the draw of one level needs no sums; the weighted draw builds its edges once; a server's side is a flag.

--- a/dillport/index.py
+++ b/dillport/index.py
@@ -93,21 +93,18 @@
 
     def place(self, b: Backend, now: float) -> None:
         """Put a backend where it belongs."""
-        back = max(b.until, b.busy)
+        back = b.until if b.until > b.busy else b.busy
         warm = b.entry.started_at + self.ramp_time if b.entry.started_at > 0 < self.ramp_time else 0.0
         if b.inside and b.due == (back if back > now else warm) and b.due > now:
             return  # away or cold, as it was
+        mark = grade(b)
         if b.level is not None:
-            shelf, out = self.shelves[b.apart], b.shelved
             if (
-                b.inside and b.out == out and b.estimate == b.row and back <= now and warm <= now
-                and (b.full > self.choosy) == b.apart and grade(b) == b.grade
+                b.inside and b.out == b.shelved and b.estimate == b.row and back <= now and warm <= now
+                and (b.full > self.choosy) == b.apart and mark == b.grade
             ):  # fmt: skip
                 return
-            b.level.drop(b, b.row, b.grade)
-            if not b.level.size:
-                del shelf[out]
-            b.level = None
+            self._unshelve(b, b.level)
         elif b.in_cold >= 0:
             last = self.cold.pop()
             if last is not b:
@@ -128,13 +125,28 @@
             self.cold.append(b)
             self._wait(b, warm)
             return
-        b.apart = b.full > self.choosy
+        b.apart, b.grade = b.full > self.choosy, mark
+        self._shelve(b)
+
+    def count(self, b: Backend) -> None:
+        """Nothing but its counts has changed: those that are ready go to another shelf."""
+        if b.level is not None:
+            self._unshelve(b, b.level)
+            self._shelve(b)
+
+    def _shelve(self, b: Backend) -> None:
         shelf = self.shelves[b.apart]
         if (level := shelf.get(b.out)) is None:
             level = shelf[b.out] = Level()
-        b.level, b.shelved, b.row, b.grade = level, b.out, b.estimate, grade(b)
+        b.level, b.shelved, b.row = level, b.out, b.estimate
         level.put(b)
 
+    def _unshelve(self, b: Backend, level: Level) -> None:
+        level.drop(b)
+        if not level.size:
+            del self.shelves[b.apart][b.shelved]
+        b.level = None
+
     def _wait(self, b: Backend, until: float) -> None:
         b.due = until
         self.waiting += 1
@@ -183,7 +195,7 @@
 
     Guards against a draw from nothing where all have that, and against one that overflows.
     """
-    return min(max(listed, 1e-6), 1e12)
+    return 1e-6 if listed < 1e-6 else listed if listed < 1e12 else 1e12
 
 
 def grade(b: Backend) -> int:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+from bisect import bisect
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from typing import Any
@@ -129,7 +130,7 @@
         cold = self._admitted(req, crowd) if index.cold and req.cold_ok else []
         req.cold_ok = False
         levels: list[tuple[int, Level]] = []
-        count, total = len(cold), sum(b.out for b in cold)
+        count, total = len(cold), sum(b.out for b in cold) if cold else 0
         # Guards requests of high worth against backends that turn away for want of what no report shows.
         for shelf in index.shelves[:1] if req.dense else index.shelves:
             for out, level in shelf.items():
@@ -142,6 +143,10 @@
         if len(levels) > 1 or cold:
             levels = [item for item in levels if item[0] * count <= total]
             cold = [b for b in cold if b.out * count <= total]
+        if len(levels) == 1 and not cold:
+            level = levels[0][1]
+            low = level.lowest()
+            return self.rng.choice(level.rows[low]) if low < m else self._weighted(levels, cold)
         low = min([level.lowest() for _, level in levels] + [b.estimate for b in cold])
         if low >= m:
             return self._weighted(levels, cold)
@@ -159,13 +164,25 @@
 
         Racks hold weights within a factor of two, so that a draw is kept with a chance of a half at least.
         """
-        racks = [(rack, 2.0**grade, 1 + out) for out, level in levels for grade, rack in level.racks.items()]
-        racks += [([b], weight(b), 1 + b.out) for b in cold]
-        parts = [len(rack) * most / share for rack, most, share in racks]
+        racks: list[tuple[list[Backend], float]] = []
+        edges: list[float] = []
+        edge = 0.0
+        for out, level in levels:
+            for mark, rack in level.racks.items():
+                most = 2.0**mark
+                edge += len(rack) * most / (1 + out)
+                racks.append((rack, most))
+                edges.append(edge)
+        for b in cold:
+            most = weight(b)
+            edge += most / (1 + b.out)
+            racks.append(([b], most))
+            edges.append(edge)
+        rng, last = self.rng, len(racks) - 1
         while True:
-            rack, most, _ = self.rng.choices(racks, parts)[0]
-            b = self.rng.choice(rack)
-            if self.rng.random() * most <= weight(b):
+            rack, most = racks[bisect(edges, rng.random() * edge, 0, last)]
+            b = rng.choice(rack)
+            if rng.random() * most <= weight(b):
                 return b
 
     def _admitted(self, req: Request, crowd: float) -> list[Backend]:
@@ -440,7 +457,7 @@
             return
         req.attempts.append(Attempt(b, self.now, b.estimate == 0 or not self.looks))
         req.out, b.out, self.out, b.estimate = req.out + 1, b.out + 1, self.out + 1, b.estimate + 1
-        self._place(b)
+        self.index.count(b)
         # An answer after the aim is worth nothing: give up just before, so that the failure is not late.
         c, left, tick = req.cls.cfg, req.useful - self.now, self.cfg.tick
         stop = max(tick, left - 2 * tick) if req.useful < req.deadline else 0.0
@@ -484,7 +501,7 @@
             if good or self.looks or not (attempt.cut or ev.status is api.Status.FULL):
                 self.trust += EWMA * (1 + self.looks) * (good - self.trust)
             b.slow += EWMA * ((ev.duration if good else cls.cfg.aim) / cls.usual - b.slow)
-            far = not self._near(b.entry)
+            far = not b.near
             self.bad[far] += EWMA * (1 - good - self.bad[far])
             gain = SPILL * (self.bad[0] - self.bad[1] - self.cfg.charges.cross_zone)
             self.spill = max(0.0, min(1.0, self.spill + gain))
@@ -524,7 +541,10 @@
             cls.strain = 0.0
         cls.heard = self.now
         cls.strain += EWMA / 2 * (math.log(max(late, EASY)) - cls.strain)
-        excess = max(c.strain for c in self.classes.values() if max(c.heard, self.began) >= since)
+        excess, all_heard = cls.strain, self.began >= since
+        for c in self.classes.values():
+            if c.strain > excess and (all_heard or c.heard >= since):
+                excess = c.strain
         if excess > 0 or self.out + 2 > self.limit:  # it bound until this answer
             self.limit *= 1 - LIMIT_GAIN * max(-1.0, min(1.0, excess))
         self.limit = max(self.limit, self.least)
@@ -641,9 +661,8 @@
         if was and (not up or moved):
             self.index.remove(b, self.now)
             b.listed = False
-        b.entry = entry
+        b.entry, b.near = entry, self._near(entry)
         if up and not b.listed:
-            b.near = self._near(entry)
             if not moved or not was:
                 b.rank = self.rng.random()
             if not first:
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -60,40 +60,39 @@
         return heap[0]
 
     def put(self, b: Backend) -> None:
-        """Add a backend by its estimate and its grade."""
-        row = self.rows.get(b.estimate)
+        """Add a backend by its row (the estimate) and its grade."""
+        row = self.rows.get(b.row)
         if row is None:
-            row = self.rows[b.estimate] = []
+            row = self.rows[b.row] = []
             if len(self.heap) > 2 * len(self.rows) + 16:
                 self.heap = list(self.rows)
                 heapify(self.heap)
             else:
-                heappush(self.heap, b.estimate)
-        b.in_row, b.in_rack = len(row), 0
-        row.append(b)
+                heappush(self.heap, b.row)
         rack = self.racks.get(b.grade)
         if rack is None:
             rack = self.racks[b.grade] = []
-        b.in_rack = len(rack)
+        b.in_row, b.in_rack = len(row), len(rack)
+        row.append(b)
         rack.append(b)
         self.size += 1
 
-    def drop(self, b: Backend, estimate: int, grade: int) -> None:
-        """Take a backend off that was put here with this estimate and grade."""
-        row = self.rows[estimate]
+    def drop(self, b: Backend) -> None:
+        """Take a backend off; its row and grade are those that it was put here with."""
+        row = self.rows[b.row]
         last = row.pop()
         if last is not b:
             row[b.in_row] = last
             last.in_row = b.in_row
         elif not row:
-            del self.rows[estimate]
-        rack = self.racks[grade]
+            del self.rows[b.row]
+        rack = self.racks[b.grade]
         last = rack.pop()
         if last is not b:
             rack[b.in_rack] = last
             last.in_rack = b.in_rack
         elif not rack:
-            del self.racks[grade]
+            del self.racks[b.grade]
         self.size -= 1
 
 
