--- a/benchmarks/decide.py
+++ b/benchmarks/decide.py
@@ -3,8 +3,8 @@
     python -m benchmarks.decide [--quick] [--part NAME] ... [--cores CORES]
 
 The module alone (`Balancer.handle`), in this process, on a made-up fleet. All sizes take turns within one
-run, so that whatever else the machine does falls on all of them: go by the ratios. Parts: `request`, `change`,
-`weights`.
+run, so that whatever else the machine does falls on all of them: go by the ratios. Parts: `request`,
+`change`, `weights`.
 """
 
 from __future__ import annotations
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -52,6 +52,8 @@
 EWMA = 0.1  # weight of one sample in a running mean
 AWAY = (1.0, 2.0)  # usual times of its class that a refused client is told to stay away, at least and most
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
+OK, FULL, TIMEOUT = api.Status.OK, api.Status.FULL, api.Status.TIMEOUT  # a plain name is looked up faster
+CANCELLED, MOOT, CONNECT_FAILED = api.Status.CANCELLED, api.Status.MOOT, api.Status.CONNECT_FAILED
 SPOILT = frozenset({api.Status.ERROR, api.Status.RESET})  # failures that say nothing of load
 
 
@@ -340,7 +342,8 @@
         """Without looking: JUT over the subset, but for members crowded by this node's own count."""
         index, n = self.index, len(self.index.order)
         # Wider for a node that carries far more than its part, lest it crowd the few that fall to it.
-        k = max(1, min(n, max(self.width, self.out)))
+        k = self.width if self.width > self.out else self.out
+        k = (k if k < n else n) or 1
         if index.size != k and n:
             index.resize(k, self.now)
         # Own zone first, others as far as they are better by more than the price: hot or failing zones spill.
@@ -419,7 +422,7 @@
         if (b := self.backends.get(ev.backend)) is None:
             return  # gone meanwhile; what waits for it is overdue before long
         waiting, b.waiting = b.waiting or [], None
-        if ev.status is api.Status.OK:
+        if ev.status is OK:
             self.rtt += EWMA * (ev.duration - self.rtt)
             self._report(b, ev.report, True)
             b.until = min(b.until, self.now)
@@ -429,7 +432,7 @@
         for req in waiting:
             if ev.backend in req.pending:
                 req.pending.discard(ev.backend)
-                if ev.status is api.Status.OK:
+                if ev.status is OK:
                     req.found.append(b)
                 # Guards against reports that freeze: an idle sign is believed as often as such sends succeed.
                 if b.estimate == 0 and self.rng.random() > self.trust:
@@ -462,9 +465,10 @@
         c, left, tick = req.cls.cfg, req.useful - self.now, self.cfg.tick
         stop = max(tick, left - 2 * tick) if req.useful < req.deadline else 0.0
         # Guards against answers that get lost: one that may come late is asked for again while it has worth.
-        cut, again = max(c.aim / 2, req.cls.usual + 4 * req.cls.dev), c.effect is not api.Effect.UNSAFE
-        if self.lost > LOSSY and c.late_worth > 0 and again and cut + req.cls.usual < left:
-            stop, req.attempts[-1].cut = cut, True
+        if self.lost > LOSSY and c.late_worth > 0 and c.effect is not api.Effect.UNSAFE:
+            cut = max(c.aim / 2, req.cls.usual + 4 * req.cls.dev)
+            if cut + req.cls.usual < left:
+                stop, req.attempts[-1].cut = cut, True
         self.acts.append(api.Send(req.id, b.entry.backend, stop))
 
     def _outcome(self, ev: api.Outcome) -> None:
@@ -474,9 +478,9 @@
         attempt = req.attempts[ev.attempt]
         attempt.status, b = ev.status, attempt.backend
         req.out, b.out, self.out = req.out - 1, b.out - 1, self.out - 1
-        if ev.status is api.Status.OK:  # who turns away or fails and calls itself idle is not believed
+        if ev.status is OK:  # who turns away or fails and calls itself idle is not believed
             self._report(b, ev.report, False)
-        if ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing of the backend
+        if ev.status not in (CANCELLED, MOOT):  # these tell nothing of the backend
             self._learn(req, attempt, ev)
             if ev.status not in SPOILT:
                 self._steer(req.cls, ev, b.entry.zone)
@@ -491,31 +495,31 @@
 
     def _learn(self, req: Request, attempt: Attempt, ev: api.Outcome) -> None:
         b, cls = attempt.backend, req.cls
-        b.full += EWMA * ((ev.status is api.Status.FULL) - b.full)
-        if ev.status is not api.Status.FULL:
-            self.failing += EWMA / 4 * ((ev.status is not api.Status.OK) - self.failing)
-        if attempt.fair and ev.status in (api.Status.OK, api.Status.FULL, api.Status.TIMEOUT):
-            good = ev.status is api.Status.OK and ev.duration <= cls.cfg.aim
-            self.lost += EWMA * ((ev.status is api.Status.TIMEOUT) - self.lost)
+        b.full += EWMA * ((ev.status is FULL) - b.full)
+        if ev.status is not FULL:
+            self.failing += EWMA / 4 * ((ev.status is not OK) - self.failing)
+        if attempt.fair and ev.status in (OK, FULL, TIMEOUT):
+            good = ev.status is OK and ev.duration <= cls.cfg.aim
+            self.lost += EWMA * ((ev.status is TIMEOUT) - self.lost)
             # A backend without room says nothing of the next one, an answer lost nothing of the load.
-            if good or self.looks or not (attempt.cut or ev.status is api.Status.FULL):
+            if good or self.looks or not (attempt.cut or ev.status is FULL):
                 self.trust += EWMA * (1 + self.looks) * (good - self.trust)
             b.slow += EWMA * ((ev.duration if good else cls.cfg.aim) / cls.usual - b.slow)
             far = not b.near
             self.bad[far] += EWMA * (1 - good - self.bad[far])
             gain = SPILL * (self.bad[0] - self.bad[1] - self.cfg.charges.cross_zone)
             self.spill = max(0.0, min(1.0, self.spill + gain))
-        if ev.status is api.Status.OK:
+        if ev.status is OK:
             b.fails = 0
             if attempt.fair:
                 cls.dev += EWMA * (abs(ev.duration - cls.usual) - cls.dev)
                 # Guards against a division by nothing after thousands of answers that took no time.
                 cls.usual = max(USUAL_LEAST, cls.usual + EWMA * (ev.duration - cls.usual))
-        elif ev.status is api.Status.FULL:
+        elif ev.status is FULL:
             b.busy = self.now + cls.usual * self.rng.uniform(0.5, 1.5)
         else:
             self._failed(b)
-            if ev.status is api.Status.CONNECT_FAILED:
+            if ev.status is CONNECT_FAILED:
                 self._eject(b, b.fails - 1)
                 b.busy = b.until
 
@@ -528,7 +532,7 @@
         """
         aim, took = cls.cfg.aim, cls.cfg.aim
         floor = self.floors.get(zone, aim / 2)
-        if ev.status is api.Status.OK:
+        if ev.status is OK:
             took = ev.duration
             floor = self.floors[zone] = min(took, floor + FLOOR_RISE * took)
         floor = min(floor, aim / 2)
