--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -122,7 +122,9 @@
 
 
 @contextlib.asynccontextmanager
-async def sources(entries: list[dict[str, Any]], source: str) -> AsyncIterator[Sources]:
+async def sources(
+    entries: list[dict[str, Any]], source: str, nodes: int = NODES, sockets: int = 1024
+) -> AsyncIterator[Sources]:
     """The lab's discovery and etcd, of which one has the list; or it is in the configuration, as known."""
     with tempfile.TemporaryDirectory(prefix="dillport-fleet-") as name:
         directory = Path(name)
@@ -143,7 +145,7 @@
             revision = 41 if source == KNOWN else 0
             config = {
                 "name": "n0", "listen": "127.0.0.1:0", "discovery": agent.identity, "seed": "1",
-                "limits": {"sockets": 1024}, "settings": SITE.settings(0, NODES),
+                "limits": {"sockets": sockets}, "settings": SITE.settings(0, nodes),
                 "known": {"revision": revision, "complete": True, "members": known},
             }  # fmt: skip
             (directory / "node.json").write_text(json.dumps(config))
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import math
+import socket
 
 import pytest
 
 from benchmarks.decide import Subject
 from benchmarks.herd import crowd, herd
+from benchmarks.proxies import Client, Figure, Line, servers
+from benchmarks.proxies import table as proxies_table
 from benchmarks.report import Row, cores, part_of, spread, table
 
 
@@ -56,3 +59,40 @@
     subject.node.rng.random = lambda: 0.99  # type: ignore[method-assign]
     with pytest.raises((RuntimeError, IndexError)):
         subject.requests()
+
+
+class Written:
+    """A transport that keeps what was written."""
+
+    def __init__(self) -> None:
+        self.requests: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        self.requests.append(data)
+
+
+def test_each_answer_counts_once_in_whatever_pieces_it_comes() -> None:
+    counts = {"served": 0, "refused": 0, "lost": 0}
+    client, written = Client(7, counts), Written()
+    client.transport = written  # type: ignore[assignment]
+    client.ask()
+    for part in (b"HTTP/1.1 200 OK\r\nContent-", b"Length: 3\r\n\r\no", b"k\n"):
+        client.data_received(part)
+    client.data_received(b"HTTP/1.1 503 No\r\ncontent-length:0\r\n\r\n")
+    assert counts == {"served": 1, "refused": 1, "lost": 0} and len(set(written.requests)) == 3
+
+
+def test_stand_in_servers_have_addresses_of_their_own_and_answer() -> None:
+    with servers(3) as addresses:
+        assert len({host for host, _ in addresses}) == 3
+        for address in addresses:
+            with socket.create_connection(address, 5) as one:
+                one.sendall(b"GET / HTTP/1.1\r\n\r\n")
+                assert one.recv(1000).startswith(b"HTTP/1.1 200 OK\r\n")
+
+
+def test_medians_of_the_runs_are_told() -> None:
+    figures = [Figure(10, 0.5, 900, 1.0, 0), Figure(12, 0.4, 1000, 0.9, 3), Figure(30, 0.3, 1100, 0.8, 0)]
+    assert proxies_table([Line("x", 1000, figures)])[2] == (
+        "| 1,000 | x | 12.0 (10.0 to 30.0) | 40% | 1,000 | 90% | 3 |"
+    )
