--- a/dillport/index.py
+++ b/dillport/index.py
@@ -14,7 +14,7 @@
 from heapq import heapify, heappop, heappush
 
 from dillport import interface as api
-from dillport.state import Backend, Level
+from dillport.state import Backend, Bag, Level
 
 TURN = 64  # backends taken back in one go, and 16 times as many while none is ready: all may come at once
 
@@ -37,7 +37,7 @@
         self.away: list[tuple[float, int, Backend]] = []  # a heap; some no longer hold
         # All of it by zone or by cell, for the classes whose repeats are dropped by such a group.
         self.kinds: tuple[api.Group, ...] = ()
-        self.groups: dict[tuple[api.Group, object], dict[str, Backend]] = {}
+        self.groups: dict[tuple[api.Group, object], Bag] = {}
         self.waiting = 0  # entries in it that hold; there are no more than twice as many and TURN
         self._entries = 0
 
@@ -50,7 +50,7 @@
         self.order.insert(at, key)
         self.home += b.near
         for kind in self.kinds:
-            self.groups.setdefault((kind, part(b.entry, kind)), {})[b.entry.backend] = b
+            self.groups.setdefault((kind, part(b.entry, kind)), Bag()).add(b)
         if at < self.size:
             self._enter(b, now)
             self._leave(self.order[self.size][3], now)
@@ -62,8 +62,8 @@
         self.home -= b.near
         for kind in self.kinds:
             group = self.groups[kind, part(b.entry, kind)]
-            del group[b.entry.backend]
-            if not group:
+            group.remove(b)
+            if not group.items:
                 del self.groups[kind, part(b.entry, kind)]
         if at < self.size:
             self._leave(b, now)
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -8,7 +8,7 @@
 import math
 import random
 from bisect import bisect
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
 
@@ -230,13 +230,24 @@
         req.cold_ok = False
         return out
 
-    def _some(self, count: int, start: int, stop: int, far: bool = False) -> tuple[list[Backend], int]:
+    def _some(self, count: int, start: int, stop: int, far: bool = False) -> tuple[Iterable[Backend], int]:
         """Backends of a stretch of the order, up to three times as many as are looked for, and how many."""
-        order, shift = self.index.order, self.index.home if far else 0
-        span = range(min(start, len(order)), min(stop, len(order)))
-        picks = self.rng.sample(span, min(len(span), 3 * count))
-        among = min(len(picks), count) if self.looks else len(picks)
-        return [order[(at + shift) % len(order)][3] for at in picks], among
+        order = self.index.order
+        start, n = start + (self.index.home if far else 0), min(stop, len(order)) - min(start, len(order))
+        most = min(n, 3 * count)
+        among = min(most, count) if self.looks else most
+        return (order[(at + start) % len(order)][3] for at in self._picks(n, most)), among
+
+    def _picks(self, n: int, most: int) -> Iterable[int]:
+        """Some of the first n numbers in random order, drawn only as they are asked for where n is large."""
+        if n <= 2 * most:
+            yield from self.rng.sample(range(n), most)
+            return
+        seen = set[int]()
+        while len(seen) < most:
+            if (at := self.rng.randrange(n)) not in seen:
+                seen.add(at)
+                yield at
 
     def _warmth(self, b: Backend) -> float:
         return warmth(b.entry, self.now, self.cfg.cold_share, self.cfg.ramp_time)
@@ -354,15 +365,16 @@
         crowd = math.inf if req.dense else self.limit / k
         # Every node takes its part of what a backend may be given after it showed idle.
         m, count = max(1, self._cap(req) // self.cfg.group_size), min(k, WIDE)
-        bound = self._bound(req) if req.attempts else ()
+        bound = self._bound(req) if req.attempts else []
         if bound is None:
             self._finish(req)
             return
         pool: list[Backend] = []
         if bound and k > 3 * count:  # of a window this wide a draw would hardly meet them
-            picks = self.rng.sample(bound, min(len(bound), 3 * count))
-            pool = (self._draw(req, count, [b for b in picks if b.inside or far], len(picks), crowd)
-                    or self._draw(req, count, picks, len(picks)))
+            among = min(len(bound), 3 * count)
+            some = (bound[at] for at in self._picks(len(bound), among))
+            pool = (self._draw(req, count, (b for b in some if b.inside or far), among, crowd)
+                    or self._draw(req, count, (bound[at] for at in self._picks(len(bound), among)), among))
         elif bound or far:
             pool = self._draw(req, count, *self._some(count, 0, k, far), crowd)
         elif (b := self._choose(req, crowd, m)) is not None:
@@ -380,9 +392,9 @@
         else:
             self._finish(req)
 
-    def _bound(self, req: Request) -> Sequence[Backend] | None:
+    def _bound(self, req: Request) -> list[Backend] | None:
         """The backends that a repeat is bound to; empty: to none in particular; None: it may go nowhere."""
-        c, out = req.cls.cfg, tuple[Backend, ...]()
+        c, out = req.cls.cfg, list[Backend]()
         for a in req.attempts:
             if a.status in api.NEVER_RAN or (c.effect is api.Effect.SAFE and a.status is not None):
                 continue
@@ -390,9 +402,10 @@
             if a.status is None or c.effect is api.Effect.UNSAFE or late:
                 return None
             if c.group is not api.Group.ALL:
-                out = tuple(self.index.groups.get((c.group, part(a.backend.entry, c.group)), {}).values())
-                if not out:
+                group = self.index.groups.get((c.group, part(a.backend.entry, c.group)))
+                if group is None:
                     return None
+                out = group.items
         return out
 
     def _look(self, req: Request) -> None:
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -41,6 +41,28 @@
     due: float = math.inf  # when it is to be looked at again
 
 
+class Bag:
+    """Backends in no order, of which some can be drawn without looking at the others."""
+
+    __slots__ = ("_at", "items")
+
+    def __init__(self) -> None:
+        self.items: list[Backend] = []
+        self._at: dict[Backend, int] = {}
+
+    def add(self, b: Backend) -> None:
+        """One that is not in it."""
+        self._at[b] = len(self.items)
+        self.items.append(b)
+
+    def remove(self, b: Backend) -> None:
+        """One that is."""
+        at, last = self._at.pop(b), self.items.pop()
+        if last is not b:
+            self.items[at] = last
+            self._at[last] = at
+
+
 class Level:
     """Ready backends of one own count: rows of one estimate, racks of weights within a factor of two."""
 
--- a/tests/policy/test_index.py
+++ b/tests/policy/test_index.py
@@ -116,7 +116,7 @@
         groups: dict[object, set[Backend]] = defaultdict(set)
         for x in order:
             groups[x.entry.zone if kind is api.Group.ZONE else x.entry.cell].add(x)
-        assert {part: set(g.values()) for (k, part), g in index.groups.items() if k is kind} == groups
+        assert {part: set(g.items) for (k, part), g in index.groups.items() if k is kind} == groups
 
 
 class World:
--- a/tests/policy/test_scale.py
+++ b/tests/policy/test_scale.py
@@ -20,8 +20,8 @@
 from dillport import interface as api
 from dillport.index import TURN
 from dillport.policy import RELEASE, Balancer
-from dillport.state import Backend
-from tests.helpers import BASE, SAFE, answers, entry, sends
+from dillport.state import Attempt, Backend, Request
+from tests.helpers import BASE, KEYED, SAFE, answers, entry, sends
 from tests.policy.test_index import check
 
 ALONE = replace(BASE, classes=(SAFE,), max_attempts=1)
@@ -116,6 +116,34 @@
     assert cost[1] < 1.5 * cost[0], cost
 
 
+def test_a_repeat_that_is_bound_to_a_group_costs_the_same_at_three_hundred_and_at_ten_thousand() -> None:
+    """Guards against a copy of all that may serve it, and against a draw of more than it looks at."""
+    cost = []
+    for size in (300, MANY):
+        ask = Asker(fleet(replace(ALONE, classes=(KEYED,), max_attempts=2), size))
+        total = 0
+        for i in range(30):
+            ask.b.bank, ask.b.trust, ask.b.failing = 3.0, 1.0, 0.5
+            ask.arrive("pay")
+            bound = ask.b._bound(Request("r", ask.b.classes["pay"], None, 0.0, 0.0, False, [attempt(ask.b)]))
+            assert bound is ask.b.index.groups[api.Group.ZONE, "a"].items and len(bound) == size
+            one = ask.out.pop()
+            repeat = api.Outcome(one.request, 0, one.backend, api.Status.RESET, 5.0, False)
+
+            def tell(ask: Asker = ask, repeat: api.Outcome = repeat) -> None:
+                ask.acts = ask.b.handle(ask.now, repeat)
+
+            total += lines(tell)
+            assert len(sends(ask.acts)) == 1, i
+        cost.append(total)
+    assert cost[1] < 1.2 * cost[0], cost
+
+
+def attempt(b: Balancer) -> Attempt:
+    """One that may have run."""
+    return Attempt(next(iter(b.backends.values())), b.now, True, api.Status.RESET)
+
+
 def test_a_change_and_a_weight_cost_the_same_at_ten_and_at_ten_thousand() -> None:
     cost = []
     for size in (10, MANY):
