--- a/tests/policy/test_index.py
+++ b/tests/policy/test_index.py
@@ -304,14 +304,14 @@
     return node(replace(BASE, **over), [f"b{i}" for i in range(size)], seed=7)  # type: ignore[arg-type]
 
 
-def test_ties_below_m_are_uniform_over_levels_of_own_count() -> None:
+@pytest.mark.parametrize("levels", [1, 3])
+def test_ties_below_m_are_uniform_over_levels_of_own_count(levels: int) -> None:
     b = prepared(16)
     for i, x in enumerate(b.backends.values()):
-        x.estimate, x.out = (1, i % 3) if i < 12 else (2, 1)
+        x.estimate, x.out = (1, i % levels) if i < 12 else (2, levels // 2)
         b._place(x)
-    pool = list(b.backends.values())
-    fair = reference.chances(pool, 4)
-    assert 4 <= len(fair) < 12 and len(set(fair.values())) == 1  # those over the mean are out
+    fair = reference.chances(list(b.backends.values()), 4)
+    assert len(fair) == (12 if levels == 1 else 8) and len(set(fair.values())) == 1
     chi_square(drawn(b, 4, 8000), fair, 8000)
 
 
