Subsets cover a fleet evenly, whatever its size and the number of nodes

Each node took every n/k-th server of the list from a place of its own. Where n/k is whole the places of all nodes may agree: with 1,000 servers and 10 nodes all ten fed the same 500, with 80 and 12 the same 34 or so. Now one out of each stretch is taken, not the same in all stretches.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -704,7 +704,10 @@
         n, near = len(found), [b for b in found if b.near] or found
         k = min(n, max(SUBSET_MIN, math.ceil(FEEDERS * n / self.cfg.group_size)))
         turn = self.cfg.me * GOLDEN % 1.0
-        even = [near[int((turn + j / k) * len(near)) % len(near)] for j in range(min(k, len(near)))]
+        # One out of each stretch, not the same in all: by steps of two, all nodes might feed one half alone.
+        parts = min(k, len(near))
+        places = [(j + (turn + j * GOLDEN) % 1.0) / parts for j in range(parts)]
+        even = [near[int(at * len(near)) % len(near)] for at in places]
         chosen = {b.entry.backend for b in even}
         rest = [b for b in found if b.entry.backend not in chosen]
         order = list({b.entry.backend: b for b in even}.values()) + self.rng.sample(rest, len(rest))
