--- a/dillport/lab/__init__.py
+++ b/dillport/lab/__init__.py
@@ -3,4 +3,5 @@
 - `servers`, `clients`, `discovery`, `etcd`: what stands round a node, scripted, recording what it saw.
 - `link`: a relay that makes a loopback connection faulty.
 - `judge`: the four rules, from the records alone.
+- `fleet`: nodes and servers by the thousand in virtual time, without a socket.
 """
