--- a/dillport/lab/__init__.py
+++ b/dillport/lab/__init__.py
@@ -4,4 +4,5 @@
 - `link`: a relay that makes a loopback connection faulty.
 - `judge`: the four rules, from the records alone.
 - `fleet`: nodes and servers by the thousand in virtual time, without a socket.
+- `paper`: one dispatcher in the setting of the paper on Join-Up-To(m).
 """
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -58,10 +58,14 @@
 
 
 class Balancer:
-    """One node. `handle` takes an event and the clock and returns the actions."""
+    """One node. `handle` takes an event and the clock and returns the actions.
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.cfg, self.rng, self.now = settings, random.Random(seed), 0.0
+    `literal` is for measuring, and no setting of a platform: the paper's rule to the letter with this m, and
+    nothing held or shed. 0 leaves it to the node.
+    """
+
+    def __init__(self, settings: api.Settings, seed: int, literal: int = 0) -> None:
+        self.cfg, self.rng, self.now, self.literal = settings, random.Random(seed), 0.0, literal
         self.acts: list[api.Action] = []
         self.classes = {c.name: Class(c, max(USUAL_LEAST, c.aim / 4)) for c in settings.classes}
         self.longest_aim = max(c.aim for c in settings.classes)
@@ -113,13 +117,13 @@
         """An idle sign zeroes the estimate, but for own attempts still out: a late sign knows none."""
         load = None if report is None else report.queue if report.in_flight is None else report.in_flight
         if load is not None and load < 0.5:
-            b.estimate = b.out
+            b.estimate = 0 if self.literal else b.out
         elif load is not None and fresh:  # the bound is known anew: a probe is one round trip old
             b.estimate = max(b.out, round(load))
 
     def _cap(self, req: Request) -> int:
         """m: how many requests can stand in line and the last still meet its aim."""
-        return max(1, int(req.cls.cfg.aim / (SPREAD * max(req.cls.usual, 1e-9))))
+        return self.literal or max(1, int(req.cls.cfg.aim / (SPREAD * max(req.cls.usual, 1e-9))))
 
     def _choose(self, req: Request, crowd: float, m: int) -> Backend | None:
         """JUT(m) over all that are eligible in the window, off the index.
@@ -142,7 +146,7 @@
                     total += out * level.size
         if not count:
             return None
-        if len(levels) > 1 or cold:
+        if (len(levels) > 1 or cold) and not self.literal:
             levels = [item for item in levels if item[0] * count <= total]
             cold = [b for b in cold if b.out * count <= total]
         if len(levels) == 1 and not cold:
@@ -150,10 +154,13 @@
             low = level.lowest()
             return self.rng.choice(level.rows[low]) if low < m else self._weighted(levels, cold)
         low = min([level.lowest() for _, level in levels] + [b.estimate for b in cold])
-        if low >= m:
+        if low < m:
+            rows = [level.rows[low] for _, level in levels if low in level.rows]
+            rows.append([b for b in cold if b.estimate == low])
+        elif not self.literal:
             return self._weighted(levels, cold)
-        rows = [level.rows[low] for _, level in levels if low in level.rows]
-        rows.append([b for b in cold if b.estimate == low])
+        else:
+            rows = [rack for _, level in levels for rack in level.racks.values()] + [cold]
         at = self.rng.randrange(sum(map(len, rows)))
         for row in rows:
             if at < len(row):
@@ -300,7 +307,8 @@
         density = c.value / cls.usual
         self.density += EWMA / 2 * (density - self.density)
         self.bank, self.arrived = min(RETRY_BANK, self.bank + RETRY_SHARE), self.arrived + 1
-        req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, density > BYPASS * self.density)
+        dense = density > BYPASS * self.density or self.literal > 0
+        req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, dense)
         self.requests[ev.request] = req
         # What cannot meet its aim is shed at once: cheaper for all than a failure after the aim.
         (self._route if self._fits(req) else self._finish)(req)
@@ -439,6 +447,7 @@
             self.rtt += EWMA * (ev.duration - self.rtt)
             self._report(b, ev.report, True)
             b.until = min(b.until, self.now)
+            self._place(b)
         else:
             b.fails += 1
             self._eject(b, b.fails - 1)
