A large list reaches the module in pieces, but for the first

The first list still comes in one piece: the module lays its subset out over all of it, and there is nobody to send to before.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -208,7 +208,8 @@
         self._at: dict[Address, dict[str, None]] = {}  # who is up at an address, in the order they came
         self._where: dict[str, Address] = {}  # and the other way round
         self._contested: dict[Address, None] = {}  # where that changed, and others are or were up
-        self._fresh: dict[str, Member] = {}  # changes that wait for the end of a whole list to be told
+        self._fresh: dict[str, Member] = {}  # changes of a whole list that are not told yet
+        self._first = False  # the whole list that is looked at is the first
         self._now_ms = 0.0
         self._out: list[Action] = []
 
@@ -350,11 +351,16 @@
             return
         if touched:
             self._apply(touched, ListKind.CHANGES)
+        self._first = self._first or not self.view
         source.pending = named
         self._continue()
 
     def _continue(self) -> None:
-        """Look at the next slice of whatever whole list waits; what changed is applied once all was seen."""
+        """Look at the next slice of whatever whole list waits, and apply what changed in it.
+
+        A first list is applied in one piece, once all was seen: the module lays its subset out over all of
+        it, and nobody waits meanwhile, as there is nobody to send to.
+        """
         for source in self.sources.values():
             if not source.pending:
                 continue
@@ -364,8 +370,11 @@
                 self._settle(name, self._fresh)
             self._share(self._fresh)
             if any(source.pending for source in self.sources.values()):
+                if self._fresh and not self._first:
+                    self._flush()
                 self._out.append(Continue())
                 return
+        self._first = False
         self._flush()
 
     def _take(self, source: Source, members: Iterable[Member]) -> None:
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -412,13 +412,29 @@
     rig.hand(m.Listed("platform", "one", whole(2, *rest)))
     assert len(rig.told) == 90 and rig.told["s94"].entry.phase is DRAINING  # before anything else
     assert rig.waiting and rig.told["s50"].entry.weight == 1.0
+    seen = [one.entry.weight for one in rig.told.values()].count(2.0)
+    assert seen == 11  # the first slice, and who drains
     rig.hand(m.Listed("platform", "one", changes(3, member("s60", port=61, weight=5.0), removed=("s61",))))
     assert rig.told["s60"].entry.weight == 5.0
+    rig.waiting = False
+    rig.hand(m.Continued())
+    weights = [one.entry.weight for one in rig.told.values()]
+    assert weights.count(2.0) == seen + 10  # each slice at once
     rig.turn()
     assert rig.told["s60"].entry.weight == 5.0 and "s61" not in rig.told  # the newer word holds
     assert rig.told["s50"].entry.weight == 2.0 and len(rig.view) == 89
 
 
+def test_a_first_list_comes_in_one_piece(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against subsets that are laid out over its first slice alone."""
+    monkeypatch.setattr(m, "SLICE", 10)
+    rig = Rig(Source("platform"))
+    rig.hand(m.Listed("platform", "one", whole(1, *(member(f"s{i}", port=i + 1) for i in range(95)))))
+    assert rig.waiting and not rig.told
+    rig.turn()
+    assert len(rig.told) == 95 and len(rig.kinds) == 1
+
+
 def test_a_move_in_the_middle_of_a_large_list_loses_nothing_that_was_said(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
