--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -208,7 +208,8 @@
         self._at: dict[Address, dict[str, None]] = {}  # who is up at an address, in the order they came
         self._where: dict[str, Address] = {}  # and the other way round
         self._contested: dict[Address, None] = {}  # where that changed, and others are or were up
-        self._fresh: dict[str, Member] = {}  # changes that wait for the end of a whole list to be told
+        self._fresh: dict[str, Member] = {}  # changes of a whole list that are not told yet
+        self._first = False  # the whole list that is looked at is the first
         self._now_ms = 0.0
         self._out: list[Action] = []
 
@@ -350,11 +351,16 @@
             return
         if touched:
             self._apply(touched, ListKind.CHANGES)
+        self._first = self._first or not self.view
         source.pending = named
         self._continue()
 
     def _continue(self) -> None:
-        """Look at the next slice of whatever whole list waits; what changed is applied once all was seen."""
+        """Look at the next slice of whatever whole list waits, and apply what changed in it.
+
+        A first list is applied in one piece, once all was seen: the module lays its subset out over all of
+        it, and nobody waits meanwhile, as there is nobody to send to.
+        """
         for source in self.sources.values():
             if not source.pending:
                 continue
@@ -364,8 +370,11 @@
                 self._settle(name, self._fresh)
             self._share(self._fresh)
             if any(source.pending for source in self.sources.values()):
+                if self._fresh and not self._first:
+                    self._flush()
                 self._out.append(Continue())
                 return
+        self._first = False
         self._flush()
 
     def _take(self, source: Source, members: Iterable[Member]) -> None:
@@ -376,17 +385,26 @@
             source.faults.pop(name, None)
 
     def _changes(self, source: Source, listing: Listing) -> None:
+        """Many at once, as where weights are live, wait in slices too; removals and drains do not."""
         source.revision = listing.revision
         before = len(source.members)
         touched = self._remove(source, listing.removed)
         touched += self._unreadable(source, listing.faults)
-        self._take(source, listing.members)
-        touched += [m.entry.backend for m in listing.members]
+        now, later = list(listing.members), list[Member]()
+        if len(now) > SLICE:
+            later = [m for m in now if m.entry.phase is Phase.UP]
+            now = [m for m in now if m.entry.phase is not Phase.UP]
+        self._take(source, now)
+        touched += [m.entry.backend for m in now]
         for name in touched:
             source.pending.pop(name, None)  # older than what has just been said
         self._mass(source, len(listing.removed), before)
         self._current(source)
-        self._apply(touched, ListKind.CHANGES)
+        if touched or not later:
+            self._apply(touched, ListKind.CHANGES)
+        if later:
+            source.pending |= {m.entry.backend: m for m in later}
+            self._continue()
 
     def _remove(self, source: Source, names: Iterable[str]) -> list[str]:
         out = []
--- a/tests/test_mechanism.py
+++ b/tests/policy/test_mechanism.py
@@ -11,6 +11,7 @@
 
 from dillport import interface as api
 from dillport.policy import Balancer
+from dillport.state import WHOLE
 from tests.helpers import BASE, KEYED, LOOKING, SAFE, answers, entry, node, sends
 
 NAMES = [f"b{i}" for i in range(8)]
@@ -537,7 +538,7 @@
     b.handle(now, api.ListUpdate(api.ListKind.FAILED, []))
     for i in range(300):
         lines += [a.text for a in _arrive(b, f"h{i}", 70_000.0) if isinstance(a, api.Log)]
-    page = (Path(__file__).parents[1] / "docs" / "on-call.md").read_text(encoding="utf-8")
+    page = (Path(__file__).parents[2] / "docs" / "on-call.md").read_text(encoding="utf-8")
     starts = {line.split(":")[0] for line in lines}
     assert len(lines) <= 4 and starts <= {"panic", "list", "shedding"} and len(starts) >= 2
     assert all(f"`{word}:" in page for word in ("panic", "list", "shedding"))
@@ -632,3 +633,35 @@
     timer = next(a for a in acts if isinstance(a, api.SetTimer))
     assert timer.when <= 1000.0 + SAFE.aim / 2
     assert isinstance(answers(b.handle(timer.when, api.Timer(timer.token)))[0], api.Refuse)
+
+
+def test_a_site_without_a_ramp_may_shrink_and_have_clocks_that_differ() -> None:
+    """Guards against a division by a ramp of nothing, which a site may state."""
+    b = Balancer(replace(BASE, ramp_time=0.0), 1)
+    b.handle(1000.0, api.ListUpdate(api.ListKind.FULL, [entry(f"b{i}", started_at=1500.0) for i in range(4)]))
+    assert sends(_arrive(b, "r"))
+    b.handle(1001.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b1", phase=api.Phase.GONE)]))
+    assert sends(_arrive(b, "s", 1002.0))
+
+
+def test_any_weight_a_list_may_hold_is_lived_with() -> None:
+    """Guards against a sum of live weights that one tiny weight spoils for good, and against overflows."""
+    b = node(replace(BASE, weighted=True, live_weights=True), NAMES, weight=0.5)
+    for odd in (1e-17, 5e-324, 1e300, 0.0):
+        b.handle(1001.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b3", weight=odd)]))
+        for x in b.backends.values():
+            x.estimate = 99
+            b._place(x)
+        assert sends(_arrive(b, f"r{odd}", 1001.0))
+    b.handle(1002.0, api.ListUpdate(api.ListKind.CHANGES, [entry(n, weight=0.5, kind="new") for n in NAMES]))
+    assert b.rooms[""].count == b.rooms[""].inverses == b.rooms[""].weighted == 0
+    assert b.rooms["new"].inverses == 2 * WHOLE * len(NAMES)
+
+
+def test_an_idle_backend_that_restarts_is_cold_at_once() -> None:
+    """Guards against its whole share sent to a backend whose counts did not tell of the restart."""
+    b = node(replace(BASE, fall_multiple=0.0), NAMES)
+    b.limit = 99.0
+    b.handle(20_000.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b3", started_at=20_000.0)]))
+    got = {s.backend for i in range(30) for s in sends(_arrive(b, f"r{i}", 20_000.0))}
+    assert got == set(NAMES) - {"b3"}
