Stop reading from clients that do not read, and bound what they hold

One client that pipelined GET /up and never read grew a node by 1.9 GB in 21 s, at a full core, and no other client was served: answers were written without a look at what the kernel took.

Reading pauses from the first byte that is left over; what was already read is answered up to 64 KiB. Such bytes are counted by connection and in all. One that takes nothing for 5 s after its request's deadline is aborted; over the budget, an eighth of limits.memory_mb, the largest without progress go and new requests get 503.

--- a/dillport/decide/__init__.py
+++ b/dillport/decide/__init__.py
@@ -1,5 +1,6 @@
 """Pure deciders beside the policy: events and a clock time in, actions out; no I/O, no clock of their own.
 
+- `admission`: what clients can make the node hold, and who goes where it is too much.
 - `membership`: several sources of the list of backends, one view that never goes back.
 - `backoff`: when to try again.
 - `etcd_follow`: which endpoint of an etcd cluster to ask for what, and when to leave it.
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -17,6 +17,7 @@
 
 import uvloop
 
+from dillport.decide.admission import unread_budget
 from dillport.decide.membership import Listed, Source
 from dillport.net.config import Config, ConfigError, load
 from dillport.net.control import Control, ControlError
@@ -135,7 +136,7 @@
         config.discovery, config.settings.must_ask, node.now, fleet.hand,
         lambda: fleet.resume(platform.NAME), node.list_failed,
     )  # fmt: skip
-    front = Front(node, config.client_sockets)
+    front = Front(node, config.client_sockets, unread_budget(config.memory_mb))
     control = Control()
     control.register("members", fleet.report)
     etcd = EtcdPart(fleet, (listed,), lambda settings, seen: EtcdSource(settings, fleet.hand, seen=seen))
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -15,6 +15,7 @@
 
 PREFIX = "PROXY_"
 SPARE = 32  # descriptors kept for the listener, discovery, the loop and the log
+MEMORY_MB = 192  # where the file names none
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 
 
@@ -38,6 +39,7 @@
     known: Listing
     client_sockets: int
     upstream_sockets: int
+    memory_mb: float
 
 
 def _at(raw: Mapping[str, Any], env: Mapping[str, str], name: str, again: bool) -> Address:
@@ -62,6 +64,8 @@
         settings = _settings(raw)
     with gather:
         sockets = _sockets(raw)
+    with gather:
+        memory = _memory(raw)
     with gather:
         seed = _seed(raw)
     with gather:
@@ -82,6 +86,7 @@
         known=known,
         client_sockets=clients,
         upstream_sockets=sockets - SPARE - clients,
+        memory_mb=memory,
     )
 
 
@@ -129,6 +134,14 @@
     return sockets
 
 
+def _memory(raw: Mapping[str, Any]) -> float:
+    limits = raw.get("limits")
+    memory = limits.get("memory_mb", MEMORY_MB) if isinstance(limits, dict) else MEMORY_MB
+    if isinstance(memory, bool) or not isinstance(memory, (int, float)) or not 1 <= memory < 1e9:
+        raise ConfigError(f"limits.memory_mb makes no sense: {memory!r:.120}")
+    return float(memory)
+
+
 def _seed(raw: Mapping[str, Any]) -> int:
     seed = raw.get("seed", "0")
     try:
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -12,6 +12,7 @@
 import httptools
 
 from dillport import interface as api
+from dillport.decide.admission import LEAST_BUDGET, UnreadAnswers
 from dillport.interface import Effect
 from dillport.members import Address
 from dillport.net.node import Node
@@ -21,6 +22,8 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 LINGER = 0.5  # s for a client to read its last answer before the connection is torn down
+HIGH = 64 * 1024  # unread bytes behind which requests in a packet that was already read are left
+SAY = 10.0  # s between two lines on clients that do not read
 OVER = 16  # connections over the cap that still get an answer of their own
 SLOW = 2.3  # s for a request to come in whole once its connection is up, or once it has begun on a used one
 MUTE = 1.0  # s without a word after which a new connection goes before used ones where they are too many
@@ -84,6 +87,9 @@
         self.keep_alive = True
         self.asked = 0  # whole requests that came on it
         self.left = 0  # bytes that came once it was closing
+        self.aborted = False
+        self.blocked = False  # the kernel has not taken all that was written
+        self.until = 0.0  # ms, the latest deadline of its requests
         self.parser = httptools.HttpRequestParser(self)
         self._reset()
 
@@ -99,6 +105,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection in, over the cap too: it gets a plain answer and is closed."""
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        self.transport.set_write_buffer_limits(high=0)  # blocked from the first byte that is left over
         self.front.took(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -109,6 +116,40 @@
             name, self.request = self.request, None
             self.node.gone(name)
 
+    def pause_writing(self) -> None:
+        """The client does not read its answer: no more is read from it.
+
+        Guards memory against clients that ask and never read. What it asks waits in the kernel.
+        """
+        assert self.transport is not None
+        self.blocked = True
+        self.transport.pause_reading()
+        if not self.closing:
+            self.front.forget(self)
+        self.front.held(self)
+
+    def resume_writing(self) -> None:
+        """The kernel has taken all; go on as if it had at once."""
+        assert self.transport is not None
+        self.blocked = False
+        self.front.unread.forget(self)
+        if self.closing:
+            self.front.loop.call_later(LINGER, self.transport.abort)
+            return
+        self.transport.resume_reading()
+        if self.mid:
+            self.front.waiting[self] = self.front.loop.time()
+        elif self.request is None:
+            self.front.idle[self] = self.front.loop.time()
+
+    def abort(self) -> None:
+        """End it with what it has not read."""
+        if self.transport is not None:
+            self.closing = self.aborted = True
+            self.front.forget(self)
+            self.front.unread.forget(self)
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Read a request; what cannot be read gets a plain answer and a close."""
         if self.closing or self.close_after:
@@ -136,7 +177,9 @@
             self.head += len(data)
             if self.head > MAX_HEAD:
                 self._turn_away(431, "headers too long")
-        if self.mid and not self.closing:
+        if self.close_after and self.request is None:
+            self._linger()  # a request was left unread behind answers that are
+        if self.mid and not (self.closing or self.blocked):
             self.front.waiting.setdefault(self, self.front.loop.time())
 
     def _end_here(self) -> None:
@@ -159,7 +202,7 @@
 
     def on_message_begin(self) -> None:
         """A request begins; one that comes before the last is answered is left unread."""
-        if self.request is not None or self.closing:
+        if self.request is not None or self.closing or self._high():
             # Guards against taking what comes in one packet behind an answer that closes: it would be lost.
             self.close_after = True
             return
@@ -168,6 +211,10 @@
         self.front.idle.pop(self, None)
         self.front.fresh.pop(self, None)
 
+    def _high(self) -> bool:
+        """Guards memory against hundreds of requests in one packet: reading stops with the next only."""
+        return self.blocked and self.transport is not None and self.transport.get_write_buffer_size() > HIGH
+
     def on_url(self, url: bytes) -> None:
         """The request's target, in pieces."""
         if not self.close_after:
@@ -246,8 +293,8 @@
         if b"request-timeout" in headers:
             wait = min(wait, parse_timeout(headers[b"request-timeout"]))
         key = parse_qs(query.decode("latin-1")).get("obj")
-        if node.full() or self.over:
-            # Guards the descriptors and the open requests: nothing ran, so turning it away is harmless.
+        if node.full() or self.over or self.front.unread.full:
+            # Guards the descriptors, open requests and memory: nothing ran, so turning it away is harmless.
             self._write(503, b"too many requests\n")
             return
         event = api.Arrival(
@@ -260,7 +307,7 @@
             work_hint=self._hint(),
             writes=cls.effect is not Effect.SAFE,
         )
-        self.request = name
+        self.request, self.until = name, max(self.until, event.deadline)
         node.arrival(event, self, partial(render, method, self.target, headers, b"".join(self.body)))
 
     def _hint(self) -> float | None:
@@ -305,9 +352,11 @@
             extra += b"Connection: close\r\n"
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n"
         self.transport.write(head % (code, REASONS[code].encode(), extra, len(body)) + body)
+        if self.blocked:
+            self.front.held(self)  # what was left over before has become more
         if close:
             self._linger()
-        else:
+        elif not self.blocked:
             self.front.idle[self] = self.front.loop.time()
 
     def close(self) -> None:
@@ -326,14 +375,18 @@
             self.closing = True
             self.front.forget(self)
             self.transport.write_eof()
-            self.front.loop.call_later(LINGER, self.transport.abort)
+            if not self.blocked:  # else once it is not, or when it has stalled
+                self.front.loop.call_later(LINGER, self.transport.abort)
 
 
 class Front:
     """The listener and its connections."""
 
-    def __init__(self, node: Node, limit: int) -> None:
+    def __init__(self, node: Node, limit: int, budget: int = LEAST_BUDGET) -> None:
+        """At most `limit` connections, and `budget` bytes of answers that clients do not read."""
         self.node, self.limit = node, limit
+        self.unread: UnreadAnswers[ClientConnection] = UnreadAnswers(budget)
+        self.ended, self.said = 0, -SAY  # over unread answers, since the last line about it
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
         # Since when, longest first: no request on it, none yet; a request of its that has to come in whole.
@@ -402,6 +455,31 @@
                 break
             connection.close()
 
+        self._end_unread()
+
+    def held(self, connection: ClientConnection) -> None:
+        """Bytes of its answers are left over."""
+        transport = connection.transport
+        if transport is None or connection.aborted:
+            return
+        self.unread.note(connection, transport.get_write_buffer_size(), self.node.now(), connection.until)
+        if self.unread.full:
+            self._end(self.unread.excess(self.node.now()))
+
+    def _end_unread(self) -> None:
+        """Look at who reads, and end who does not."""
+        for connection in list(self.unread):
+            self.held(connection)
+        self._end(self.unread.stalled(self.node.now()))
+        if self.ended and self.loop.time() - self.said >= SAY:
+            log.warning("%d connections ended whose clients do not read their answers", self.ended)
+            self.ended, self.said = 0, self.loop.time()
+
+    def _end(self, connections: list[ClientConnection]) -> None:
+        for connection in connections:
+            self.ended += 1
+            connection.abort()
+
     def forget(self, connection: ClientConnection) -> None:
         """Nothing more is expected from it."""
         for table in (self.idle, self.fresh, self.waiting):
@@ -411,6 +489,7 @@
         """A connection has ended."""
         self.connections.discard(connection)
         self.forget(connection)
+        self.unread.forget(connection)
 
     def stop(self) -> None:
         """Accept no more and close what is idle."""
--- /dev/null
+++ b/tests/net/test_front.py
@@ -0,0 +1,242 @@
+"""Clients that do not read, connections that are closed, descriptors that run out: the front against them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from functools import partial
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from dillport.decide import admission
+from dillport.decide.membership import Listed, Source
+from dillport.net.config import load
+from dillport.net.fleet import Fleet
+from dillport.net.front import HIGH, Front
+from dillport.net.node import Node
+from tests.sockets import WAIT, Backend, Client, Message, answer, configuration
+
+UP = b"GET /up HTTP/1.1\r\n\r\n"
+IDS = itertools.count(1)
+LOOPS = pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+NewLoop = Callable[[], asyncio.AbstractEventLoop]
+
+
+def run(test: Callable[[], Awaitable[None]], new_loop: NewLoop = uvloop.new_event_loop) -> None:
+    """Run a test's coroutine on a loop of that kind, with an end to it."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * WAIT):
+            await test()
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(bounded())
+
+
+async def until(met: Callable[[], object]) -> None:
+    """Wait for it."""
+    while not met():
+        await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def fronting(
+    tmp: Path, *backends: Backend, limit: int = 50, budget: int = 1 << 20
+) -> AsyncIterator[Front]:
+    """A front with its node in this process."""
+    for backend in backends:
+        await backend.start()
+    path = tmp / "config.json"
+    path.write_text(json.dumps(configuration([b.member() for b in backends], 1)))
+    config = load({"PROXY_CONFIG": str(path)})
+    node = Node(config)
+    Fleet(node, [Source("platform")]).hand(Listed("platform", "here", config.known, saved=True))
+    front = Front(node, limit, budget)
+    await front.listen(("127.0.0.1", 0))
+    try:
+        yield front
+    finally:
+        front.stop()
+        for connection in list(front.connections):
+            connection.abort()
+        await until(lambda: not front.connections)
+        for backend in backends:
+            backend.stop()
+
+
+class Deaf:
+    """A client with small buffers that reads nothing until it is told to."""
+
+    def __init__(self, front: Front) -> None:
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.sock.connect(front.address)
+        self.sock.setblocking(False)
+        self.sent = 0
+
+    def send(self, data: bytes) -> int:
+        """What of it the kernels take."""
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            return 0
+        self.sent += sent
+        return sent
+
+    async def all(self) -> bytes:
+        """All that comes until the end, or what came before a reset."""
+        out = bytearray()
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(ConnectionError):
+            while piece := await asyncio.wait_for(loop.sock_recv(self.sock, 1 << 16), WAIT):
+                out += piece
+        return bytes(out)
+
+
+@pytest.fixture
+def deaf() -> Iterator[Callable[[Front], Deaf]]:
+    """Makes clients that are gone after the test."""
+    made: list[Deaf] = []
+
+    def make(front: Front) -> Deaf:
+        made.append(Deaf(front))
+        return made[-1]
+
+    yield make
+    for client in made:
+        client.sock.close()
+
+
+async def large(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+    """The largest answers there are."""
+    writer.write(answer(b"x" * 65536))
+
+
+def read() -> bytes:
+    """A request that `large` answers."""
+    return b"GET /read HTTP/1.1\r\nRequest-Id: f%d\r\n\r\n" % next(IDS)
+
+
+async def stuff(client: Deaf, front: Front) -> None:
+    """Ask for more than the kernels hold, so that some of it is left over at the node."""
+    before = len(front.unread) + front.ended
+    for asked in itertools.count(1):
+        client.send(read())
+        await until(partial(_answered, front, asked))
+        if len(front.unread) + front.ended > before:
+            break
+
+
+def _answered(front: Front, asked: int) -> bool:
+    return any(c.asked == asked and not c.request for c in front.connections)
+
+
+# --- answers that clients do not read
+
+
+@LOOPS
+def test_a_client_that_asks_on_and_never_reads_is_read_no_more(
+    tmp_path: Path, deaf: Callable[[Front], Deaf], new_loop: NewLoop
+) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path) as front:
+            client, packet = deaf(front), 70
+            while not front.unread.total:
+                client.send(UP * packet)
+                await asyncio.sleep(0.001)
+                if front.unread.total:
+                    await asyncio.sleep(0.3)  # the client's kernel may take it still
+            (connection,) = front.connections
+            asked = connection.asked
+            for _ in range(10):
+                client.send(UP * packet)
+            await asyncio.sleep(0.1)
+            assert connection.asked == asked and not connection.closing and not front.idle
+
+    run(test, new_loop)
+
+
+def test_requests_by_thousands_in_one_packet_are_left_at_the_mark(
+    tmp_path: Path, deaf: Callable[[Front], Deaf]
+) -> None:
+    """Guards memory: a read of the loop brings 256 KiB at most, and their answers are several times that."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", large), budget=1 << 30) as front:
+            client = deaf(front)
+            await stuff(client, front)
+            (connection,) = front.connections
+            connection.data_received(UP * 10_000)
+            assert connection.closing
+            assert HIGH < front.unread.total < HIGH + 65536 + 1024
+
+    run(test)
+
+
+@LOOPS
+def test_a_client_that_reads_again_gets_all_and_is_kept(
+    tmp_path: Path, deaf: Callable[[Front], Deaf], new_loop: NewLoop
+) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", large)) as front:
+            client = deaf(front)
+            await stuff(client, front)
+            (connection,) = front.connections
+            assert not front.idle
+            loop, got = asyncio.get_running_loop(), 0
+            while got < connection.asked * 65536 or connection.blocked:
+                got += len(await loop.sock_recv(client.sock, 1 << 16))
+            assert front.unread.total == 0 and not connection.closing
+            await until(lambda: connection in front.idle)
+            client.send(UP)
+            seen = b""
+            while not seen.endswith(b"up\n"):
+                seen += await loop.sock_recv(client.sock, 1 << 16)
+
+    run(test, new_loop)
+
+
+def test_a_stalled_answer_is_aborted_when_its_deadline_is_over(
+    tmp_path: Path, deaf: Callable[[Front], Deaf], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(admission, "STALL_MS", 300.0)
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", large)) as front:
+            client = deaf(front)
+            await stuff(client, front)
+            (connection,) = front.connections
+            due = connection.until
+            await until(lambda: not front.connections)
+            assert front.node.now() >= due  # 4 s after its request came
+            assert front.unread.total == 0
+
+    run(test)
+
+
+def test_the_budget_ends_the_largest_and_refuses_meanwhile(
+    tmp_path: Path, deaf: Callable[[Front], Deaf], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", large), budget=20_000) as front:
+            usual = Client(*await asyncio.open_connection(*front.address))
+            monkeypatch.setattr(admission, "GRACE_MS", 1e9)
+            await stuff(deaf(front), front)
+            assert front.unread.full
+            assert (await usual.ask("/read")).code == 503
+            assert (await usual.ask("/up")).code == 200
+            monkeypatch.setattr(admission, "GRACE_MS", 200.0)
+            (greedy,) = front.unread
+            await until(lambda: not front.unread.total)
+            assert front.node.now() < greedy.until
+            await until(lambda: len(front.connections) == 1)
+            assert (await usual.ask("/read")).code == 200
+            usual.writer.transport.abort()
+
+    run(test)
