A closed connection counts until its descriptor is free, and is never left over unread bytes

close() took a connection out of the count at once, while a transport with bytes that nobody reads puts its close off for good: such descriptors were held and counted by nobody.

It stays in the count until connection_lost. Over unread bytes a close is a linger: all is still given to who reads late, and who stalls is aborted.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -360,10 +360,15 @@
             self.front.idle[self] = self.front.loop.time()
 
     def close(self) -> None:
-        """Close a connection that nothing is owed on."""
-        if not self.closing and self.transport is not None:
+        """Close a connection that nothing is owed on; it counts until its descriptor is free.
+
+        Guards against a close that never comes about: a transport puts it off until all is read.
+        """
+        if self.blocked:
+            self._linger()
+        elif not self.closing and self.transport is not None:
             self.closing = True
-            self.front.lost(self)  # its descriptor is free with the next turn of the loop
+            self.front.forget(self)
             self.transport.close()
 
     def _linger(self) -> None:
--- a/tests/net/test_front.py
+++ b/tests/net/test_front.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import json
+import os
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from functools import partial
@@ -18,7 +19,7 @@
 from dillport.decide.membership import Listed, Source
 from dillport.net.config import load
 from dillport.net.fleet import Fleet
-from dillport.net.front import HIGH, Front
+from dillport.net.front import HIGH, LINGER, Front
 from dillport.net.node import Node
 from tests.sockets import WAIT, Backend, Client, Message, answer, configuration
 
@@ -240,3 +241,70 @@
             usual.writer.transport.abort()
 
     run(test)
+
+
+# --- closing
+
+
+def descriptors() -> int:
+    """How many this process holds."""
+    return len(os.listdir("/proc/self/fd"))
+
+
+@LOOPS
+def test_a_closed_connection_counts_until_its_descriptor_is_free(tmp_path: Path, new_loop: NewLoop) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path) as front:
+            with socket.create_connection(front.address):
+                await until(lambda: front.fresh)
+                held = descriptors()
+                (connection,) = front.connections
+                connection.close()
+                assert front.connections and descriptors() == held and not front.fresh
+                await until(lambda: not front.connections)
+                await until(lambda: descriptors() == held - 1)
+
+    run(test, new_loop)
+
+
+@pytest.mark.parametrize("client_closes", [False, True])
+def test_a_close_over_unread_bytes_frees_the_descriptor_in_the_end(
+    tmp_path: Path, deaf: Callable[[Front], Deaf], monkeypatch: pytest.MonkeyPatch, client_closes: bool
+) -> None:
+    """Guards against descriptors that nobody counts: a flush that never comes held them for good."""
+    monkeypatch.setattr(admission, "STALL_MS", 300.0)
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", large)) as front:
+            client = deaf(front)
+            await stuff(client, front)
+            (connection,) = front.connections
+            held, connection.until = descriptors(), 0.0
+            front.unread.forget(connection)
+            front.held(connection)  # its deadline is over
+            if client_closes:
+                client.sock.shutdown(socket.SHUT_WR)
+            else:
+                connection.close()
+                assert connection.closing
+            assert front.connections == {connection}
+            await until(lambda: not front.connections)
+            await until(lambda: descriptors() == held - 1)
+
+    run(test)
+
+
+def test_a_close_over_bytes_that_are_read_late_loses_none(
+    tmp_path: Path, deaf: Callable[[Front], Deaf]
+) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", large)) as front:
+            client = deaf(front)
+            await stuff(client, front)
+            (connection,) = front.connections
+            connection.close()
+            await asyncio.sleep(2 * LINGER)
+            got = await client.all()
+            assert len(got) > connection.asked * 65536 and got.endswith(b"x" * 65536)
+
+    run(test)
