Hold limits.sockets against the process's limit, and accept with a spare descriptor

With ulimit -n 64 and 300 mute connections a second 20 of 150 usual new clients were answered, the others closed or reset, and discovery did not get back: the configured number was taken for granted, and the event loop's own accept closes what comes on EMFILE.

At start the soft limit is raised, else the shares shrink and a line says so. The node accepts by itself: a descriptor counts from accept on, clients never hold more than their share, and on EMFILE and ENFILE a spare descriptor serves to answer 503; without it the listener rests for 0.1 s.

--- a/dillport/decide/admission.py
+++ b/dillport/decide/admission.py
@@ -1,5 +1,6 @@
 """What the node lets its clients make it hold: numbers in, whom to end out. No sockets, no clock of its own.
 
+- `shares`, `places`: who may hold how many descriptors.
 - `UnreadAnswers`: the bytes of answers that clients do not read, and whose connection goes for it.
 """
 
@@ -12,6 +13,11 @@
 STALL_MS = 5_000.0  # without progress a client has stopped reading, though its kernel may hold a little more
 GRACE_MS = 200.0  # the same where the budget is gone: who reads at all makes progress within it
 LEAST_BUDGET = 4 * 1024 * 1024
+SPARE = 32  # descriptors kept for the listener, discovery, the loop and the log
+CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
+LEAST_SOCKETS = SPARE + 4
+OVER = 16  # connections over the cap that still get an answer of their own, at most
+OVER_PART = 8  # and at most one part of so many
 PART = 8  # of the node's memory, one part is for unread answers
 
 Key = TypeVar("Key")
@@ -22,6 +28,21 @@
     return max(LEAST_BUDGET, int(memory_mb * 1024 * 1024 / PART))
 
 
+def shares(sockets: int) -> tuple[int, int]:
+    """How many of the descriptors clients may hold, and backends; `sockets` is `LEAST_SOCKETS` at least."""
+    clients = int((sockets - SPARE) * CLIENT_PART)
+    return clients, sockets - SPARE - clients
+
+
+def places(share: int) -> tuple[int, int]:
+    """Of the clients' descriptors: the cap on connections, and those over it that get one answer each.
+
+    Both are within the share, so that what is kept for discovery is never taken for a crowd.
+    """
+    over = min(OVER, share // OVER_PART)
+    return share - over, over
+
+
 @dataclass(slots=True)
 class _Held:
     size: int
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -13,16 +13,18 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import uvloop
 
-from dillport.decide.admission import unread_budget
+from dillport.decide.admission import LEAST_SOCKETS, SPARE, places, shares, unread_budget
 from dillport.decide.membership import Listed, Source
 from dillport.net.config import Config, ConfigError, load
 from dillport.net.control import Control, ControlError
 from dillport.net.fleet import EtcdPart, Fleet
 from dillport.net.front import Front
+from dillport.net.listener import fit
 from dillport.net.node import Node
 from dillport.net.reload import reread
 from dillport.net.sources import platform
@@ -136,7 +138,8 @@
         config.discovery, config.settings.must_ask, node.now, fleet.hand,
         lambda: fleet.resume(platform.NAME), node.list_failed,
     )  # fmt: skip
-    front = Front(node, config.client_sockets, unread_budget(config.memory_mb))
+    cap, over = places(config.client_sockets)
+    front = Front(node, cap, unread_budget(config.memory_mb), over)
     control = Control()
     control.register("members", fleet.report)
     etcd = EtcdPart(fleet, (listed,), lambda settings, seen: EtcdSource(settings, fleet.hand, seen=seen))
@@ -174,6 +177,17 @@
     """Run a node to its end; the exit code. One that cannot start says why in one line."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger().handlers[0].addFilter(Brake())
+    wanted = config.client_sockets + config.upstream_sockets + SPARE
+    if (there := fit(wanted)) < min(wanted, LEAST_SOCKETS):
+        print(f"dillport: limits: {there} descriptors (ulimit -n), {LEAST_SOCKETS} at least", file=sys.stderr)
+        return 2
+    if there < wanted:
+        clients, upstream = shares(there)
+        config = replace(config, client_sockets=clients, upstream_sockets=upstream)
+        logging.warning(
+            "limits.sockets is %d, the process may hold %d (ulimit -n): %d for clients, %d for servers",
+            wanted, there, clients, upstream,
+        )  # fmt: skip
     try:
         uvloop.run(serve(config, path, operators))
     except OSError as err:
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -11,12 +11,11 @@
 
 from dillport import interface as api
 from dillport import settings as platform
+from dillport.decide.admission import SPARE, shares
 from dillport.members import Address, ListError, Listing, address, listing
 
 PREFIX = "PROXY_"
-SPARE = 32  # descriptors kept for the listener, discovery, the loop and the log
 MEMORY_MB = 192  # where the file names none
-CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 
 
 class ConfigError(ValueError):
@@ -76,7 +75,7 @@
         discovery = _at(raw, env, "discovery", again)
     if gather.faults:
         raise ConfigError(*gather.faults)
-    clients = int((sockets - SPARE) * CLIENT_PART)
+    clients, upstream = shares(sockets)
     return Config(
         name=str(env.get(PREFIX + "NAME") or raw.get("name", "")),
         listen=listen,
@@ -85,7 +84,7 @@
         settings=settings,
         known=known,
         client_sockets=clients,
-        upstream_sockets=sockets - SPARE - clients,
+        upstream_sockets=upstream,
         memory_mb=memory,
     )
 
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -12,9 +12,10 @@
 import httptools
 
 from dillport import interface as api
-from dillport.decide.admission import LEAST_BUDGET, UnreadAnswers
+from dillport.decide.admission import LEAST_BUDGET, OVER, UnreadAnswers
 from dillport.interface import Effect
 from dillport.members import Address
+from dillport.net.listener import Listener, Room
 from dillport.net.node import Node
 
 log = logging.getLogger(__name__)
@@ -24,7 +25,6 @@
 LINGER = 0.5  # s for a client to read its last answer before the connection is torn down
 HIGH = 64 * 1024  # unread bytes behind which requests in a packet that was already read are left
 SAY = 10.0  # s between two lines on clients that do not read
-OVER = 16  # connections over the cap that still get an answer of their own
 SLOW = 2.3  # s for a request to come in whole once its connection is up, or once it has begun on a used one
 MUTE = 1.0  # s without a word after which a new connection goes before used ones where they are too many
 IDLE = 60.0  # s that a connection is kept between two requests
@@ -148,6 +148,7 @@
             self.closing = self.aborted = True
             self.front.forget(self)
             self.front.unread.forget(self)
+            self.front.going.add(self)
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
@@ -369,6 +370,7 @@
         elif not self.closing and self.transport is not None:
             self.closing = True
             self.front.forget(self)
+            self.front.going.add(self)
             self.transport.close()
 
     def _linger(self) -> None:
@@ -387,9 +389,9 @@
 class Front:
     """The listener and its connections."""
 
-    def __init__(self, node: Node, limit: int, budget: int = LEAST_BUDGET) -> None:
-        """At most `limit` connections, and `budget` bytes of answers that clients do not read."""
-        self.node, self.limit = node, limit
+    def __init__(self, node: Node, limit: int, budget: int = LEAST_BUDGET, over: int = OVER) -> None:
+        """At most `limit` connections, `over` more that get one answer, `budget` bytes of unread answers."""
+        self.node, self.limit, self.over = node, limit, over
         self.unread: UnreadAnswers[ClientConnection] = UnreadAnswers(budget)
         self.ended, self.said = 0, -SAY  # over unread answers, since the last line about it
         self.loop = asyncio.get_running_loop()
@@ -398,7 +400,8 @@
         self.idle: dict[ClientConnection, float] = {}
         self.fresh: dict[ClientConnection, float] = {}
         self.waiting: dict[ClientConnection, float] = {}
-        self.server: asyncio.Server | None = None
+        self.going: set[ClientConnection] = set()  # closed, their descriptors free in a turn or two
+        self.listener = Listener(lambda: ClientConnection(self), self._room)
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
 
     @property
@@ -414,24 +417,35 @@
     @property
     def address(self) -> Address:
         """Where it listens; the port is the system's choice where the configuration says 0."""
-        assert self.server is not None
-        host, port = self.server.sockets[0].getsockname()[:2]
+        assert self.listener.sock is not None
+        host, port = self.listener.sock.getsockname()[:2]
         return host, port
 
     async def listen(self, address: Address) -> None:
         """Accept connections on this address only."""
-        self.server = await self.loop.create_server(lambda: ClientConnection(self), *address, backlog=1024)
+        await self.listener.listen(address)
+
+    def _room(self) -> Room:
+        """Whether one more may come: a descriptor counts from accept until it is free.
+
+        Where something idle can go the new one waits for its place, instead of taking another descriptor.
+        """
+        if len(self.connections) + len(self.listener.coming) < self.limit + self.over:
+            return Room.FREE
+        if not self.going:
+            if (other := self._spare()) is None:
+                return Room.NONE
+            other.close()
+        return Room.SOON
 
     def took(self, connection: ClientConnection) -> None:
         """A connection came in; over the cap one that nothing is asked on goes."""
         self.connections.add(connection)
+        self.listener.arrived(connection)
         if self.crowded:
             # Only who comes too many is turned away: guards those who were here against a crowd.
             if (other := self._spare()) is not None:
                 other.close()
-            elif len(self.connections) > self.limit + OVER:
-                connection.close()
-                return
             else:
                 connection.over = True
         self.fresh[connection] = self.waiting[connection] = self.loop.time()
@@ -493,13 +507,13 @@
     def lost(self, connection: ClientConnection) -> None:
         """A connection has ended."""
         self.connections.discard(connection)
+        self.going.discard(connection)
         self.forget(connection)
         self.unread.forget(connection)
 
     def stop(self) -> None:
         """Accept no more and close what is idle."""
-        if self.server is not None:
-            self.server.close()
+        self.listener.close()
         self.sweeper.cancel()
         for connection in [*self.idle, *self.fresh]:
             connection.close()
--- a/tests/decide/test_admission.py
+++ b/tests/decide/test_admission.py
@@ -5,7 +5,25 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dillport.decide.admission import GRACE_MS, LEAST_BUDGET, STALL_MS, UnreadAnswers, unread_budget
+from dillport.decide.admission import (
+    GRACE_MS,
+    LEAST_BUDGET,
+    LEAST_SOCKETS,
+    SPARE,
+    STALL_MS,
+    UnreadAnswers,
+    places,
+    shares,
+    unread_budget,
+)
+
+
+@given(st.integers(LEAST_SOCKETS, 100_000))
+def test_the_shares_and_what_is_kept_make_the_whole(sockets: int) -> None:
+    clients, servers = shares(sockets)
+    cap, over = places(clients)
+    assert clients + servers + SPARE == sockets and min(cap, servers) >= 1
+    assert cap + over == clients and 0 <= over <= cap
 
 
 def test_the_budget_is_an_eighth_of_the_memory_and_never_tiny() -> None:
--- a/tests/net/test_front.py
+++ b/tests/net/test_front.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import os
+import resource
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from functools import partial
@@ -16,12 +17,13 @@
 import uvloop
 
 from dillport.decide import admission
+from dillport.decide.admission import OVER
 from dillport.decide.membership import Listed, Source
 from dillport.net.config import load
 from dillport.net.fleet import Fleet
 from dillport.net.front import HIGH, LINGER, Front
 from dillport.net.node import Node
-from tests.sockets import WAIT, Backend, Client, Message, answer, configuration
+from tests.sockets import WAIT, Backend, Client, Message, answer, configuration, running, spawn
 
 UP = b"GET /up HTTP/1.1\r\n\r\n"
 IDS = itertools.count(1)
@@ -48,7 +50,7 @@
 
 @contextlib.asynccontextmanager
 async def fronting(
-    tmp: Path, *backends: Backend, limit: int = 50, budget: int = 1 << 20
+    tmp: Path, *backends: Backend, limit: int = 50, budget: int = 1 << 20, over: int = OVER
 ) -> AsyncIterator[Front]:
     """A front with its node in this process."""
     for backend in backends:
@@ -58,7 +60,7 @@
     config = load({"PROXY_CONFIG": str(path)})
     node = Node(config)
     Fleet(node, [Source("platform")]).hand(Listed("platform", "here", config.known, saved=True))
-    front = Front(node, limit, budget)
+    front = Front(node, limit, budget, over)
     await front.listen(("127.0.0.1", 0))
     try:
         yield front
@@ -308,3 +310,164 @@
             assert len(got) > connection.asked * 65536 and got.endswith(b"x" * 65536)
 
     run(test)
+
+
+# --- descriptors
+
+
+@contextlib.contextmanager
+def no_descriptor_left() -> Iterator[None]:
+    """Take all that this process may have."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    most = max(int(name) for name in os.listdir("/proc/self/fd")) + 2
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    taken = []
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                taken.append(os.dup(0))
+        yield
+    finally:
+        for number in taken:
+            os.close(number)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+@LOOPS
+def test_without_a_descriptor_clients_get_503_and_then_all_is_well(
+    tmp_path: Path, new_loop: NewLoop
+) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            here = Client(*await asyncio.open_connection(*front.address))
+            assert (await here.ask("/up")).code == 200
+            loop, late = asyncio.get_running_loop(), [socket.socket() for _ in range(5)]
+            with no_descriptor_left():
+                for sock in late:
+                    sock.setblocking(False)
+                    await loop.sock_connect(sock, front.address)
+                for sock in late:
+                    got = b""
+                    while piece := await asyncio.wait_for(loop.sock_recv(sock, 4096), WAIT):
+                        got += piece
+                    assert got.startswith(b"HTTP/1.1 503 ") and b"Connection: close" in got
+                assert (await here.ask("/up")).code == 200
+            for sock in late:
+                sock.close()
+            after = Client(*await asyncio.open_connection(*front.address))
+            assert (await after.ask("/read")).code == 200
+            for client in (here, after):
+                client.writer.transport.abort()
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_without_the_spare_one_either_the_listener_rests_and_comes_back(
+    tmp_path: Path, new_loop: NewLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a loop that spins over a connection that cannot be accepted."""
+
+    async def test() -> None:
+        async with fronting(tmp_path) as front:
+            tries = 0
+            relieve = front.listener._relieve
+
+            def counted() -> bool:
+                nonlocal tries
+                tries += 1
+                return relieve()
+
+            monkeypatch.setattr(front.listener, "_relieve", counted)
+            late = socket.socket()
+            late.setblocking(False)
+            front.listener._drop_spare()
+            with no_descriptor_left():
+                await asyncio.get_running_loop().sock_connect(late, front.address)
+                await until(lambda: tries)
+                await asyncio.sleep(0.3)
+                assert tries <= 4
+            await until(lambda: front.connections)  # accepted at the next try
+            late.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_a_crowd_never_holds_more_descriptors_than_the_cap(tmp_path: Path, new_loop: NewLoop) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0"), limit=4, over=2) as front:
+            before = descriptors()
+            most = 0
+            for _ in range(5):
+                crowd = [socket.create_connection(front.address) for _ in range(40)]
+                for _ in range(200):
+                    await asyncio.sleep(0)
+                    held = len(front.connections) + len(front.listener.coming)
+                    most = max(most, held, descriptors() - before - len(crowd))
+                for sock in crowd:
+                    sock.close()
+            assert 4 <= most <= 6 + 2  # two turns of the loop pass until a descriptor is free
+            client = Client(*await asyncio.open_connection(*front.address))
+            assert (await client.ask("/read")).code == 200
+            client.writer.transport.abort()
+
+    run(test, new_loop)
+
+
+def test_a_connection_that_finds_no_place_is_answered(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path, limit=1, over=0) as front:
+            half = socket.create_connection(front.address)
+            half.send(b"GET /up HTTP/1.1\r\nHost")
+            await until(lambda: front.connections and not front.fresh)
+            client = Client(*await asyncio.open_connection(*front.address))
+            got = await client.answer()
+            assert (got.code, got.headers["connection"]) == (503, "close")
+            assert await client.ended() == b""
+            half.close()
+
+    run(test)
+
+
+def test_the_soft_limit_is_raised_to_what_is_configured(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, Backend("b0"), sockets=512, descriptors=(64, 4096)) as rig:
+            assert resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE) == (512, 4096)
+            assert not any("limits.sockets" in line for line in rig.log)
+
+    run(test)
+
+
+def test_under_a_hard_limit_of_64_a_flood_costs_neither_clients_nor_discovery(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, Backend("b0"), sockets=1024, descriptors=(64, 64)) as rig:
+            assert any("limits.sockets is 1024, the process may hold 64" in line for line in rig.log)
+            await asyncio.wait_for(rig.discovery.asked.get(), WAIT)
+            kept = await rig.client()
+            assert (await kept.ask("/read")).code == 200
+            crowd = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(200)]
+            assert rig.discovery.writer is not None
+            rig.discovery.writer.transport.abort()
+            await asyncio.wait_for(rig.discovery.asked.get(), WAIT)
+            held = len(os.listdir(f"/proc/{rig.process.pid}/fd"))
+            assert held < 60
+            new = await rig.client()
+            assert (await new.ask("/read")).code == 200
+            for sock in crowd:
+                sock.close()
+            assert not any("Errno 24" in line or "no descriptor" in line for line in rig.log)
+
+    run(test)
+
+
+def test_too_few_descriptors_to_serve_with_are_named(tmp_path: Path) -> None:
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration([], 1)))
+        process = await spawn(path, (30, 30))
+        _, err = await process.communicate()
+        assert process.returncode == 2
+        assert err == b"dillport: limits: 30 descriptors (ulimit -n), 36 at least\n"
+
+    run(test)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -8,6 +8,7 @@
 import json
 import os
 import re
+import resource
 import signal
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -247,13 +248,19 @@
     }  # fmt: skip
 
 
-async def spawn(path: Path, **told: str) -> asyncio.subprocess.Process:
-    """Start the program on a configuration file; `told` are further `PROXY_` variables."""
+async def spawn(
+    path: Path, descriptors: tuple[int, int] | None = None, **told: str
+) -> asyncio.subprocess.Process:
+    """Start the program on a configuration file; `told` are further `PROXY_` variables.
+
+    `descriptors` are the soft and the hard limit on the process's descriptors.
+    """
     env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
     env |= {f"PROXY_{k.upper()}": v for k, v in told.items()}
     return await asyncio.create_subprocess_exec(
         sys.executable, "-B", "-m", "dillport", cwd=ROOT, env=env | {"PROXY_CONFIG": str(path)},
         stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+        preexec_fn=descriptors and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, descriptors)),
     )  # fmt: skip
 
 
@@ -266,8 +273,9 @@
         await backend.start()
     path = tmp / "config.json"
     known = over.pop("known", None) or [b.member() for b in backends]
+    descriptors = over.pop("descriptors", None)
     path.write_text(json.dumps(configuration(known, discovery.port, **over)))
-    process = await spawn(path, discovery=f"127.0.0.1:{discovery.port}")
+    process = await spawn(path, descriptors, discovery=f"127.0.0.1:{discovery.port}")
     rig = Rig(process, 0, discovery, [], path=path)
     try:
         await rig.logged("serves on")
