--- a/dillport/net/__init__.py
+++ b/dillport/net/__init__.py
@@ -1,1 +1,7 @@
-"""The real node: the decision module on sockets."""
+"""The real node on sockets: the only place with asyncio; it carries out what is decided elsewhere.
+
+- `assemble`: puts the parts together and runs them; `config`: what the platform tells a node at its start.
+- `listener`, `front`: clients; `node`: what each request is owed; `upstream`: connections to backends.
+- `sources`, `fleet`: where the list of backends comes from, and the one view of it.
+- `control`, `reload`: operators ask a running node, and change its settings.
+"""
