Take out an action of the merge that nobody carried out

Reject told that a listing was not applied and that its source should be asked again; the sources see that by the revision they may resume from, and the runner passed over it. The count of listings not applied, which operators see, is what the tests look at now.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -143,14 +143,6 @@
     """Hand in `Continued` at the loop's next turn: the rest of a whole list waits."""
 
 
-@dataclass(slots=True, frozen=True)
-class Reject:
-    """What the source listed was not applied; it should be asked again, elsewhere if it can be."""
-
-    source: str
-    reason: str
-
-
 @dataclass(slots=True, frozen=True)
 class Say:
     """A line for the people on call."""
@@ -159,7 +151,7 @@
     loud: bool = False
 
 
-Action = Apply | Continue | Reject | Say
+Action = Apply | Continue | Say
 
 
 @dataclass(slots=True)
@@ -285,7 +277,6 @@
                 if event.watched or source.state is not State.IN_SYNC:  # else a call that was overtaken
                     self._lost(source, State.REFUSED, what)
                     source.behind = True
-                self._out.append(Reject(source.name, what))
         elif not source.whole:
             self._old(source, "changes, where the whole list is needed")
         elif newer or (source.pieces and listing.revision == source.revision):
@@ -301,7 +292,7 @@
 
     def _old(self, source: Source, what: str) -> None:
         source.old += 1
-        self._out += [Say(f"{source.name}: not applied: {what}"), Reject(source.name, what)]
+        self._out.append(Say(f"{source.name}: not applied: {what}"))
 
     def _heard(self, source: Source) -> None:
         source.heard_ms = self._now_ms
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -59,8 +59,6 @@
                 self.loop.call_soon(self.hand, membership.Continued())
             case membership.Say():
                 log.log(logging.WARNING if action.loud else logging.INFO, "%s", action.text)
-            case membership.Reject():
-                pass  # the sources find out by `resume`, and ask again when their time comes
 
     def resume(self, name: str) -> int | None:
         """The revision to watch a source from; None: only its whole list will do."""
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -45,7 +45,6 @@
         self.told: dict[str, Member] = {}
         self.kinds: list[ListKind] = []
         self.lines: list[m.Say] = []
-        self.rejected: list[m.Reject] = []
         self.waiting = False
         self.revision = 0
 
@@ -67,8 +66,6 @@
                     self.waiting = True
                 case m.Say():
                     self.lines.append(action)
-                case m.Reject():
-                    self.rejected.append(action)
 
     def turn(self) -> None:
         """The loop's next turns, until nothing waits."""
@@ -100,7 +97,7 @@
     rig = Rig(Source("platform"))
     rig.list("platform", whole(60, member("b")))
     rig.list("platform", whole(50, member("a")))
-    assert rig.view == {"b": "up"} and len(rig.rejected) == 1
+    assert rig.view == {"b": "up"} and rig.membership.sources["platform"].old == 1
     rig.list("platform", changes(55, member("a")))
     assert rig.view == {"b": "up"}
     rig.list("platform", changes(61, member("c")))
@@ -127,7 +124,7 @@
 def test_changes_without_a_whole_list_are_not_applied() -> None:
     rig = Rig(Source("platform"))
     rig.list("platform", changes(3, member("a")))
-    assert rig.view == {} and rig.rejected
+    assert rig.view == {} and rig.membership.sources["platform"].old == 1
     assert rig.membership.resume("platform") is None
 
 
@@ -151,7 +148,7 @@
     rig.list("etcd", whole(5, member("b", DRAINING), member("c")))
     assert rig.view == {"b": "draining", "c": "up"} and rig.membership.resume("etcd") == 5
     rig.list("etcd", whole(4, member("a")))
-    assert rig.view == {"b": "draining", "c": "up"} and len(rig.rejected) == 1
+    assert rig.view == {"b": "draining", "c": "up"} and rig.membership.sources["etcd"].old == 1
 
 
 def test_a_move_begins_a_new_order_by_a_whole_list_only() -> None:
