--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 demo: .venv/.ready
 	.venv/bin/python -B -m dillport demo
 
-# Lint, types, tests. Tests against real programs that are not installed are named before the last line.
+# Lint, types, tests.
 test: .venv-dev/.ready
 	.venv-dev/bin/ruff check .
 	.venv-dev/bin/mypy
--- a/benchmarks/drains.py
+++ b/benchmarks/drains.py
@@ -1,6 +1,6 @@
 """How long a server still gets requests once its key was deleted in etcd.
 
-A real node, the lab's servers and clients, and an etcd: the stand-in, or a real one. Servers are deleted in
+A real node, the lab's servers and clients, and etcd's stand-in. Servers are deleted in
 turn and put back some time later, while clients ask all the time. Servers record each request's first byte.
 """
 
--- a/dillport/lab/__init__.py
+++ b/dillport/lab/__init__.py
@@ -1,7 +1,7 @@
 """The stand-in world, on loopback only; used by tests, benchmarks and `demo`, by nothing else.
 
 - `servers`, `clients`, `discovery`, `etcd`: what stands round a node, scripted, recording what it saw.
-- `real_etcd`, `certificates`, `ports`: the real program beside its stand-in, and what both need.
+- `certificates`, `ports`: what several of them need.
 - `link`: a relay that makes a loopback connection faulty.
 - `site`, `records`: what a world is made of, and what was recorded in it, on one monotonic clock.
 - `judge`, `cold`: the four rules, from the records alone; the fourth one's budget.
--- a/dillport/lab/etcd/cluster.py
+++ b/dillport/lab/etcd/cluster.py
@@ -1,4 +1,4 @@
-"""What the stand-in and a real etcd have in common, so that the same tests run against both."""
+"""What the users of a cluster may ask of it: the interface of `StandIn`, without its faults."""
 
 from __future__ import annotations
 
