--- a/dillport/cli.py
+++ b/dillport/cli.py
@@ -2,6 +2,7 @@
 
 - `run`, also without a word: one node, as the platform asks. `check`: both files, every fault.
 - `members`: what the sources say of whom. `demo`: a small fleet on stand-ins.
+- `timeline`, `events`, `why`: what a running node recorded (`dillport.cli_timeline`).
 
 Exit code 0 is well, 1 a running node that cannot be asked, 2 files or words that make no sense. What a node
 needs is imported by `run` alone, so that the other words answer at once.
@@ -105,6 +106,23 @@
         "there, the servers that the configuration knows at the start are shown",
     )  # fmt: skip
     members.add_argument("--json", action="store_true", help="print JSON")
+    line = word("timeline", _timeline, "show what servers did and what was decided about them")
+    text = "a server's id, zone:NAME, class:NAME or node; without one, an overview"
+    line.add_argument("servers", metavar="SERVER", nargs="*", help=text)
+    text = "09:30, 09:30:15, 2026-12-01T09:30 or 15m (ago), which it is by default"
+    line.add_argument("--from", dest="since", metavar="TIME", type=_moment, help=text)
+    line.add_argument("--to", dest="until", metavar="TIME", type=_moment, help="now by default")
+    line.add_argument("--class", dest="class_name", metavar="CLASS", help="answer times of this class alone")
+    text = "show which servers departed from the usual, since when, by how much"
+    events = word("events", _events, text)
+    events.add_argument("--follow", action="store_true", help="go on with what comes")
+    why = word("why", _why, "show each decision about a request, with its reason")
+    why.add_argument("request", metavar="REQUEST-ID")
+    for one in (line, events, why):
+        _settings(one, argparse.SUPPRESS)
+        text = "the node's control socket; that of the settings by default"
+        one.add_argument("--control", metavar="PATH", type=Path, help=text)
+        one.add_argument("--json", action="store_true", help="print JSON, one object a line")
     word("demo", _demo, "run a small fleet on stand-ins and judge it; see demo --help", add_help=False)
     return parser
 
@@ -235,6 +253,56 @@
     }
 
 
+def _moment(text: str) -> float:
+    from dillport.cli_timeline import moment
+
+    try:
+        return moment(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"{text!r} is no time: 09:30, 2026-12-01T09:30 or 15m") from None
+
+
+def _asked(args: argparse.Namespace, ask: Callable[[Path], None]) -> int:
+    """Ask the node at the control socket that the words or the settings name."""
+    from dillport.net.control import ControlError
+
+    path = args.control
+    if path is None:
+        _, operators, wrong = _read_operators(args)
+        if wrong:
+            raise Trouble(2, *wrong)
+        if operators.control is None:
+            raise Trouble(2, "no node to ask: name its socket by --control, or settings with [control]")
+        path = operators.control.socket
+    try:
+        ask(path)
+    except ControlError as err:
+        raise Trouble(1, str(err)) from None
+    except KeyboardInterrupt:
+        pass
+    return 0
+
+
+def _timeline(args: argparse.Namespace, rest: list[str]) -> int:
+    from dillport import cli_timeline as told
+
+    more = {"from": args.since, "to": args.until, "class": args.class_name}
+    given = {key: value for key, value in more.items() if value is not None}
+    return _asked(args, lambda path: told.timeline(path, args.servers, given, args.json, _columns))
+
+
+def _events(args: argparse.Namespace, rest: list[str]) -> int:
+    from dillport import cli_timeline as told
+
+    return _asked(args, lambda path: told.events(path, args.follow, args.json))
+
+
+def _why(args: argparse.Namespace, rest: list[str]) -> int:
+    from dillport import cli_timeline as told
+
+    return _asked(args, lambda path: told.why(path, args.request, args.json, _columns))
+
+
 def _demo(args: argparse.Namespace, rest: list[str]) -> int:
     name = "dillport.lab.demo"
     try:
--- /dev/null
+++ b/dillport/cli_timeline.py
@@ -0,0 +1,142 @@
+"""The words of the command line that read a running node's time line: `timeline`, `events`, `why`.
+
+Each asks over the control socket and prints JSON, or tables for people. `events --follow` asks again and
+again with the number of the last event that it has: a reader that stops reading holds up itself alone.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from collections.abc import Callable, Iterable
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from dillport.net.control import ControlError, ask
+
+FOLLOW_S = 0.5  # between two questions of `events --follow`
+Columns = Callable[[Iterable[list[str]]], None]
+
+
+def cell(value: object) -> str:
+    """A value on one line; guards the terminal against what a list may hold."""
+    text = "-" if value is None or value == "" else str(value)
+    return text if text.isprintable() else ascii(text)
+
+
+def moment(text: str) -> float:
+    """A time on the command line as ms since 1970: `09:30`, `09:30:15` (today), ISO 8601, or `15m` ago.
+
+    Raises ValueError.
+    """
+    units = {"s": 1, "m": 60, "h": 3_600, "d": 86_400}
+    if text[-1:] in units:
+        return (time.time() - abs(float(text[:-1])) * units[text[-1]]) * 1000
+    try:
+        return datetime.fromisoformat(text).timestamp() * 1000
+    except ValueError:
+        clock = datetime.strptime(text, "%H:%M:%S" if text.count(":") == 2 else "%H:%M")
+    today = datetime.now().replace(hour=clock.hour, minute=clock.minute, second=clock.second, microsecond=0)
+    return today.timestamp() * 1000
+
+
+def clock(at_ms: float) -> str:
+    """A time for people, in their own zone."""
+    return datetime.fromtimestamp(at_ms / 1000).strftime("%m-%d %H:%M:%S")
+
+
+def timeline(path: Path, servers: list[str], more: dict[str, Any], as_json: bool, columns: Columns) -> None:
+    """Print lines with their points, or an overview where no server is named."""
+    for name in servers or [""]:
+        told = ask(path, "timeline", **more, server=name)
+        if as_json:
+            print(json.dumps(told))
+        elif name:
+            _points(told, columns)
+        else:
+            _overview(told, columns)
+
+
+def _line(row: dict[str, Any]) -> list[str]:
+    counts, times = row["counts"], row.get("answer_ms", {})
+    failed = sum(counts.get(name, 0) for name in ("error", "reset", "connect_failed"))
+    shown = [counts.get("ok", 0), failed, counts.get("full", 0), counts.get("timeout", 0),
+             counts.get("refused", 0), times.get("p50"), times.get("p99"), row.get("own"),
+             row.get("in_flight"), row.get("phase")]  # fmt: skip
+    return [cell(value) for value in shown]
+
+
+HEAD = ["OK", "FAILED", "FULL", "TIMEOUT", "REFUSED", "P50 MS", "P99 MS", "OWN", "IN FLIGHT", "PHASE"]
+ORDINARY = {
+    "attempts", "ok", "error", "reset", "connect_failed", "full", "timeout", "refused", "lowest_below_m",
+    "arrived", "idle_sign", "crowded", "first_try",
+}  # fmt: skip
+
+
+def _points(told: dict[str, Any], columns: Columns) -> None:
+    zone = f", zone {cell(told['zone'])}" if told.get("zone") else ""
+    print(f"{told['scope']} {cell(told['server'])}{zone}, in steps of {told['resolution_s']} s")
+    rows = [["TIME", *HEAD, "DECISIONS"]]
+    for point in told["points"]:
+        odd = [f"{name} {n}" for name, n in point["counts"].items() if name not in ORDINARY]
+        rows.append([clock(point["at"]), *_line(point), ", ".join(odd)])
+    columns(rows)
+    for note in told.get("notes", []):
+        span = f" for {note['span_ms'] / 1000:.1f} s" if note["span_ms"] else ""
+        count = f" after {note['count']}" if note["count"] else ""
+        print(f"{clock(note['at'])}  {cell(note['what'])}{count}{span}")
+
+
+def _overview(told: dict[str, Any], columns: Columns) -> None:
+    rows = [["SCOPE", "NAME", "ZONE", *HEAD]]
+    rows += [[cell(r["scope"]), cell(r["name"]), cell(r["zone"]), *_line(r)] for r in told["lines"]]
+    columns(rows)
+
+
+def events(path: Path, follow: bool, as_json: bool) -> None:
+    """Print the events, and with `follow` go on until the reader leaves or the node ends."""
+    after = 0
+    while True:
+        told = ask(path, "events", after=after)
+        if told["missed"]:
+            print(f"dillport: {told['missed']} events were no longer kept", file=sys.stderr)
+        for event in told["events"]:
+            print(json.dumps(event) if as_json else f"{clock(event['at'])}  {said(event)}")
+        sys.stdout.flush()
+        after = told["next"]
+        if not follow:
+            return
+        time.sleep(FOLLOW_S)
+
+
+def said(event: dict[str, Any]) -> str:
+    """An event for people."""
+    evidence = ", ".join(f"{cell(key)} {cell(value)}" for key, value in event["evidence"].items())
+    step = event["event"].removeprefix("departure_")
+    who = f"{event['scope']} {cell(event['subject'])}"
+    return f"#{event['id']} {step}: {event['signal']} of {who} since {clock(event['since'])} ({evidence})"
+
+
+def why(path: Path, request: str, as_json: bool, columns: Columns) -> None:
+    """Print each decision about a request in order."""
+    told = ask(path, "why", request=request)
+    if as_json:
+        print(json.dumps(told))
+        return
+    first = told["decisions"][0]["at"]
+    print(f"request {cell(told['request'])} came {clock(first)}{'' if told['over'] else ', still open'}")
+    rows = [["MS", "ACTION", "WHY", "SERVER", "MORE"]]
+    for step in told["decisions"]:
+        more = {k: v for k, v in step.items() if k not in ("at", "action", "why", "backend")}
+        shown = [(key, round(v, 2) if isinstance(v, float) else v) for key, v in more.items()]
+        words = ", ".join(f"{key} {cell(value)}" for key, value in shown)
+        after = f"{step['at'] - first:.1f}"
+        rows.append([after, step["action"], cell(step["why"]), cell(step["backend"]), words])
+    columns(rows)
+    if told["left_out"]:
+        print(f"{told['left_out']} further steps were not kept")
+
+
+__all__ = ["ControlError", "events", "moment", "timeline", "why"]
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -15,6 +15,7 @@
 import sys
 from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -32,6 +33,9 @@
 from dillport.net.sources.platform import PlatformSource
 from dillport.operators import ControlSettings, Operators
 
+if TYPE_CHECKING:
+    from dillport.net.timeline import TimelinePart
+
 LOG_LINES, LOG_TIME = 50, 10.0  # at most so many lines in so many seconds
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
 CONTROL_RETRY = 2.0  # s until a control socket that could not be made is tried again
@@ -70,9 +74,14 @@
 class OperatorsPart:
     """What follows from the operators' file while the node runs. `path` is None where there is no file."""
 
-    def __init__(self, path: Path | None, operators: Operators, control: Control, etcd: EtcdPart) -> None:
+    def __init__(
+        self, path: Path | None, operators: Operators, control: Control, etcd: EtcdPart, node: Node
+    ) -> None:
         self.path, self.operators, self.control, self.etcd = path, operators, control, etcd
+        self.node = node
+        self.timeline: TimelinePart | None = None
         self._etcd(operators)
+        self._timeline(operators)
         self._changed = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._keep())
 
@@ -85,6 +94,7 @@
         """Carry out other settings than those before."""
         self.operators = new
         self._etcd(new)
+        self._timeline(new)
         self._changed.set()
 
     def _etcd(self, operators: Operators) -> None:
@@ -93,9 +103,20 @@
         except ValueError as err:  # the file was well when it was checked, a moment ago
             logging.error("etcd: %s; what was there before goes on", err)
 
+    def _timeline(self, operators: Operators) -> None:
+        """Its modules are loaded by the first settings that switch it on."""
+        if self.timeline is None and operators.timeline is not None:
+            from dillport.net.timeline import TimelinePart
+
+            self.timeline = TimelinePart(self.node, self.control)
+        if self.timeline is not None:
+            self.timeline.apply(operators.timeline)
+
     async def close(self) -> None:
         """Switch off what is on."""
         self.etcd.stop()
+        if self.timeline is not None:
+            self.timeline.stop()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         await self.control.close()
@@ -155,7 +176,7 @@
     fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
     if not config.settings.must_ask:
         discovery.watch(True)
-    part = OperatorsPart(path, operators or Operators(), control, etcd)
+    part = OperatorsPart(path, operators or Operators(), control, etcd, node)
     try:
         await front.listen(config.listen)
         gc.freeze()
--- a/dillport/net/control.py
+++ b/dillport/net/control.py
@@ -1,7 +1,8 @@
 """The control socket: a running node answers its operators on a Unix socket, and `ask` asks it.
 
 One JSON object a line each way. `{"ask": "members"}` is answered with what the callable says that was
-registered under that name, anything that cannot be answered with `{"error": "..."}`.
+registered under that name, anything that cannot be answered with `{"error": "..."}`. Further keys of the
+object are handed to callables that were registered to take them.
 
 Only root and the node's own user are served: the socket has the rights 0600, and the kernel's word on who
 connects is checked too (`SO_PEERCRED`). Bounds: 8 clients, 4 KiB a request, 5 s a client.
@@ -21,6 +22,7 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +33,7 @@
 PIECE = 200  # items of an answer's list written between two turns of the loop
 
 Answer = Callable[[], dict[str, object]]
+Reply = Callable[[dict[str, Any]], dict[str, Any]]
 
 
 class ControlError(RuntimeError):
@@ -44,7 +47,7 @@
         """`uids` are the users who are served: root and this process's own unless told otherwise."""
         self.uids = frozenset({0, os.geteuid()}) if uids is None else uids
         self.path: Path | None = None
-        self._answers: dict[str, Answer] = {}
+        self._answers: dict[str, Reply] = {}
         self._server: asyncio.Server | None = None
         self._made: tuple[int, int] | None = None  # device and inode of the socket file
         self._clients: set[asyncio.Task[None]] = set()
@@ -55,7 +58,14 @@
 
         The node's loop turns between two pieces of a list or an iterator, so an iterator must stand changes.
         """
-        self._answers[name] = answer
+        self._answers[name] = lambda asked: answer()
+
+    def register_with(self, name: str, reply: Reply | None) -> None:
+        """Answer `name` with what `reply` makes of the whole question; no longer where it is None."""
+        if reply is None:
+            self._answers.pop(name, None)
+        else:
+            self._answers[name] = reply
 
     async def listen(self, path: Path | None) -> None:
         """Serve at `path` from now on, nowhere with None; raises ControlError and leaves all as it was."""
@@ -143,7 +153,7 @@
         if not isinstance(name, str) or name not in self._answers:
             return {"error": f"cannot be asked: {name!r:.60}; known: {known}"}
         try:
-            return self._answers[name]()
+            return self._answers[name](request)
         except Exception as err:  # guards the node against a question that it cannot answer
             log.exception("control: %s failed", name)
             return {"error": f"{name} failed: {type(err).__name__}"}
@@ -227,15 +237,18 @@
 # --- the other end ------------------------------------------------------------------------------------
 
 
-def ask(path: Path, name: str, wait: float = LIMIT) -> dict[str, object]:
-    """What the node at `path` answers to `name` within `wait` seconds; raises ControlError."""
+def ask(path: Path, name: str, wait: float = LIMIT, **more: Any) -> dict[str, Any]:
+    """What the node at `path` answers to `name` within `wait` seconds; raises ControlError.
+
+    `more` are further keys of the question.
+    """
     end, told = time.monotonic() + wait, bytearray()
     try:
         with socket.socket(socket.AF_UNIX) as sock:
             sock.settimeout(wait)
             sock.connect(str(path))
             with contextlib.suppress(BrokenPipeError):  # refused before it was asked: the reason can be read
-                sock.sendall(json.dumps({"ask": name}).encode("ascii") + b"\n")
+                sock.sendall(json.dumps({**more, "ask": name}).encode("ascii") + b"\n")
             while not told.endswith(b"\n"):
                 sock.settimeout(max(0.001, end - time.monotonic()))
                 piece = sock.recv(256 * 1024)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -15,6 +15,7 @@
 from dillport.net.config import Config
 from dillport.net.upstream import Answer, Attempt, Pool
 from dillport.policy import Balancer
+from dillport.relay.ports import Observer
 
 log = logging.getLogger(__name__)
 
@@ -81,6 +82,8 @@
         self.pool = Pool(config.settings, config.upstream_sockets)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
+        self.observer: Observer | None = None
+        self.moved: Callable[[str], None] | None = None  # told of a server that has another address
         self.ready = self.stopping = False
         self._events: deque[api.Event] = deque()
         self._busy = False
@@ -105,8 +108,12 @@
             self._busy = False
 
     def _decide(self, event: api.Event) -> None:
+        now = self.now()
         try:
-            for action in self.balancer.handle(self.now(), event):
+            actions = self.balancer.handle(now, event)
+            if self.observer is not None:
+                self._show(now, event, actions)
+            for action in actions:
                 self._act(action)
         except Exception:  # guards against one bad request ending the node with all the others
             log.exception("decision on %s failed", type(event).__name__)
@@ -114,6 +121,14 @@
             if name in self.open:
                 self._abandon(name)
 
+    def _show(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
+        try:
+            assert self.observer is not None
+            self.observer.saw(now, event, actions)
+        except Exception:  # guards requests against whoever only watches
+            log.exception("the observer failed on %s and is taken off", type(event).__name__)
+            self.observer = None
+
     def _abandon(self, name: str) -> None:
         """Fail a request and have the module forget it: what it counts as out would stay so for good."""
         request = self.open[name]
@@ -143,6 +158,11 @@
 
     def apply(self, change: Apply) -> None:
         """A change of the view: what leaves first, then who drains, then the rest."""
+        if self.moved is not None:
+            for member in change.members:
+                host = self.pool.hosts.get(member.entry.backend)
+                if host is not None and host.address != member.address:
+                    self.moved(member.entry.backend)
         self.pool.update(change.members, [m.entry.backend for m in change.removed])
         entries = [m.entry for m in (*change.removed, *change.members)]
         self.event(api.ListUpdate(change.kind, entries, change.revision))
--- /dev/null
+++ b/dillport/net/timeline.py
@@ -0,0 +1,102 @@
+"""The time line of a running node: the observer, its second hand, its answers on the control socket.
+
+`TimelinePart` keeps what `[timeline]` switches on, off and over while the node runs. The second hand closes a
+few lines in one turn of the loop and then lets requests go on; by how much it was late itself tells that the
+node stood still.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from functools import partial
+from typing import Any
+
+from dillport.decide.departure import Step, Told
+from dillport.net.control import Control
+from dillport.net.node import Node
+from dillport.operators import TimelineSettings
+from dillport.timeline import views
+from dillport.timeline.watch import Watch
+
+log = logging.getLogger(__name__)
+
+EVERY = 1.0  # s
+LATE = 0.05  # s by which a turn may be late without counting as a stall
+SAID = 10  # lines of events logged in one second
+WORDS = {"timeline": views.timeline, "events": views.events, "why": views.why}
+
+
+class TimelinePart:
+    """Switches the time line on and off."""
+
+    def __init__(self, node: Node, control: Control) -> None:
+        self.node, self.control = node, control
+        self.watch: Watch | None = None
+        self.loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[None] | None = None
+
+    def apply(self, settings: TimelineSettings | None) -> None:
+        """Do as these settings say from now on."""
+        if settings is None:
+            self.stop()
+            return
+        if self.watch is not None:
+            self.watch.recorder.resize(settings.memory_mb)
+            return
+        self.watch = Watch(self.node.settings, settings.memory_mb, self._look)
+        self.watch.listeners.append(self._say)
+        for name, view in WORDS.items():
+            self.control.register_with(name, partial(view, self.watch))
+        self.node.observer, self.node.moved = self.watch, self._moved
+        self._task = self.loop.create_task(self._keep(self.watch))
+
+    def stop(self) -> None:
+        """Switch it off, and forget what was recorded."""
+        if self._task is not None:
+            self._task.cancel()
+        if self.node.observer is self.watch:
+            self.node.observer = None
+        self.watch = self._task = self.node.moved = None
+        for name in WORDS:
+            self.control.register_with(name, None)
+
+    def _look(self, name: str) -> tuple[int, float, str] | None:
+        backend = self.node.balancer.backends.get(name)
+        return None if backend is None else (backend.estimate, backend.entry.weight,
+        backend.entry.phase.value)
+
+    def _moved(self, name: str) -> None:
+        if self.watch is not None:
+            now = self.node.now()
+            at = datetime.fromtimestamp(now / 1000, UTC).isoformat(timespec="seconds")
+            self.watch.recorder.moved(name, now, f"until it moved, {at}")
+
+    async def _keep(self, watch: Watch) -> None:
+        due = self.loop.time() + EVERY
+        while True:
+            await asyncio.sleep(max(0.0, due - self.loop.time()))
+            late = self.loop.time() - due
+            try:
+                watch.begin(self.node.now(), late * 1000 if late > LATE else 0.0)
+                while watch.step():
+                    await asyncio.sleep(0)  # requests go on between two pieces
+            except Exception:  # guards requests against whoever only watches
+                log.exception("the time line failed and is switched off")
+                self.node.observer = None
+                return
+            due = max(due + EVERY, self.loop.time())
+
+    def _say(self, told: Sequence[Told]) -> None:
+        for one in told[:SAID]:
+            level = logging.INFO if one.step is Step.CHANGED else logging.WARNING
+            log.log(level, "%s", words(one.json()))
+
+
+def words(event: dict[str, Any]) -> str:
+    """An event in one line; names from the list are shown without what a terminal would obey."""
+    evidence = ", ".join(f"{key} {value}" for key, value in event["evidence"].items())
+    subject = "".join(c if c.isprintable() else "?" for c in str(event["subject"]))
+    return f"{event['event']} {event['id']}: {event['signal']} of {event['scope']} {subject} ({evidence})"
--- a/dillport/operators.py
+++ b/dillport/operators.py
@@ -4,7 +4,7 @@
 dataclass and one line where it hangs. `load` names ALL faults of a file at once, each with its key's path,
 what was found and what is allowed. A table that is there is on; one that is not costs nothing.
 
-- `Operators`: the file. `Membership`, `EtcdSettings`, `ControlSettings`: its tables.
+- `Operators`: the file. `Membership`, `EtcdSettings`, `ControlSettings`, `TimelineSettings`: its tables.
 - `load`, `parse`: a file, or its tables as TOML gives them, to `Operators`; raise `OperatorsError`.
 - `changes`: what differs between two readings, for the log.
 
@@ -16,6 +16,7 @@
 import contextlib
 import difflib
 import hashlib
+import importlib.util
 import ipaddress
 import os
 import re
@@ -453,12 +454,32 @@
         return f"a control socket at {self.socket}"
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class TimelineSettings(Table):
+    """`[timeline]`: what each server did and what was decided about it, in so much memory."""
+
+    memory_mb: Annotated[int, whole(2)] = 16
+
+    @classmethod
+    def together(cls, values: dict[str, Any], given: Set[str], at: At) -> None:
+        """It needs `msgspec`, which a bare install leaves out."""
+        if importlib.util.find_spec("msgspec") is None:
+            at.fault("no package msgspec", "the install `dillport[timeline]`")
+        if values.get("memory_mb", 0) > 4_096:
+            at.key("memory_mb").fault(str(values["memory_mb"]), "a whole number from 2 to 4096")
+
+    def says(self) -> str:
+        """What it may hold."""
+        return f"the time line of each server in {self.memory_mb} MB; see dillport timeline, events and why"
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Operators(Table):
     """The operators' file. Everything is off where it is empty or there is none."""
 
     membership: Membership = field(default_factory=Membership)
     control: ControlSettings | None = None
+    timeline: TimelineSettings | None = None
 
     def on(self) -> list[str]:
         """What is on, a line a table in plain words."""
--- /dev/null
+++ b/dillport/timeline/keys.py
@@ -0,0 +1,38 @@
+"""Numbers for all that is counted, so that a bucket is one small map from number to count.
+
+Below `TIMES` each number stands for a word: an attempt's outcome, a reason, a note. From `TIMES` on they are
+answer times: `WIDTH` numbers a class, one for each bin of `dillport.timeline.sketch`. Numbers are for memory
+alone and may change with the version; names are what is shown.
+"""
+
+from __future__ import annotations
+
+from dillport.interface import Status, What, Why
+
+TIMES = 1024
+WIDTH = 512
+
+ATTEMPTS = 0
+STATUS: dict[Status, int] = {status: 1 + n for n, status in enumerate(Status)}
+WHY: dict[Why, int] = {why: 32 + n for n, why in enumerate(Why)}
+WHAT: dict[What, int] = {what: 96 + n for n, what in enumerate(What)}
+REFUSED, FAILED, ARRIVED, CROWDED, LATE, GONE, STARTED, PHASED = range(128, 136)
+
+NAMES: dict[int, str] = {
+    ATTEMPTS: "attempts", REFUSED: "refused", FAILED: "failed", ARRIVED: "arrived", CROWDED: "crowded",
+    LATE: "late", GONE: "client_gone", STARTED: "started", PHASED: "phase_changed",
+} | {n: s.value for s, n in STATUS.items()} | {n: w.value for w, n in WHY.items()} | {
+    n: w.value for w, n in WHAT.items()
+}  # fmt: skip
+"""What is shown for a number below `TIMES`."""
+
+OK = STATUS[Status.OK]
+OUTCOMES = tuple(STATUS.values())
+ERRORS = tuple(STATUS[s] for s in (Status.ERROR, Status.RESET, Status.CONNECT_FAILED))
+TURNED_AWAY, TIMED_OUT = STATUS[Status.FULL], STATUS[Status.TIMEOUT]
+REASONS = tuple(WHY.values())
+
+
+def class_of(key: int) -> int:
+    """The number of the class whose answer time a key from `TIMES` on is."""
+    return (key - TIMES) // WIDTH
--- /dev/null
+++ b/dillport/timeline/record.py
@@ -0,0 +1,393 @@
+"""`Recorder`: fills the lines of servers, classes, zones and the node from what the observer's port shows.
+
+`saw` counts; nothing is packed or merged there. `begin` and `step` close what has gathered, some lines at a
+time, so that a node with thousands of servers has no long turn. A line closes once it holds `ENOUGH` outcomes
+or `WAIT_S` have passed: servers with little traffic cost little, and their finest buckets are that long.
+
+Bounds, all of them parts of `memory_mb`: packed buckets (thinned by `series.STEPS`), lines (those that
+nothing happened to for a minute make room; where all are in use, what further servers do is counted in one
+line for all of them), trails of requests. Notes: 24 a line.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+from dillport import interface as api
+from dillport.timeline import keys
+from dillport.timeline.series import STEPS, Gauges, Series, Spans
+from dillport.timeline.sketch import bin_of
+from dillport.timeline.trails import Trails
+
+ENOUGH = 5  # attempts with which a line closes at the next second
+WAIT_S = 5  # and how long it waits for them
+PIECE = 25  # lines closed in one step
+NOTES = 24  # kept of a line
+LINE_BYTES = 1_400  # a line without its buckets, measured
+TRAIL_BYTES = 800
+PARTS = (0.55, 0.25, 0.2)  # of the memory: buckets, lines, trails
+OTHERS = "(other servers)"
+PAST = 64  # lines of earlier lives kept
+SERVER, CLASS, ZONE, NODE = "server", "class", "zone", "node"
+
+Look = Callable[[str], tuple[int, float, str] | None]
+"""Estimate, weight and phase of a server as the module has them now; None: it does not know it."""
+
+
+class Line:
+    """What is counted of one server, class or zone, or of the node."""
+
+    __slots__ = (
+        "cell", "counts", "done", "gauges", "heard_ms", "kind", "most", "name", "notes", "own", "reports",
+        "same", "same_high", "same_low", "same_ms", "scope", "series", "since", "started_at", "touched",
+        "zone", )  # fmt: skip
+
+    def __init__(self, scope: str, name: str, zone: str = "", kind: str = "", cell: int = -1) -> None:
+        self.scope, self.name, self.zone, self.kind, self.cell = scope, name, zone, kind, cell
+        self.counts: dict[int, int] = {}
+        self.gauges = Gauges()
+        self.series = Series()
+        self.own = self.most = 0  # attempts out, and the most of them in this bucket
+        self.done = 0  # outcomes in this bucket
+        self.since = self.touched = 0  # seconds: when this bucket began, when it last closed
+        self.heard_ms = 0.0  # when an attempt last ended
+        self.started_at = 0.0
+        self.notes: deque[tuple[float, str, int, float]] | None = None
+        # Reports that say the same: how many in a row, since when, the node's own count meanwhile.
+        self.reports: tuple[float | None, float | None] | None = None
+        self.same, self.same_ms, self.same_low, self.same_high = 0, 0.0, 0, 0
+
+    def note(self, at_ms: float, what: str, count: int = 0, span_ms: float = 0.0) -> None:
+        """A decision about it, or something it did, that is told one by one."""
+        if self.notes is None:
+            self.notes = deque(maxlen=NOTES)
+        self.notes.append((at_ms, what, count, span_ms))
+
+
+@dataclass(slots=True)
+class Closed:
+    """A bucket that was just closed, before it is packed."""
+
+    line: Line
+    at: int
+    span_s: int
+    counts: dict[int, int]
+    gauges: Gauges
+
+
+class Recorder:
+    """All lines of one node; an `Observer`."""
+
+    def __init__(self, classes: Sequence[str], memory_mb: float, look: Look = lambda name: None) -> None:
+        self.look = look
+        self.numbers = {name: n for n, name in enumerate(classes)}
+        self.classes = {name: Line(CLASS, name) for name in classes}
+        self.node, self.others = Line(NODE, "node"), Line(SERVER, OTHERS)
+        self.servers: dict[str, Line] = {}
+        self.zones: dict[str, Line] = {}
+        self.past: deque[Line] = deque(maxlen=PAST)
+        self.entries: dict[str, api.Entry] = {}
+        self.trails = Trails(1, 1)
+        self.second = 0
+        self.level = 0  # of `STEPS`
+        self.size = 0  # bytes of packed buckets
+        self.dropped = 0  # lines that made room
+        self.dirty: dict[str, Line] = {}  # servers' lines with something in them
+        self._queue: deque[Line] = deque()
+        self._all: Iterator[Line] = iter(())
+        self.resize(memory_mb)
+
+    # --- bounds
+
+    def resize(self, memory_mb: float) -> None:
+        """Hold so much from now on; what is too much goes within the next rounds of steps."""
+        whole = memory_mb * 1024 * 1024
+        self.most_bytes = int(whole * PARTS[0])
+        self.most_lines = max(16, int(whole * PARTS[1] / LINE_BYTES))
+        trails = max(64, int(whole * PARTS[2] / TRAIL_BYTES))
+        self.trails.resize(trails // 4, trails - trails // 4)
+
+    @property
+    def spans(self) -> Spans:
+        """How long each resolution is kept at present."""
+        return STEPS[self.level]
+
+    # --- the port
+
+    def saw(self, now_ms: float, event: api.Event, actions: Sequence[api.Action]) -> None:
+        """Count an event and what was made of it."""
+        kind = type(event)
+        if kind is api.Outcome:
+            self._outcome(now_ms, event)  # type: ignore[arg-type]
+        elif kind is api.Arrival:
+            self._arrival(now_ms, event)  # type: ignore[arg-type]
+        elif kind is api.ListUpdate:
+            self._listed(now_ms, event)  # type: ignore[arg-type]
+        elif kind is api.ClientGone:
+            self._gone(now_ms, event)  # type: ignore[arg-type]
+        for action in actions:
+            what = type(action)
+            if what is api.Send:
+                self._send(now_ms, action)  # type: ignore[arg-type]
+            elif what is api.Refuse or what is api.Fail:
+                self._answer(now_ms, action)  # type: ignore[arg-type]
+            elif what is api.Noted:
+                self._noted(now_ms, action)  # type: ignore[arg-type]
+
+    def _arrival(self, now_ms: float, event: api.Arrival) -> None:
+        counts = self.classes[event.class_name].counts
+        counts[keys.ARRIVED] = counts.get(keys.ARRIVED, 0) + 1
+        self.trails.begin(event, now_ms)
+
+    def _send(self, now_ms: float, action: api.Send) -> None:
+        line = self._line(action.backend)
+        counts, why, cause = line.counts, keys.WHY[action.why], keys.WHY[action.cause]
+        counts[keys.ATTEMPTS] = counts.get(keys.ATTEMPTS, 0) + 1
+        counts[why] = counts.get(why, 0) + 1
+        if action.cause is not api.Why.FIRST_TRY:
+            counts[cause] = counts.get(cause, 0) + 1
+        line.own += 1
+        if line.own > line.most:
+            line.most = line.own
+        if action.crowded:
+            mine = self.node.counts
+            mine[keys.CROWDED] = mine.get(keys.CROWDED, 0) + action.crowded
+        if (trail := self.trails.live.get(action.request)) is not None:
+            trail.notable = trail.notable or len(trail.steps) > 0
+            trail.add(now_ms, "send", action.why.value, action.backend, action.cause.value, action.among,
+                      action.crowded, action.timeout)  # fmt: skip
+
+    def _outcome(self, now_ms: float, event: api.Outcome) -> None:
+        line = self._line(event.backend)
+        line.own = line.own - 1 if line.own > 0 else 0
+        line.done += 1
+        line.heard_ms = now_ms
+        status = keys.STATUS[event.status]
+        counts = line.counts
+        counts[status] = counts.get(status, 0) + 1
+        trail = self.trails.live.get(event.request)
+        if trail is not None:
+            number = self.numbers[trail.class_name]
+            theirs = self.classes[trail.class_name].counts
+            theirs[status] = theirs.get(status, 0) + 1
+            if event.status is api.Status.OK:
+                key = keys.TIMES + number * keys.WIDTH + bin_of(event.duration)
+                counts[key] = counts.get(key, 0) + 1
+                theirs[key] = theirs.get(key, 0) + 1
+                if now_ms > trail.deadline_ms:
+                    trail.notable = True
+                    theirs[keys.LATE] = theirs.get(keys.LATE, 0) + 1
+            trail.add(now_ms, "outcome", event.status.value, event.backend, event.duration, event.attempt)
+            if event.closed:
+                self.trails.end(trail)
+        if (report := event.report) is not None:
+            self._report(line, report, now_ms)
+
+    def _report(self, line: Line, report: api.Report, now_ms: float) -> None:
+        gauges = line.gauges
+        gauges.in_flight, gauges.queue = report.in_flight, report.queue
+        told = report.in_flight, report.queue
+        if told == line.reports:
+            line.same += 1
+            if line.own < line.same_low:
+                line.same_low = line.own
+            elif line.own > line.same_high:
+                line.same_high = line.own
+        else:
+            line.reports, line.same, line.same_ms = told, 1, now_ms
+            line.same_low = line.same_high = line.own
+
+    def _answer(self, now_ms: float, action: api.Refuse | api.Fail) -> None:
+        trail = self.trails.live.get(action.request)
+        if trail is None:
+            return
+        refused = type(action) is api.Refuse
+        counts = self.classes[trail.class_name].counts
+        for key in (keys.REFUSED if refused else keys.FAILED, keys.WHY[action.why]):
+            counts[key] = counts.get(key, 0) + 1
+        trail.notable = True
+        if refused:
+            trail.add(now_ms, "refuse", action.why.value, "", action.retry_after)  # type: ignore[union-attr]
+        else:
+            trail.add(now_ms, "fail", action.why.value, "")
+        self.trails.end(trail)
+
+    def _gone(self, now_ms: float, event: api.ClientGone) -> None:
+        if (trail := self.trails.live.get(event.request)) is not None:
+            late = now_ms >= trail.deadline_ms - 50.0
+            counts = self.classes[trail.class_name].counts
+            key = keys.LATE if late else keys.GONE
+            counts[key] = counts.get(key, 0) + 1
+            trail.notable = True
+            trail.add(now_ms, "time_was_up" if late else "client_gone", "", "")
+            self.trails.end(trail)
+
+    def _noted(self, now_ms: float, action: api.Noted) -> None:
+        key = keys.WHAT[action.what]
+        if not action.backend:
+            self.node.counts[key] = self.node.counts.get(key, 0) + action.count
+            return
+        line = self._line(action.backend)
+        line.counts[key] = line.counts.get(key, 0) + 1
+        if action.what is not api.What.IDLE_SIGN and action.what is not api.What.PAUSED:  # counted alone
+            line.note(now_ms, action.what.value, action.count, action.span_ms)
+
+    def _listed(self, now_ms: float, event: api.ListUpdate) -> None:
+        if event.kind is api.ListKind.FAILED:
+            return
+        if event.kind is not api.ListKind.CHANGES:
+            named = {entry.backend for entry in event.entries}
+            for name in [name for name in self.entries if name not in named]:
+                del self.entries[name]
+        for entry in event.entries:
+            was, line = self.entries.get(entry.backend), self.servers.get(entry.backend)
+            if entry.phase is api.Phase.GONE:
+                self.entries.pop(entry.backend, None)
+            else:
+                self.entries[entry.backend] = entry
+            if line is None:
+                continue
+            line.zone, line.kind, line.cell = entry.zone, entry.kind, entry.cell
+            if was is None or was.phase is not entry.phase:
+                self._mark(line, now_ms, keys.PHASED, entry.phase.value)
+            if entry.started_at > line.started_at > 0 or (was and entry.started_at > was.started_at):
+                self._mark(line, now_ms, keys.STARTED, "started")
+            line.started_at = entry.started_at
+
+    def _mark(self, line: Line, now_ms: float, key: int, words: str) -> None:
+        self._touch(line)
+        line.counts[key] = line.counts.get(key, 0) + 1
+        line.note(now_ms, words)
+
+    def moved(self, name: str, now_ms: float, words: str) -> None:
+        """Another server has this id from now on (the address changed): the line ends, and is kept as
+        past.
+        """
+        line = self.servers.pop(name, None)
+        self.dirty.pop(name, None)
+        if line is not None:
+            line.note(now_ms, words)
+            line.name = f"{name} ({words})"
+            if len(self.past) == PAST:
+                self.size -= self.past.popleft().series.size
+            self.past.append(line)
+
+    # --- lines
+
+    def _line(self, name: str) -> Line:
+        line = self.servers.get(name)
+        if line is None:
+            line = self._new(name)
+        if not line.counts:
+            self._touch(line)
+        return line
+
+    def _touch(self, line: Line) -> None:
+        if not line.counts:
+            line.since = self.second
+            self.dirty[line.name] = line
+
+    def _new(self, name: str) -> Line:
+        if len(self.servers) >= self.most_lines and not self._forget():
+            return self.others
+        line = self.servers[name] = Line(SERVER, name)
+        if (entry := self.entries.get(name)) is not None:
+            line.zone, line.kind, line.cell = entry.zone, entry.kind, entry.cell
+            line.started_at = entry.started_at
+        return line
+
+    def _forget(self) -> bool:
+        """Make room: one that nothing happened to for a minute. A few are looked at, in turn."""
+        for _ in range(min(16, len(self.servers))):
+            name = next(iter(self.servers))
+            line = self.servers.pop(name)
+            if not line.counts and not line.own and self.second - line.touched > 60:
+                self.size -= line.series.size
+                self.dropped += 1
+                return True
+            self.servers[name] = line
+        return False
+
+    def lines(self) -> Iterator[Line]:
+        """All there are, the node's first."""
+        yield self.node
+        yield from list(self.classes.values())
+        yield from list(self.zones.values())
+        yield from list(self.servers.values())
+        yield from list(self.past)
+        if self.others.series.last:
+            yield self.others
+
+    # --- seconds
+
+    def begin(self, now_ms: float) -> None:
+        """A second is over: what has gathered until now is closed by the next steps."""
+        now = int(now_ms / 1000)
+        if now <= self.second or self._queue:
+            return  # the clock stands still, or the last round is not over
+        self.second = now
+        late = now - WAIT_S
+        self._queue.extend(line for line in self.dirty.values() if line.done >= ENOUGH or line.since <= late)
+        sums = (*self.classes.values(), *self.zones.values(), self.node)
+        self._queue.extend(line for line in sums if line.counts)
+
+    def step(self, count: int = PIECE) -> list[Closed]:
+        """Close some lines; empty once the round is over. Zones and the node hold what servers did."""
+        out: list[Closed] = []
+        while self._queue and len(out) < count:
+            line = self._queue.popleft()
+            if line.counts:
+                out.append(self._close(line))
+        if not out:
+            self._thin()
+        return out
+
+    def _close(self, line: Line) -> Closed:
+        at = self.second - 1
+        counts, gauges, line.counts = line.counts, line.gauges, {}
+        gauges.own, line.done = line.most, 0
+        line.gauges, line.most = Gauges(), line.own
+        if line.scope == SERVER:
+            self.dirty.pop(line.name, None)
+            if (state := self.look(line.name)) is not None:
+                gauges.estimate, gauges.weight, gauges.phase = state
+            if line.zone:
+                zone = self.zones.get(line.zone)
+                if zone is None and len(self.zones) < 256:
+                    zone = self.zones[line.zone] = Line(ZONE, line.zone)
+                if zone is not None:
+                    _merge(zone.counts, counts)
+            _merge(self.node.counts, counts)
+        elif line.scope == CLASS:
+            for key in (keys.ARRIVED, keys.REFUSED, keys.FAILED, keys.LATE, keys.GONE):
+                if key in counts:
+                    self.node.counts[key] = self.node.counts.get(key, 0) + counts[key]
+        before = line.series.size
+        line.series.add(at, counts, gauges)
+        line.series.trim(at, self.spans)
+        self.size += line.series.size - before
+        span = max(1, self.second - line.since) if line.scope == SERVER else 1
+        line.touched = line.since = self.second
+        return Closed(line, at, span, counts, gauges)
+
+    def _thin(self) -> None:
+        """Hold the memory: keep less the moment it is over, and more again once a good part of it is free."""
+        if self.size > self.most_bytes and self.level < len(STEPS) - 1:
+            self.level += 1
+        elif self.size < self.most_bytes * 0.4 and self.level and self.second % 60 == 0:
+            self.level -= 1
+        for _ in range(PIECE * 2):
+            line = next(self._all, None)
+            if line is None:
+                self._all = self.lines()
+                return
+            before = line.series.size
+            line.series.trim(self.second, self.spans, 0 if self.size > self.most_bytes else 64)
+            self.size += line.series.size - before
+
+
+def _merge(into: dict[int, int], counts: Mapping[int, int]) -> None:
+    for key, count in counts.items():
+        into[key] = into.get(key, 0) + count
--- /dev/null
+++ b/dillport/timeline/views.py
@@ -0,0 +1,118 @@
+"""What operators are told of the time line, as JSON's own types, and in a bounded number of points."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from dillport.timeline import keys, sketch
+from dillport.timeline.record import CLASS, NODE, SERVER, ZONE, Line, Recorder
+from dillport.timeline.series import RESOLUTIONS_S, Bucket, finest
+from dillport.timeline.watch import Watch
+
+MOST_POINTS = 600
+MOST_LINES = 200  # in an overview; the ones with most to tell
+QUANTILES = (0.5, 0.9, 0.99)
+
+
+def times(counts: dict[int, int], number: int | None = None) -> dict[int, int]:
+    """The bins of the answer times in a bucket, of one class or of all."""
+    out: dict[int, int] = {}
+    for key, count in counts.items():
+        if key >= keys.TIMES and number in (None, keys.class_of(key)):
+            at = (key - keys.TIMES) % keys.WIDTH
+            out[at] = out.get(at, 0) + count
+    return out
+
+
+def point(bucket: Bucket, number: int | None = None) -> dict[str, Any]:
+    """One bucket: counts by name, answer times as quantiles in ms, gauges that were told."""
+    counts, gauges = bucket.counts, bucket.gauges
+    bins = times(counts, number)
+    out: dict[str, Any] = {"at": bucket.at * 1000}
+    out["counts"] = {keys.NAMES[key]: count for key, count in sorted(counts.items()) if key in keys.NAMES}
+    if bins:
+        out["answers"] = sum(bins.values())
+        out["answer_ms"] = {f"p{part * 100:g}": round(sketch.quantile(bins, part), 3) for part in QUANTILES}
+    out["own"] = gauges.own
+    for name in ("in_flight", "queue", "estimate", "weight", "phase"):
+        if (value := getattr(gauges, name)) is not None:
+            out[name] = value
+    return out
+
+
+def line_of(recorder: Recorder, name: str) -> Line | None:
+    """The line of a server, else `zone:NAME`, `class:NAME` or `node`; earlier lives by their whole name."""
+    if (found := recorder.servers.get(name)) is not None:
+        return found
+    scope, _, rest = name.partition(":")
+    table = {ZONE: recorder.zones, CLASS: recorder.classes}.get(scope, {})
+    past = (line for line in recorder.past if line.name == name)
+    return recorder.node if name == NODE else table.get(rest) or next(past, None)
+
+
+def timeline(watch: Watch, asked: dict[str, Any]) -> dict[str, Any]:
+    """Answer `timeline`: one line with its points, or an overview. Times asked for are ms since 1970."""
+    recorder = watch.recorder
+    now = recorder.second
+    since = int(float(asked.get("from") or (now - 900) * 1000) / 1000)
+    until = int(float(asked.get("to") or (now + 1) * 1000) / 1000) + 1
+    name, class_name = str(asked.get("server") or ""), asked.get("class")
+    number = recorder.numbers.get(str(class_name)) if class_name else None
+    if class_name and number is None:
+        return {"error": f"there is no class {class_name!s:.60}; there are {', '.join(recorder.numbers)}"}
+    resolution = finest(since, now, MOST_POINTS, recorder.spans)
+    if name:
+        line = line_of(recorder, name)
+        if line is None:
+            return {"error": f"nothing is known of {name:.60}"}
+        buckets = line.series.read(resolution, since, until)
+        notes = [
+            {"at": round(at), "what": what, "count": count, "span_ms": round(span)}
+            for at, what, count, span in line.notes or ()
+        ]
+        return {
+            "server": line.name, "scope": line.scope, "zone": line.zone, "kind": line.kind,
+            "resolution_s": RESOLUTIONS_S[resolution], "notes": notes,
+            "points": [point(bucket, number) for bucket in buckets[-MOST_POINTS:]],
+        }  # fmt: skip
+    return {"lines": overview(recorder, since, until, number)}
+
+
+def overview(recorder: Recorder, since: int, until: int, number: int | None) -> list[dict[str, Any]]:
+    """A row a line, those with most failures first among servers."""
+    rows = []
+    lines = [recorder.node, *recorder.classes.values(), *recorder.zones.values()]
+    servers = sorted(recorder.servers.values(), key=lambda line: -line.series.size)[:MOST_LINES]
+    for line in (*lines, *servers, *recorder.past):
+        whole = Bucket(0)
+        for bucket in line.series.read(2 if until - since > 7_200 else 1, since, until):
+            whole.add(bucket.counts, bucket.gauges)
+        if not whole.counts:
+            continue
+        row = point(whole, number)
+        del row["at"]
+        rows.append({"name": line.name, "scope": line.scope, "zone": line.zone, **row})
+    order = {NODE: 0, CLASS: 1, ZONE: 2, SERVER: 3}
+    bad = [keys.NAMES[key] for key in (*keys.ERRORS, keys.TURNED_AWAY, keys.TIMED_OUT)]
+    rows.sort(key=lambda row: (order[row["scope"]], -sum(row["counts"].get(name, 0) for name in bad)))
+    return rows
+
+
+def events(watch: Watch, asked: dict[str, Any]) -> dict[str, Any]:
+    """Answer `events`: those told since `after` (a running number), the oldest first."""
+    after = int(asked.get("after") or 0)
+    first = watch.told - len(watch.events)
+    skip = max(0, after - first)
+    told = [one.json() for one in list(watch.events)[skip:]]
+    return {"next": watch.told, "missed": max(0, first - after), "left_out": watch.departures.left_out,
+            "events": told}  # fmt: skip
+
+
+def why(watch: Watch, asked: dict[str, Any]) -> dict[str, Any]:
+    """Answer `why`: the decisions about one request."""
+    name = str(asked.get("request") or "")
+    trail = watch.recorder.trails.find(name)
+    if trail is None:
+        words = "docs/operate/timeline.md says how long it is"
+        return {"error": f"nothing is kept of request {name:.60}; {words}"}
+    return trail.told()
--- /dev/null
+++ b/tests/system/test_timeline.py
@@ -0,0 +1,239 @@
+"""The time line of a running node: the right server is named, the commands answer, requests go on."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport.net.control import ask
+from tests.sockets import ROOT, WAIT, Backend, Message, Rig, answer, running
+
+SERVERS, CLIENTS = 5, 24
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test's coroutine, with an end to it."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(4 * WAIT):
+            await test()
+
+    asyncio.run(bounded())
+
+
+class Servers:
+    """Servers that take some time, and of which a test may spoil one."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.slow: dict[str, float] = {}
+        self.errs: dict[str, float] = {}
+        self.all = [Backend(f"s{n}", self.respond) for n in range(SERVERS)]
+
+    async def respond(self, backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.02 * self.rng.lognormvariate(0, 0.3) * self.slow.get(backend.name, 1.0))
+        if self.rng.random() < self.errs.get(backend.name, 0.0):
+            writer.write(answer(b"no", "500 No"))
+        else:
+            writer.write(answer(b"ok"))
+
+
+@contextlib.asynccontextmanager
+async def world(tmp: Path, monkeypatch: pytest.MonkeyPatch, seed: int = 1, memory_mb: int = 8,
+                ) -> AsyncIterator[tuple[Rig, Servers, Path]]:  # fmt: skip
+    """A node with the time line on, servers, and where to ask it."""
+    path, settings = tmp / "c.sock", tmp / "dillport.toml"
+    settings.write_text(f'[control]\nsocket = "{path}"\n[timeline]\nmemory_mb = {memory_mb}\n')
+    monkeypatch.setenv("DILLPORT_SETTINGS", str(settings))
+    servers = Servers(seed)
+    async with running(tmp, *servers.all) as rig:
+        yield rig, servers, path
+
+
+@contextlib.asynccontextmanager
+async def load(rig: Rig, count: int = CLIENTS) -> AsyncIterator[list[int]]:
+    """Clients that ask again and again; the codes that they got."""
+    codes: list[int] = []
+
+    async def one() -> None:
+        client = await rig.client()
+        while True:
+            got = await client.ask("/read/x")
+            codes.append(got.code)
+            if got.headers.get("connection") == "close":
+                client = await rig.client()
+            await asyncio.sleep(0.05)
+
+    tasks = [asyncio.create_task(one()) for _ in range(count)]
+    try:
+        yield codes
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def asked(path: Path, name: str, **more: Any) -> dict[str, Any]:
+    return await asyncio.to_thread(ask, path, name, **more)
+
+
+async def event(path: Path, signal_: str, step: str = "departure_began") -> dict[str, Any]:
+    """Wait for the first event of a signal."""
+    while True:
+        told = await asked(path, "events")
+        for one in told["events"]:
+            if one["signal"] == signal_ and one["event"] == step:
+                return dict(one)
+        await asyncio.sleep(0.1)
+
+
+async def says(*words: str) -> tuple[int, str, str]:
+    """The program's exit code and output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "dillport", *words, cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    out, err = await process.communicate()
+    return process.returncode or 0, out.decode(), err.decode()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_the_degraded_server_is_named_and_no_other(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    async def test() -> None:
+        async with world(tmp_path, monkeypatch, seed) as (rig, servers, path), load(rig):
+            await asyncio.sleep(7)  # what is usual
+            assert (await asked(path, "events"))["events"] == []
+            servers.slow["s3"] = 4.0
+            began = await event(path, "answer_time")
+            name = next(b for b in servers.all if b.name == "s3").member()["id"]
+            assert (began["scope"], began["subject"]) == ("server", name)
+            servers.slow.clear()
+            servers.errs["s1"] = 0.4
+            began = await event(path, "errors")
+            name = next(b for b in servers.all if b.name == "s1").member()["id"]
+            assert (began["scope"], began["subject"]) == ("server", name)
+            told = (await asked(path, "events"))["events"]
+            assert len({(e["signal"], e["subject"]) for e in told}) == 2
+
+    run(test)
+
+
+def test_the_commands_tell_it(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with world(tmp_path, monkeypatch) as (rig, servers, path):
+            async with load(rig, 8):
+                client = await rig.client()
+                name = client.send("/read/x")
+                assert (await client.answer()).code == 200
+                await asyncio.sleep(2.5)
+            server = servers.all[0].member()["id"]
+            here = ("--control", str(path))
+            code, out, _ = await says("why", name, "--json", *here)
+            told = json.loads(out)
+            assert code == 0 and told["request"] == name
+            assert [d["action"] for d in told["decisions"]] == ["arrived", "send", "outcome"]
+            assert told["decisions"][1]["why"] == "lowest_below_m" and told["decisions"][1]["backend"]
+            code, out, _ = await says("why", name, *here)
+            assert code == 0 and "lowest_below_m" in out
+            code, out, err = await says("why", "nobody", *here)
+            assert code == 1 and "nothing is kept of request nobody" in err
+            code, out, _ = await says("timeline", server, "--json", *here)
+            told = json.loads(out)
+            assert code == 0 and told["server"] == server and told["points"]
+            assert sum(p["counts"].get("ok", 0) for p in told["points"]) > 0
+            code, out, _ = await says("timeline", *here)
+            assert code == 0 and server in out and "class" in out and "P99 MS" in out
+            code, out, _ = await says("timeline", server, "node", "--from", "5m", "--class", "read", *here)
+            assert code == 0 and out.count("DECISIONS") == 2
+            code, _, err = await says("timeline", server, "--from", "half past", *here)
+            assert code == 2 and "is no time" in err
+            assert await says("events", "--json", *here) == (0, "", "")
+
+    run(test)
+
+
+def test_without_the_table_nothing_answers_and_nothing_is_loaded(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path, settings = tmp_path / "c.sock", tmp_path / "dillport.toml"
+    settings.write_text(f'[control]\nsocket = "{path}"\n')
+    monkeypatch.setenv("DILLPORT_SETTINGS", str(settings))
+
+    async def test() -> None:
+        async with running(tmp_path, Backend("s0")) as rig:
+            code, _, err = await says("events", "--control", str(path))
+            assert code == 1 and "cannot be asked: 'events'" in err
+            maps = Path(f"/proc/{rig.process.pid}/maps").read_text()
+            assert "msgspec" not in maps
+            settings.write_text(f'[control]\nsocket = "{path}"\n[timeline]\n')
+            rig.process.send_signal(signal.SIGHUP)
+            await rig.logged("timeline is on")
+            assert (await asked(path, "events"))["events"] == []
+            settings.write_text(f'[control]\nsocket = "{path}"\n[timeline]\nmemory_mb = 4\n')
+            rig.process.send_signal(signal.SIGHUP)
+            await rig.logged("timeline.memory_mb is 4, was 16")
+            assert (await asked(path, "timeline"))["lines"] is not None
+            settings.write_text(f'[control]\nsocket = "{path}"\n')
+            rig.process.send_signal(signal.SIGHUP)
+            await rig.logged("timeline is off")
+            code, _, err = await says("events", "--control", str(path))
+            assert code == 1 and "cannot be asked: 'events'" in err
+
+    run(test)
+
+
+def test_followers_that_stop_reading_and_many_at_once_hold_up_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with world(tmp_path, monkeypatch) as (rig, _, path), load(rig, 8) as codes:
+            await asyncio.sleep(2)
+            mute = socket.socket(socket.AF_UNIX)  # asks for all and reads nothing
+            mute.connect(str(path))
+            mute.sendall(b'{"ask": "timeline"}\n' * 50)
+            before = len(codes)
+            words = ("events", "--follow", "--json", "--control", str(path))
+            follower = await asyncio.create_subprocess_exec(
+                sys.executable, "-B", "-m", "dillport", *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE
+            )
+            got = await asyncio.gather(*(asked(path, "timeline") for _ in range(6)))
+            assert all(one["lines"] for one in got)
+            await asyncio.sleep(1)
+            assert len(codes) > before and set(codes) == {200}
+            follower.send_signal(signal.SIGINT)
+            assert await asyncio.wait_for(follower.wait(), WAIT) == 0
+            mute.close()
+
+    run(test)
+
+
+def test_a_server_that_moves_is_a_line_of_its_own(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with world(tmp_path, monkeypatch) as (rig, servers, path):
+            first, other = servers.all[0].member(), Backend("other", servers.respond)
+            await other.start()
+            async with load(rig, 4):
+                await asyncio.sleep(2.5)
+                assert await rig.discovery.asked.get()
+                rig.discovery.news(50, first | {"host_port": f"127.0.0.1:{other.port}"})
+                while not any("moved" in r["name"] for r in (await asked(path, "timeline"))["lines"]):
+                    await asyncio.sleep(0.2)
+            names = [r["name"] for r in (await asked(path, "timeline"))["lines"]]
+            assert [name.startswith("s0 (until it moved, ") for name in names if "moved" in name] == [True]
+            other.stop()
+
+    run(test)
+
+
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -25,14 +25,16 @@
     "decide": CORE | {"decide"},
     "proto": CORE | {"proto"},
     "relay": CORE | {"relay", "policy", "decide"},
-    "net": CORE | {"net", "relay", "policy", "settings", "operators", "decide", "proto", "records"},
+    "timeline": CORE | {"timeline", "decide"},
+    "net": CORE | {"net", "relay", "policy", "settings", "operators", "decide", "proto", "records",
+            "timeline"},
     "records": CORE | {"decide", "proto", "records"},
     "grpcplug": CORE | {"grpcplug", "relay", "settings", "decide", "proto", "operators"},
     "client": CORE | {"client", "proto"},
 }
 PURE = (
     "interface", "members", "messages", "state", "index", "policy", "settings", "wire", "decide", "proto",
-    "relay",
+    "relay", "timeline",
 )  # fmt: skip
 FILES = sorted(ROOT.rglob("*.py"))
 
@@ -74,4 +76,4 @@
 def test_every_room_is_named() -> None:
     """Guards against a folder that no border speaks of."""
     rooms = {path.relative_to(ROOT).parts[0].removesuffix(".py") for path in FILES}
-    assert rooms <= MAY.keys() | {"__init__", "__main__", "cli", "lab"}
+    assert rooms <= MAY.keys() | {"__init__", "__main__", "cli", "cli_timeline", "lab"}
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -18,7 +18,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dillport.operators import ControlSettings, EtcdSettings, Operators, OperatorsError, changes, load, parse
+from dillport.operators import (
+    ControlSettings,
+    EtcdSettings,
+    Operators,
+    OperatorsError,
+    TimelineSettings,
+    changes,
+    load,
+    parse,
+)  # fmt: skip
 
 ROOT = Path(__file__).parents[1]
 SECRET = "hunter2-never-shown"
@@ -52,6 +61,7 @@
         value = told["membership"]["etcd"][name]
         assert (tuple(value) if isinstance(value, list) else value) == getattr(bare, name), name
     assert told["control"]["socket"] == str(ControlSettings().socket)
+    assert told["timeline"] == {"memory_mb": TimelineSettings().memory_mb}
 
 
 def renewed(cert: Path, key: Path) -> bytes:
@@ -202,8 +212,18 @@
     assert "at most 100 bytes" in faults({"control": {"socket": socket}}, tmp_path)["control.socket"]
 
 
+@pytest.mark.parametrize("value", [1, 0, -5, 5_000, 1.5, "16", True])
+def test_a_time_line_of_no_size_is_named(tmp_path: Path, value: object) -> None:
+    assert list(faults({"timeline": {"memory_mb": value}}, tmp_path)) == ["timeline.memory_mb"]
+
+
+def test_a_time_line_without_its_package_is_named(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("importlib.util.find_spec", lambda name: None)
+    assert "dillport[timeline]" in faults({"timeline": {}}, tmp_path)["timeline"]
+
+
 KNOWN = {
-    "control": "membership, control", "etcd": "etcd",
+    "control": "membership, control, timeline", "etcd": "etcd",
     "endpoints": "endpoints, prefix, format, ca, cert, key, user, password_file, epoch, role",
 }  # fmt: skip
 
--- /dev/null
+++ b/tests/timeline/test_record.py
@@ -0,0 +1,233 @@
+"""What the recorder keeps of a node's events: nothing is lost between lines, bounds hold."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from dillport import interface as api
+from dillport.interface import Phase, Status, What, Why
+from dillport.timeline import keys, views
+from dillport.timeline.record import OTHERS, PAST, Recorder
+from dillport.timeline.series import Bucket
+from dillport.timeline.trails import MOST_STEPS
+from dillport.timeline.watch import Watch
+from tests.helpers import BASE, SAFE, entry
+from tests.policy.test_replay import FLEETS, Run
+
+NOW = 1_000_000.0
+
+
+def recorder(memory_mb: float = 4.0) -> Recorder:
+    out = Recorder(["read", "pay"], memory_mb)
+    out.begin(NOW)
+    return out
+
+
+def rest(one: Recorder | Watch, now_ms: float) -> None:
+    """A second is over."""
+    one.begin(now_ms)
+    while one.step():
+        pass
+
+
+def request(r: Recorder, name: str, server: str, now: float = NOW, status: Status = Status.OK,
+            took: float = 20.0, report: api.Report | None = None, closed: bool = True) -> None:  # fmt: skip
+    send = api.Send(name, server, 0.0, Why.LOWEST_BELOW_M, Why.FIRST_TRY, 3)
+    r.saw(now, api.Arrival(name, "read", now + 1_000), [send])
+    r.saw(now + took, api.Outcome(name, 0, server, status, took, closed, report), [])
+
+
+def whole(line: Any) -> dict[str, int]:
+    out = Bucket(0)
+    for bucket in line.series.read(0, 0, 10**10):
+        out.add(bucket.counts, bucket.gauges)
+    return {keys.NAMES[key]: count for key, count in out.counts.items() if key in keys.NAMES}
+
+
+def test_lines_of_server_class_zone_and_node_agree() -> None:
+    r = recorder()
+    r.saw(NOW, api.ListUpdate(api.ListKind.FULL, [entry("a"), entry("b", zone="b")]), [])
+    for n in range(30):
+        request(r, f"r{n}", "ab"[n % 2], NOW + n)
+    for second in range(1, 9):
+        rest(r, NOW + 1_000 * second)
+    assert whole(r.servers["a"])["ok"] == 15 and whole(r.zones["a"])["ok"] == 15
+    assert whole(r.classes["read"]) == {"arrived": 30, "ok": 30}
+    node = whole(r.node)
+    assert node["ok"] == node["attempts"] == node["lowest_below_m"] == node["arrived"] == 30
+
+
+@pytest.mark.parametrize("name", FLEETS)
+def test_whatever_a_node_does_is_counted_once(name: str) -> None:
+    """The module's own actions over a run of chance, against the sums of the lines."""
+    run, r = Run(FLEETS[name], 4), Recorder([c.name for c in FLEETS[name].classes], 16.0)
+    feed = run.feed
+
+    def watched(event: api.Event, at: float | None = None) -> None:
+        before = len(run.told)
+        feed(event, at)
+        when = run.now if at is None else at
+        r.saw(when, event, run.told[before:])
+        r.begin(when)
+        r.step()
+
+    run.feed = watched  # type: ignore[method-assign]
+    run.play(700)
+    for n in range(20):
+        rest(r, run.now + 1_000 * (n + 1))
+    node = whole(r.node)
+    sends = [a for a in run.told if isinstance(a, api.Send)]
+    by_server = sum(whole(line).get("attempts", 0) for line in r.servers.values())
+    assert node["attempts"] == len(sends) == by_server
+    assert node["refused"] == sum(isinstance(a, api.Refuse) for a in run.told)
+    assert node["arrived"] == sum(whole(c)["arrived"] for c in r.classes.values())
+    cold = sum(a.why is Why.COLD_ADMITTED for a in sends)
+    assert node.get("cold_admitted", 0) == cold
+    ejected = sum(isinstance(a, api.Noted) and a.what is What.EJECTED for a in run.told)
+    assert node.get("ejected", 0) == ejected
+
+
+def test_a_server_with_little_traffic_waits_for_its_bucket() -> None:
+    r = recorder()
+    request(r, "x", "a")
+    rest(r, NOW + 1_000)
+    assert not r.servers["a"].series.last
+    rest(r, NOW + 6_000)
+    assert whole(r.servers["a"])["ok"] == 1
+
+
+def test_a_clock_that_stands_still_closes_nothing() -> None:
+    r = recorder()
+    for n in range(9):
+        request(r, f"x{n}", "a")
+    r.begin(NOW)
+    assert r.step() == [] and r.servers["a"].counts
+
+
+def test_memory_is_held_by_keeping_less_and_comes_back() -> None:
+    r = Recorder(["read"], 2.0)
+    rng = random.Random(1)
+    now = NOW
+    for second in range(300):
+        now += 1_000
+        for n in range(60):
+            for k in range(5):
+                request(r, f"{second}.{n}.{k}", f"s{n}", now - 900, took=rng.lognormvariate(4, 1))
+        rest(r, now)
+    held = sum(line.series.size for line in r.lines())
+    assert r.size == held < 1.2 * r.most_bytes and r.level > 0
+    assert len(r.trails.ended[False]) <= r.trails.most[False]
+    r.resize(64.0)
+    for second in range(700):
+        rest(r, now + 1_000 * (second + 1))
+    assert r.level == 0
+    r.resize(2.0)
+    assert r.most_bytes < held * 2
+
+
+def test_ids_that_are_replaced_all_day_leave_nothing_behind() -> None:
+    r = Recorder(["read"], 2.0)
+    r.most_lines = 50
+    now = NOW
+    for day in range(400):
+        now += 2_000
+        for n in range(5):
+            request(r, f"{day}.{n}", f"id-{day}", now)
+        rest(r, now + 1_000)
+    assert len(r.servers) <= 50 and r.dropped >= 340 and f"id-{399}" in r.servers
+    assert r.size == sum(line.series.size for line in r.lines())
+
+
+def test_where_all_lines_are_in_use_the_rest_is_counted_together() -> None:
+    r = recorder()
+    r.most_lines = 20
+    for n in range(200):
+        r.saw(NOW, api.Arrival(f"r{n}", "read", NOW + 1_000), [api.Send(f"r{n}", f"s{n}", 0.0)])
+    assert len(r.servers) == 20 and r.others.name == OTHERS
+    rest(r, NOW + 6_000)
+    rest(r, NOW + 7_000)
+    assert whole(r.others)["attempts"] == 180 and whole(r.node)["attempts"] == 200
+
+
+def test_a_new_start_is_a_mark_and_a_new_address_a_line_of_its_own() -> None:
+    r = recorder()
+    r.saw(NOW, api.ListUpdate(api.ListKind.FULL, [entry("a", started_at=5.0)]), [])
+    request(r, "x", "a")
+    r.saw(NOW + 10, api.ListUpdate(api.ListKind.CHANGES, [entry("a", started_at=NOW)]), [])
+    drains = entry("a", started_at=NOW, phase=Phase.DRAINING)
+    r.saw(NOW + 20, api.ListUpdate(api.ListKind.CHANGES, [drains]), [])
+    assert [what for _, what, _, _ in r.servers["a"].notes or ()] == ["started", "draining"]
+    r.moved("a", NOW + 30, "until it moved")
+    request(r, "y", "a", NOW + 40)
+    assert [line.name for line in r.past] == ["a (until it moved)"] and r.servers["a"].notes is None
+    for n in range(PAST + 5):
+        r.moved("a", NOW, f"{n}")
+        request(r, f"z{n}", "a", NOW + 50)
+    assert len(r.past) == PAST
+
+
+def test_what_was_decided_about_one_request_in_order() -> None:
+    w = Watch(BASE, 4.0)
+    r = w.recorder
+    send = api.Send("q", "a", 400.0, Why.DRAWN_AT_CAP, Why.FIRST_TRY, 5, 2)
+    r.saw(NOW, api.Arrival("q", "read", NOW + 1_000), [send])
+    again = api.Send("q", "b", 391.0, Why.PANIC, Why.REPEAT_AFTER_FULL, 1)
+    ended = api.Outcome("q", 0, "a", Status.FULL, 9.0, False)
+    r.saw(NOW + 9, ended, [api.Noted("a", What.PAUSED, 0, 50.0), again])
+    ended = api.Outcome("q", 1, "b", Status.ERROR, 21.0, False)
+    r.saw(NOW + 30, ended, [api.Refuse("q", 80.0, Why.BUDGET_SPENT)])
+    told = views.why(w, {"request": "q"})
+    assert [(s["action"], s["why"], s["backend"]) for s in told["decisions"]] == [
+        ("arrived", "", ""), ("send", "drawn_at_cap", "a"), ("outcome", "full", "a"),
+        ("send", "panic", "b"), ("outcome", "error", "b"), ("refuse", "budget_spent", ""),
+    ]  # fmt: skip
+    assert told["decisions"][1]["among"] == 5 and told["decisions"][1]["left_out_as_crowded"] == 2
+    assert told["decisions"][3]["cause"] == "repeat_after_full" and told["over"]
+    assert "nothing is kept" in views.why(w, {"request": "nobody"})["error"]
+
+
+def test_ordinary_requests_make_room_for_those_with_a_story() -> None:
+    r = recorder()
+    r.trails.resize(10, 10)
+    r.saw(NOW, api.Arrival("odd", "read", NOW + 1_000), [api.Refuse("odd", 0.0, Why.SHED_BY_SUCCESS)])
+    for n in range(100):
+        request(r, f"x{n}", "a")
+    assert r.trails.find("odd") is not None and r.trails.find("x99") is not None
+    assert r.trails.find("x1") is None and len(r.trails.ended[False]) == 10 and not r.trails.live
+    trail = r.trails.begin(api.Arrival("long", "read", NOW), NOW)
+    for n in range(100):
+        trail.add(NOW, "fail", str(n), "")
+    assert len(trail.steps) == MOST_STEPS and trail.left_out == 100 - MOST_STEPS
+
+
+def test_late_answers_and_clients_that_leave_are_counted_by_class() -> None:
+    r = recorder()
+    request(r, "late", "a", took=1_500.0)
+    for name, at in (("gone", NOW + 100), ("up", NOW + 990)):
+        r.saw(NOW, api.Arrival(name, "read", NOW + 1_000), [])
+        r.saw(at, api.ClientGone(name), [])
+    rest(r, NOW + 3_000)
+    got = whole(r.classes["read"])
+    assert got["late"] == 2 and got["client_gone"] == 1
+
+
+def test_views_have_a_bound_and_refuse_plainly() -> None:
+    w = Watch(BASE, 16.0)
+    for second in range(1, 1_500):
+        now = NOW + second * 1_000
+        for n in range(6):
+            request(w.recorder, f"{second}.{n}", "evil\x1b[31m<b>", now - 500)
+        rest(w, now)
+    told = views.timeline(w, {"server": "evil\x1b[31m<b>", "from": 0})
+    assert 0 < len(told["points"]) <= views.MOST_POINTS and told["resolution_s"] == 10
+    fine = views.timeline(w, {"server": "evil\x1b[31m<b>", "from": now - 60_000, "class": "read"})
+    last = fine["points"][-1]["answer_ms"]["p50"]
+    assert fine["resolution_s"] == 1 and last == pytest.approx(20.0, rel=0.03)
+    assert "nothing is known" in views.timeline(w, {"server": "x"})["error"]
+    assert "there is no class" in views.timeline(w, {"class": "x"})["error"]
+    lines = views.timeline(w, {})["lines"]
+    assert [row["scope"] for row in lines] == ["node", "class", "server"]  # no list has told its zone
+    assert SAFE.name in {row["name"] for row in lines}
