--- a/dillport/cli_timeline.py
+++ b/dillport/cli_timeline.py
@@ -136,7 +136,7 @@
         rows.append([after, step["action"], cell(step["why"]), cell(step["backend"]), words])
     columns(rows)
     if told["left_out"]:
-        print(f"{told['left_out']} further steps were not kept")
+        print("further steps were not kept")
 
 
 __all__ = ["ControlError", "events", "moment", "timeline", "why"]
--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -50,7 +50,16 @@
     FAILED = "failed"
 
 
-class Status(Enum):
+class Numbered(Enum):
+    """Words with numbers from 0 on, in their order: what counts them need not hash them, which is slow."""
+
+    number: int
+
+    def __init__(self, value: str) -> None:
+        self.number = len(type(self).__members__)
+
+
+class Status(Numbered):
     """How an attempt or a probe ended."""
 
     OK = "ok"
@@ -75,7 +84,7 @@
     NONE = "none"
 
 
-class Why(Enum):
+class Why(Numbered):
     """Why an action was taken, in the field's words."""
 
     UNSTATED = "unstated"
@@ -111,7 +120,7 @@
 """What a further attempt is called, by how the last one ended."""
 
 
-class What(Enum):
+class What(Numbered):
     """What the node decided about a server without a request."""
 
     EJECTED = "ejected"  # left alone for its failures
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -110,13 +110,13 @@
 
             self.timeline = TimelinePart(self.node, self.control)
         if self.timeline is not None:
-            self.timeline.apply(operators.timeline)
+            self.timeline.apply(operators.timeline, operators.metrics)
 
     async def close(self) -> None:
         """Switch off what is on."""
         self.etcd.stop()
         if self.timeline is not None:
-            self.timeline.stop()
+            await self.timeline.close()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         await self.control.close()
--- /dev/null
+++ b/dillport/observe/__init__.py
@@ -0,0 +1,4 @@
+"""What hands the time line on to programs of others; the only place that knows their libraries.
+
+- `metrics`: OpenMetrics text, read out of the lines at scrape time (`prometheus_client`).
+"""
--- /dev/null
+++ b/dillport/observe/metrics.py
@@ -0,0 +1,175 @@
+"""OpenMetrics (1.0) of a time line, made at scrape time by `prometheus_client`: requests do no work for it.
+
+Labels are bounded: `SERVERS` servers, those with most attempts when there is a place, each for as long as it
+has a line; what the others did is summed as one. Times are histograms a class, in seconds, with the id of a
+late request as an exemplar of the bin that it fell in.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import (
+    CounterMetricFamily,
+    Exemplar,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)  # fmt: skip
+from prometheus_client.openmetrics.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from dillport import interface as api
+from dillport.timeline import keys, sketch
+from dillport.timeline.record import OTHERS, Line, Recorder
+from dillport.timeline.watch import Watch
+
+SERVERS = 50
+BOUNDS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+RECENT = 200  # ended requests among which exemplars are looked for
+END = b"# EOF\n"
+CONTENT_TYPE = CONTENT_TYPE_LATEST
+
+
+class Metrics:
+    """The metrics of one time line."""
+
+    def __init__(self, watch: Watch) -> None:
+        self.watch = watch
+        self.shown: set[str] = set()
+
+    def families(self) -> Iterator[Metric]:
+        """All of them, one at a time: between two a caller may let others go on."""
+        recorder = self.watch.recorder
+        yield self._requests(recorder)
+        yield self._times(recorder)
+        yield self._attempts(recorder)
+        yield from self._servers(recorder)
+        yield self._events()
+        held = GaugeMetricFamily("dillport_timeline_bytes", "Packed buckets that the time line holds.")
+        held.add_metric([], recorder.size)
+        yield held
+
+    def pieces(self) -> Iterator[bytes]:
+        """The text, in pieces; the last one ends it."""
+        for family in self.families():
+            registry = CollectorRegistry(auto_describe=False)
+            registry.register(_One(family))
+            text: bytes = generate_latest(registry)  # type: ignore[no-untyped-call]
+            yield text.removesuffix(END)
+        yield END
+
+    def _requests(self, recorder: Recorder) -> Metric:
+        out = CounterMetricFamily(
+            "dillport_requests", "Requests by class and what became of them.", labels=["class", "result"]
+        )
+        results = {"arrived": keys.ARRIVED, "served": keys.OK, "refused": keys.REFUSED,
+                   "failed": keys.FAILED, "late": keys.LATE, "client_gone": keys.GONE}  # fmt: skip
+        for name, line in recorder.classes.items():
+            for result, key in results.items():
+                out.add_metric([name, result], line.totals.get(key, 0))
+        return out
+
+    def _times(self, recorder: Recorder) -> Metric:
+        out = HistogramMetricFamily(
+            "dillport_answer_seconds", "Times of servers' answers by class.", labels=["class"], unit="seconds"
+        )
+        for name, line in recorder.classes.items():
+            first, counts = recorder.numbers[name], [0] * (len(BOUNDS_S) + 1)
+            total = 0.0
+            for key, count in line.totals.items():
+                if key >= keys.TIMES:
+                    seconds = sketch.value_of(key - first) / 1000
+                    total += count * seconds
+                    counts[_bin(seconds)] += count
+            exemplars = self._exemplars(recorder, name)
+            buckets: list[tuple[str, float] | tuple[str, float, Exemplar]] = []
+            below = 0
+            for number, bound in enumerate((*BOUNDS_S, math.inf)):
+                below += counts[number]
+                text = "+Inf" if bound == math.inf else str(bound)
+                exemplar = exemplars.get(number)
+                buckets.append((text, below, exemplar) if exemplar else (text, below))
+            out.add_metric([name], buckets, sum_value=total)
+        return out
+
+    def _exemplars(self, recorder: Recorder, name: str) -> dict[int, Exemplar]:
+        """A late request for a bin, where one of the last has its answer there."""
+        out: dict[int, Exemplar] = {}
+        notable = recorder.trails.notable
+        for request in list(notable)[-RECENT:]:
+            trail = notable[request]
+            last = trail[-1]
+            if trail[0].class_name == name and isinstance(last, api.Outcome) and last.status is api.Status.OK:
+                seconds = last.duration / 1000
+                shown = "".join(c if c.isascii() and c.isprintable() else "?" for c in request[:64])
+                out[_bin(seconds)] = Exemplar({"request_id": shown}, seconds, trail[-2] / 1000)
+        return out
+
+    def _attempts(self, recorder: Recorder) -> Metric:
+        out = CounterMetricFamily(
+            "dillport_decisions", "Attempts, refusals and notes by reason, at the whole node.", labels=["why"]
+        )
+        totals: dict[int, int] = dict(recorder.node.totals)
+        for line in recorder.classes.values():
+            for key in keys.REASONS:
+                if key in line.totals:
+                    totals[key] = totals.get(key, 0) + line.totals[key]
+        for key in (*keys.REASONS, *keys.WHAT.values(), keys.CROWDED):
+            if key in totals:
+                out.add_metric([keys.NAMES[key]], totals[key])
+        return out
+
+    def _servers(self, recorder: Recorder) -> Iterator[Metric]:
+        lines = recorder.servers
+        self.shown &= lines.keys()
+        if len(self.shown) < SERVERS:
+            rest = sorted((n for n in lines if n not in self.shown),
+                          key=lambda n: (-lines[n].totals.get(keys.ATTEMPTS, 0), n))  # fmt: skip
+            self.shown.update(rest[: SERVERS - len(self.shown)])
+        attempts = CounterMetricFamily(
+            "dillport_server_attempts", "Attempts by server and how they ended.", labels=["server", "outcome"]
+        )
+        own = GaugeMetricFamily("dillport_server_own", "The node's attempts out.", labels=["server"])
+        others = Line("server", OTHERS)
+        for line in (*lines.values(), recorder.others):
+            if line.name not in self.shown or line is recorder.others:
+                others.own += line.own
+                for key in keys.OUTCOMES:
+                    if key in line.totals:
+                        others.totals[key] = others.totals.get(key, 0) + line.totals[key]
+        for line in (*(lines[name] for name in sorted(self.shown)), others):
+            for key in keys.OUTCOMES:
+                if key in line.totals:
+                    attempts.add_metric([line.name, keys.NAMES[key]], line.totals[key])
+            own.add_metric([line.name], line.own)
+        yield attempts
+        yield own
+
+    def _events(self) -> Metric:
+        out = GaugeMetricFamily(
+            "dillport_departures", "Open events by signal and scope.", labels=["signal", "scope"]
+        )
+        counts: dict[tuple[str, str], int] = {}
+        for event in self.watch.departures.events.values():
+            key = event.signal.value, event.scope.value
+            counts[key] = counts.get(key, 0) + 1
+        for labels, count in counts.items():
+            out.add_metric(list(labels), count)
+        return out
+
+
+class _One:
+    """A collector of one family that is there already."""
+
+    def __init__(self, family: Metric) -> None:
+        self.family = family
+
+    def collect(self) -> Iterator[Metric]:
+        """It."""
+        yield self.family
+
+
+def _bin(seconds: float) -> int:
+    return next((n for n, bound in enumerate(BOUNDS_S) if seconds <= bound), len(BOUNDS_S))
--- a/dillport/operators.py
+++ b/dillport/operators.py
@@ -4,7 +4,8 @@
 dataclass and one line where it hangs. `load` names ALL faults of a file at once, each with its key's path,
 what was found and what is allowed. A table that is there is on; one that is not costs nothing.
 
-- `Operators`: the file. `Membership`, `EtcdSettings`, `ControlSettings`, `TimelineSettings`: its tables.
+- `Operators`: the file. `Membership`, `EtcdSettings`, `ControlSettings`, `TimelineSettings`,
+  `MetricsSettings`: its tables.
 - `load`, `parse`: a file, or its tables as TOML gives them, to `Operators`; raise `OperatorsError`.
 - `changes`: what differs between two readings, for the log.
 
@@ -316,6 +317,8 @@
 
 
 def _as_toml(value: object) -> object:
+    if isinstance(value, tuple) and len(value) == 2 and isinstance(value[1], int):  # an address
+        return f"[{value[0]}]:{value[1]}" if ":" in value[0] else f"{value[0]}:{value[1]}"
     return list(value) if isinstance(value, tuple) else str(value) if isinstance(value, Path) else value
 
 
@@ -473,6 +476,41 @@
         return f"the time line of each server in {self.memory_mb} MB; see dillport timeline, events and why"
 
 
+def address(value: object, at: At) -> tuple[str, int] | None:
+    """`HOST:PORT` to listen on, the host an IP address."""
+    host, _, port = str(value).rpartition(":") if isinstance(value, str) else ("", "", "")
+    try:
+        found = ipaddress.ip_address(host[1:-1] if host[:1] == "[" and host[-1:] == "]" else host)
+        number = int(port) if port.isdecimal() and len(port) < 6 else 65_536
+        if number > 65_535 or (found.version == 6) is not (host[:1] == "["):
+            raise ValueError
+    except ValueError:
+        at.fault(_shown(value), '"ADDRESS:PORT", an IP address (IPv6 in brackets) and 0 to 65535')
+        return None
+    return str(found), number
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class MetricsSettings(Table):
+    """`[metrics]`: OpenMetrics of the time line over HTTP, for whoever may connect."""
+
+    listen: Annotated[tuple[str, int], address] = ("127.0.0.1", 9464)
+
+    @classmethod
+    def together(cls, values: dict[str, Any], given: Set[str], at: At) -> None:
+        """It needs `prometheus_client`, which a bare install leaves out."""
+        if importlib.util.find_spec("prometheus_client") is None:
+            at.fault("no package prometheus_client", "the install `dillport[metrics]`")
+
+    def says(self) -> str:
+        """Where it listens."""
+        host, port = self.listen
+        at = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        local = ipaddress.ip_address(host).is_loopback
+        known = "" if local else "; ANYBODY who reaches that address may read them"
+        return f"metrics at http://{at}/metrics{known}"
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Operators(Table):
     """The operators' file. Everything is off where it is empty or there is none."""
@@ -480,6 +518,13 @@
     membership: Membership = field(default_factory=Membership)
     control: ControlSettings | None = None
     timeline: TimelineSettings | None = None
+    metrics: MetricsSettings | None = None
+
+    @classmethod
+    def together(cls, values: dict[str, Any], given: Set[str], at: At) -> None:
+        """Metrics are read out of the time line."""
+        if "metrics" in given and "timeline" not in given:
+            at.key("metrics").fault("no [timeline] beside it", "both, or [timeline] alone")
 
     def on(self) -> list[str]:
         """What is on, a line a table in plain words."""
--- a/dillport/timeline/keys.py
+++ b/dillport/timeline/keys.py
@@ -13,9 +13,10 @@
 WIDTH = 512
 
 ATTEMPTS = 0
-STATUS: dict[Status, int] = {status: 1 + n for n, status in enumerate(Status)}
-WHY: dict[Why, int] = {why: 32 + n for n, why in enumerate(Why)}
-WHAT: dict[What, int] = {what: 96 + n for n, what in enumerate(What)}
+STATUSES, WHYS, WHATS = 1, 32, 96  # plus the word's own number
+STATUS: dict[Status, int] = {status: STATUSES + status.number for status in Status}
+WHY: dict[Why, int] = {why: WHYS + why.number for why in Why}
+WHAT: dict[What, int] = {what: WHATS + what.number for what in What}
 REFUSED, FAILED, ARRIVED, CROWDED, LATE, GONE, STARTED, PHASED = range(128, 136)
 
 NAMES: dict[int, str] = {
--- a/dillport/timeline/record.py
+++ b/dillport/timeline/record.py
@@ -14,14 +14,16 @@
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from math import ceil, log
 
 from dillport import interface as api
 from dillport.timeline import keys
+from dillport.timeline.keys import STATUSES, TIMES, WHYS, WIDTH
 from dillport.timeline.series import STEPS, Gauges, Series, Spans
-from dillport.timeline.sketch import bin_of
-from dillport.timeline.trails import Trails
+from dillport.timeline.sketch import BINS, LEAST_MS, LOW, PER_STEP
+from dillport.timeline.trails import MOST, Trails
 
-ENOUGH = 5  # attempts with which a line closes at the next second
+ENOUGH = 10  # outcomes with which a line closes at the next second
 WAIT_S = 5  # and how long it waits for them
 PIECE = 25  # lines closed in one step
 NOTES = 24  # kept of a line
@@ -30,6 +32,9 @@
 PARTS = (0.55, 0.25, 0.2)  # of the memory: buckets, lines, trails
 OTHERS = "(other servers)"
 PAST = 64  # lines of earlier lives kept
+# A plain name is found faster.
+Outcome, Arrival, Send, Noted = api.Outcome, api.Arrival, api.Send, api.Noted
+OK, FIRST = api.Status.OK, api.Why.FIRST_TRY
 SERVER, CLASS, ZONE, NODE = "server", "class", "zone", "node"
 
 Look = Callable[[str], tuple[int, float, str] | None]
@@ -40,23 +45,26 @@
     """What is counted of one server, class or zone, or of the node."""
 
     __slots__ = (
-        "cell", "counts", "done", "gauges", "heard_ms", "kind", "most", "name", "notes", "own", "reports",
-        "same", "same_high", "same_low", "same_ms", "scope", "series", "since", "started_at", "touched",
-        "zone", )  # fmt: skip
+        "arrived", "cell", "counts", "done", "gauges", "kind", "most", "name", "notes", "own",
+        "same", "same_high", "same_low", "same_ms", "scope", "sent", "series", "since", "started_at",
+        "told_in_flight", "told_queue", "totals", "touched", "zone",
+    )  # fmt: skip
 
     def __init__(self, scope: str, name: str, zone: str = "", kind: str = "", cell: int = -1) -> None:
         self.scope, self.name, self.zone, self.kind, self.cell = scope, name, zone, kind, cell
         self.counts: dict[int, int] = {}
+        self.totals: dict[int, int] = {}  # of all closed buckets; of servers without the answer times
         self.gauges = Gauges()
         self.series = Series()
         self.own = self.most = 0  # attempts out, and the most of them in this bucket
         self.done = 0  # outcomes in this bucket
         self.since = self.touched = 0  # seconds: when this bucket began, when it last closed
-        self.heard_ms = 0.0  # when an attempt last ended
         self.started_at = 0.0
         self.notes: deque[tuple[float, str, int, float]] | None = None
         # Reports that say the same: how many in a row, since when, the node's own count meanwhile.
-        self.reports: tuple[float | None, float | None] | None = None
+        self.told_in_flight: float | None = None
+        self.told_queue: float | None = None
+        self.arrived = self.sent = 0  # in this bucket
         self.same, self.same_ms, self.same_low, self.same_high = 0, 0.0, 0, 0
 
     def note(self, at_ms: float, what: str, count: int = 0, span_ms: float = 0.0) -> None:
@@ -82,14 +90,17 @@
 
     def __init__(self, classes: Sequence[str], memory_mb: float, look: Look = lambda name: None) -> None:
         self.look = look
-        self.numbers = {name: n for n, name in enumerate(classes)}
+        self.numbers = {name: TIMES + WIDTH * n for n, name in enumerate(classes)}  # first keys
         self.classes = {name: Line(CLASS, name) for name in classes}
+        self.lines_of_classes = list(self.classes.values())
         self.node, self.others = Line(NODE, "node"), Line(SERVER, OTHERS)
         self.servers: dict[str, Line] = {}
         self.zones: dict[str, Line] = {}
         self.past: deque[Line] = deque(maxlen=PAST)
         self.entries: dict[str, api.Entry] = {}
         self.trails = Trails(1, 1)
+        self.live = self.trails.live
+        self.crowded = 0
         self.second = 0
         self.level = 0  # of `STEPS`
         self.size = 0  # bytes of packed buckets
@@ -117,112 +128,114 @@
     # --- the port
 
     def saw(self, now_ms: float, event: api.Event, actions: Sequence[api.Action]) -> None:
-        """Count an event and what was made of it."""
+        """Count an event and what was made of it: twice for each request, so calls are few."""
         kind = type(event)
-        if kind is api.Outcome:
+        if kind is Outcome:
             self._outcome(now_ms, event)  # type: ignore[arg-type]
-        elif kind is api.Arrival:
-            self._arrival(now_ms, event)  # type: ignore[arg-type]
+        elif kind is Arrival:
+            line = self.classes[event.class_name]  # type: ignore[union-attr]
+            line.arrived += 1
+            self.live[event.request] = [event, now_ms]  # type: ignore[union-attr]
         elif kind is api.ListUpdate:
             self._listed(now_ms, event)  # type: ignore[arg-type]
         elif kind is api.ClientGone:
             self._gone(now_ms, event)  # type: ignore[arg-type]
         for action in actions:
             what = type(action)
-            if what is api.Send:
+            if what is Send:
                 self._send(now_ms, action)  # type: ignore[arg-type]
             elif what is api.Refuse or what is api.Fail:
                 self._answer(now_ms, action)  # type: ignore[arg-type]
-            elif what is api.Noted:
+            elif what is Noted:
                 self._noted(now_ms, action)  # type: ignore[arg-type]
 
-    def _arrival(self, now_ms: float, event: api.Arrival) -> None:
-        counts = self.classes[event.class_name].counts
-        counts[keys.ARRIVED] = counts.get(keys.ARRIVED, 0) + 1
-        self.trails.begin(event, now_ms)
-
     def _send(self, now_ms: float, action: api.Send) -> None:
-        line = self._line(action.backend)
-        counts, why, cause = line.counts, keys.WHY[action.why], keys.WHY[action.cause]
-        counts[keys.ATTEMPTS] = counts.get(keys.ATTEMPTS, 0) + 1
-        counts[why] = counts.get(why, 0) + 1
-        if action.cause is not api.Why.FIRST_TRY:
-            counts[cause] = counts.get(cause, 0) + 1
-        line.own += 1
-        if line.own > line.most:
-            line.most = line.own
+        line = self.servers.get(action.backend)
+        if line is None:
+            line = self._new(action.backend)
+        counts = line.counts
+        if not counts:
+            self._touch(line)
+        line.sent += 1
+        key = WHYS + action.why.number
+        counts[key] = counts.get(key, 0) + 1
+        line.own = own = line.own + 1
+        if own > line.most:
+            line.most = own
         if action.crowded:
-            mine = self.node.counts
-            mine[keys.CROWDED] = mine.get(keys.CROWDED, 0) + action.crowded
-        if (trail := self.trails.live.get(action.request)) is not None:
-            trail.notable = trail.notable or len(trail.steps) > 0
-            trail.add(now_ms, "send", action.why.value, action.backend, action.cause.value, action.among,
-                      action.crowded, action.timeout)  # fmt: skip
+            self.crowded += action.crowded
+        trail = self.live.get(action.request)
+        if trail is not None and len(trail) < MOST:
+            if len(trail) > 2 or action.cause is not FIRST:
+                key = WHYS + action.cause.number
+                counts[key] = counts.get(key, 0) + 1
+            trail += (now_ms, action)
 
     def _outcome(self, now_ms: float, event: api.Outcome) -> None:
-        line = self._line(event.backend)
-        line.own = line.own - 1 if line.own > 0 else 0
-        line.done += 1
-        line.heard_ms = now_ms
-        status = keys.STATUS[event.status]
+        line = self.servers.get(event.backend)
+        if line is None:
+            line = self._new(event.backend)
         counts = line.counts
-        counts[status] = counts.get(status, 0) + 1
-        trail = self.trails.live.get(event.request)
+        if not counts:
+            self._touch(line)
+        if line.own > 0:
+            line.own -= 1
+        line.done += 1
+        status = event.status
+        key = STATUSES + status.number
+        counts[key] = counts.get(key, 0) + 1
+        request = event.request
+        trail = self.live.get(request)
         if trail is not None:
-            number = self.numbers[trail.class_name]
-            theirs = self.classes[trail.class_name].counts
-            theirs[status] = theirs.get(status, 0) + 1
-            if event.status is api.Status.OK:
-                key = keys.TIMES + number * keys.WIDTH + bin_of(event.duration)
+            arrival = trail[0]
+            late = False
+            if status is OK:
+                ms = event.duration
+                at = ceil(log(ms) * PER_STEP) - LOW if ms > LEAST_MS else 0
+                key = self.numbers[arrival.class_name] + (at if at < BINS else BINS - 1)
                 counts[key] = counts.get(key, 0) + 1
-                theirs[key] = theirs.get(key, 0) + 1
-                if now_ms > trail.deadline_ms:
-                    trail.notable = True
-                    theirs[keys.LATE] = theirs.get(keys.LATE, 0) + 1
-            trail.add(now_ms, "outcome", event.status.value, event.backend, event.duration, event.attempt)
+                if now_ms > arrival.deadline:
+                    late = True
+                    self._of_class(arrival, keys.LATE)
+            if len(trail) < MOST:
+                trail += (now_ms, event)
             if event.closed:
-                self.trails.end(trail)
-        if (report := event.report) is not None:
-            self._report(line, report, now_ms)
-
-    def _report(self, line: Line, report: api.Report, now_ms: float) -> None:
-        gauges = line.gauges
-        gauges.in_flight, gauges.queue = report.in_flight, report.queue
-        told = report.in_flight, report.queue
-        if told == line.reports:
-            line.same += 1
-            if line.own < line.same_low:
-                line.same_low = line.own
-            elif line.own > line.same_high:
-                line.same_high = line.own
-        else:
-            line.reports, line.same, line.same_ms = told, 1, now_ms
-            line.same_low = line.same_high = line.own
+                self.trails.end(request, late or len(trail) > 6)
+        report = event.report
+        if report is not None:
+            gauges = line.gauges
+            gauges.in_flight = in_flight = report.in_flight
+            gauges.queue = queue = report.queue
+            if in_flight == line.told_in_flight and queue == line.told_queue:
+                line.same += 1
+                if line.own < line.same_low:
+                    line.same_low = line.own
+                elif line.own > line.same_high:
+                    line.same_high = line.own
+            else:
+                line.told_in_flight, line.told_queue, line.same, line.same_ms = in_flight, queue, 1, now_ms
+                line.same_low = line.same_high = line.own
 
-    def _answer(self, now_ms: float, action: api.Refuse | api.Fail) -> None:
-        trail = self.trails.live.get(action.request)
-        if trail is None:
-            return
-        refused = type(action) is api.Refuse
-        counts = self.classes[trail.class_name].counts
-        for key in (keys.REFUSED if refused else keys.FAILED, keys.WHY[action.why]):
+    def _of_class(self, event: api.Arrival, *what: int) -> None:
+        counts = self.classes[event.class_name].counts
+        for key in what:
             counts[key] = counts.get(key, 0) + 1
-        trail.notable = True
-        if refused:
-            trail.add(now_ms, "refuse", action.why.value, "", action.retry_after)  # type: ignore[union-attr]
-        else:
-            trail.add(now_ms, "fail", action.why.value, "")
-        self.trails.end(trail)
+
+    def _answer(self, now_ms: float, action: api.Refuse | api.Fail) -> None:
+        trail = self.live.get(action.request)
+        if trail is not None:
+            refused = type(action) is api.Refuse
+            self._of_class(trail[0], keys.REFUSED if refused else keys.FAILED, WHYS + action.why.number)
+            trail += (now_ms, action)
+            self.trails.end(action.request, True)
 
     def _gone(self, now_ms: float, event: api.ClientGone) -> None:
-        if (trail := self.trails.live.get(event.request)) is not None:
-            late = now_ms >= trail.deadline_ms - 50.0
-            counts = self.classes[trail.class_name].counts
-            key = keys.LATE if late else keys.GONE
-            counts[key] = counts.get(key, 0) + 1
-            trail.notable = True
-            trail.add(now_ms, "time_was_up" if late else "client_gone", "", "")
-            self.trails.end(trail)
+        trail = self.live.get(event.request)
+        if trail is not None:
+            late = now_ms >= trail[0].deadline - 50.0
+            self._of_class(trail[0], keys.LATE if late else keys.GONE)
+            trail += (now_ms, event)
+            self.trails.end(event.request, True)
 
     def _noted(self, now_ms: float, action: api.Noted) -> None:
         key = keys.WHAT[action.what]
@@ -330,7 +343,13 @@
         self.second = now
         late = now - WAIT_S
         self._queue.extend(line for line in self.dirty.values() if line.done >= ENOUGH or line.since <= late)
-        sums = (*self.classes.values(), *self.zones.values(), self.node)
+        for line in self.classes.values():
+            if line.arrived:
+                line.counts[keys.ARRIVED], line.arrived = line.arrived, 0
+        if self.crowded:
+            self.node.counts[keys.CROWDED] = self.node.counts.get(keys.CROWDED, 0) + self.crowded
+            self.crowded = 0
+        sums = (*self.zones.values(), self.node, *self.classes.values())
         self._queue.extend(line for line in sums if line.counts)
 
     def step(self, count: int = PIECE) -> list[Closed]:
@@ -348,6 +367,8 @@
         at = self.second - 1
         counts, gauges, line.counts = line.counts, line.gauges, {}
         gauges.own, line.done = line.most, 0
+        if line.sent:
+            counts[keys.ATTEMPTS], line.sent = line.sent, 0
         line.gauges, line.most = Gauges(), line.own
         if line.scope == SERVER:
             self.dirty.pop(line.name, None)
@@ -360,10 +381,19 @@
                 if zone is not None:
                     _merge(zone.counts, counts)
             _merge(self.node.counts, counts)
+            for key, count in counts.items():
+                if key >= TIMES:
+                    theirs = self.lines_of_classes[(key - TIMES) // WIDTH].counts
+                    theirs[key] = theirs.get(key, 0) + count
+                    theirs[keys.OK] = theirs.get(keys.OK, 0) + count
         elif line.scope == CLASS:
             for key in (keys.ARRIVED, keys.REFUSED, keys.FAILED, keys.LATE, keys.GONE):
                 if key in counts:
                     self.node.counts[key] = self.node.counts.get(key, 0) + counts[key]
+        totals = line.totals
+        for key, count in counts.items():
+            if key < TIMES or line.scope is CLASS:
+                totals[key] = totals.get(key, 0) + count
         before = line.series.size
         line.series.add(at, counts, gauges)
         line.series.trim(at, self.spans)
--- a/dillport/timeline/sketch.py
+++ b/dillport/timeline/sketch.py
@@ -13,10 +13,10 @@
 ERROR = 0.02
 STEP = math.log((1 + ERROR) / (1 - ERROR))  # natural logarithms between the bounds of a bin
 LEAST_MS = 0.01
-_LOW = math.ceil(math.log(LEAST_MS) / STEP)
+LOW = math.ceil(math.log(LEAST_MS) / STEP)
 BINS = 512
-MOST_MS = math.exp((BINS - 1 + _LOW) * STEP)
-_PER_STEP = 1 / STEP
+MOST_MS = math.exp((BINS - 1 + LOW) * STEP)
+PER_STEP = 1 / STEP
 # What stands for a bin: as far, relatively, from either bound.
 _MIDDLE = 2 / (1 + math.exp(STEP))
 
@@ -25,18 +25,18 @@
     """The bin of a time, 0 to `BINS` - 1."""
     if ms <= LEAST_MS:
         return 0
-    at = math.ceil(math.log(ms) * _PER_STEP) - _LOW
+    at = math.ceil(math.log(ms) * PER_STEP) - LOW
     return at if at < BINS else BINS - 1
 
 
 def value_of(at: int) -> float:
     """The time in milliseconds that stands for a bin."""
-    return math.exp((at + _LOW) * STEP) * _MIDDLE
+    return math.exp((at + LOW) * STEP) * _MIDDLE
 
 
 def log_of(at: int) -> float:
     """Its natural logarithm."""
-    return (at + _LOW) * STEP + math.log(_MIDDLE)
+    return (at + LOW) * STEP + math.log(_MIDDLE)
 
 
 def quantile(counts: Mapping[int, int], part: float) -> float:
--- a/dillport/timeline/trails.py
+++ b/dillport/timeline/trails.py
@@ -2,52 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any
 
 from dillport import interface as api
 
-MOST_STEPS = 32  # of one request that are kept; what comes after is counted
+MOST = 64  # events and actions of one request that are kept; what comes after is left out
 
-
-@dataclass(slots=True)
-class Trail:
-    """One request: when it came, what was asked of it, and each step since."""
-
-    request: str
-    class_name: str
-    at_ms: float
-    deadline_ms: float
-    retry: bool
-    steps: list[tuple[Any, ...]] = field(default_factory=list)
-    left_out: int = 0
-    notable: bool = False  # refused, failed, late, repeated, or left by its client
-    over: bool = False
-
-    def add(self, *step: Any) -> None:
-        """A step: its time, what it was, and what goes with it."""
-        if len(self.steps) < MOST_STEPS:
-            self.steps.append(step)
-        else:
-            self.left_out += 1
-
-    def told(self) -> dict[str, Any]:
-        """For operators, in JSON's own types."""
-        rows: list[dict[str, Any]] = [
-            {"at": self.at_ms, "action": "arrived", "why": "", "backend": "", "class": self.class_name,
-             "within_ms": round(self.deadline_ms - self.at_ms, 3), "retry": self.retry}
-        ]  # fmt: skip
-        for at, action, why, backend, *rest in self.steps:
-            row = {"at": at, "action": action, "why": why, "backend": backend}
-            if action == "send":
-                cause, among, crowded, timeout = rest
-                row |= {"cause": cause, "among": among, "left_out_as_crowded": crowded, "timeout_ms": timeout}
-            elif action == "outcome":
-                row |= {"took_ms": rest[0], "attempt": rest[1]}
-            elif action == "refuse":
-                row |= {"retry_after_ms": rest[0]}
-            rows.append(row)
-        return {"request": self.request, "decisions": rows, "left_out": self.left_out, "over": self.over}
+Trail = list[Any]
+"""The arrival, then by turns a moment in ms and what was seen then: an action, an event. As it came, and only
+put into words for who asks: that costs each request a tenth of doing so at once."""
 
 
 class Trails:
@@ -56,38 +19,61 @@
     def __init__(self, usual: int, notable: int) -> None:
         self.most = {False: usual, True: notable}
         self.live: dict[str, Trail] = {}
-        self.ended: dict[bool, dict[str, Trail]] = {False: {}, True: {}}
+        self.usual: dict[str, Trail] = {}
+        self.notable: dict[str, Trail] = {}
 
     def resize(self, usual: int, notable: int) -> None:
         """Keep so many from now on."""
         self.most = {False: usual, True: notable}
-        for mark in (False, True):
-            self._cut(mark)
-
-    def begin(self, event: api.Arrival, now_ms: float) -> Trail:
-        """A request has come."""
-        trail = self.live[event.request] = Trail(
-            event.request, event.class_name, now_ms, event.deadline, event.is_retry
-        )
-        return trail
-
-    def end(self, trail: Trail) -> None:
-        """It has its final answer, or is owed none."""
-        trail.over = True
-        if self.live.get(trail.request) is trail:
-            del self.live[trail.request]
-        ended = self.ended[trail.notable]
-        ended.pop(trail.request, None)  # an id that comes again goes to the end
-        ended[trail.request] = trail
-        if len(ended) > self.most[trail.notable]:
-            self._cut(trail.notable)
-
-    def _cut(self, mark: bool) -> None:
-        ended = self.ended[mark]
-        while len(ended) > self.most[mark]:
+        for ended, most in ((self.usual, usual), (self.notable, notable)):
+            while len(ended) > most:
+                del ended[next(iter(ended))]
+
+    def end(self, request: str, notable: bool) -> None:
+        """It has its final answer, or is owed none; `notable` ones are kept apart, and longer."""
+        trail = self.live.pop(request, None)
+        if trail is None:
+            return
+        ended = self.notable if notable else self.usual
+        if request in ended:  # an id that comes again goes to the end
+            del ended[request]
+        ended[request] = trail
+        if len(ended) > self.most[notable]:
             del ended[next(iter(ended))]
 
-    def find(self, request: str) -> Trail | None:
-        """The latest of that id: open ones first."""
-        found = [self.live.get(request), self.ended[True].get(request), self.ended[False].get(request)]
-        return max((t for t in found if t is not None), key=lambda t: t.at_ms, default=None)
+    def find(self, request: str) -> tuple[Trail, bool] | None:
+        """The latest of that id, and whether it is over."""
+        tables = (self.live, self.notable, self.usual)
+        found = [(trail, table is not self.live) for table in tables if (trail := table.get(request))]
+        return max(found, key=lambda item: item[0][1], default=None)
+
+
+def told(trail: Trail, over: bool) -> dict[str, Any]:
+    """A trail for operators, in JSON's own types."""
+    event: api.Arrival = trail[0]
+    rows: list[dict[str, Any]] = [
+        {"at": trail[1], "action": "arrived", "why": "", "backend": "", "class": event.class_name,
+         "within_ms": round(event.deadline - trail[1], 3), "retry": event.is_retry}
+    ]  # fmt: skip
+    rows += [_row(at, what) for at, what in zip(trail[2::2], trail[3::2], strict=True)]
+    return {"request": event.request, "decisions": rows, "left_out": len(trail) >= MOST, "over": over}
+
+
+def _row(at: float, what: api.Event | api.Action) -> dict[str, Any]:
+    match what:
+        case api.Send():
+            return {
+                "at": at, "action": "send", "why": what.why.value, "backend": what.backend,
+                "cause": what.cause.value, "among": what.among, "left_out_as_crowded": what.crowded,
+                "timeout_ms": what.timeout,
+            }  # fmt: skip
+        case api.Outcome():
+            return {"at": at, "action": "outcome", "why": what.status.value, "backend": what.backend,
+                    "took_ms": what.duration, "attempt": what.attempt}  # fmt: skip
+        case api.Refuse():
+            return {"at": at, "action": "refuse", "why": what.why.value, "backend": "",
+                    "retry_after_ms": what.retry_after}  # fmt: skip
+        case api.Fail():
+            return {"at": at, "action": "fail", "why": what.why.value, "backend": ""}
+        case _:
+            return {"at": at, "action": "client_gone_or_time_up", "why": "", "backend": ""}
--- a/dillport/timeline/views.py
+++ b/dillport/timeline/views.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from dillport.timeline import keys, sketch
+from dillport.timeline import keys, sketch, trails
 from dillport.timeline.record import CLASS, NODE, SERVER, ZONE, Line, Recorder
 from dillport.timeline.series import RESOLUTIONS_S, Bucket, finest
 from dillport.timeline.watch import Watch
@@ -57,7 +57,8 @@
     since = int(float(asked.get("from") or (now - 900) * 1000) / 1000)
     until = int(float(asked.get("to") or (now + 1) * 1000) / 1000) + 1
     name, class_name = str(asked.get("server") or ""), asked.get("class")
-    number = recorder.numbers.get(str(class_name)) if class_name else None
+    first = recorder.numbers.get(str(class_name)) if class_name else None
+    number = None if first is None else keys.class_of(first)
     if class_name and number is None:
         return {"error": f"there is no class {class_name!s:.60}; there are {', '.join(recorder.numbers)}"}
     resolution = finest(since, now, MOST_POINTS, recorder.spans)
@@ -111,8 +112,8 @@
 def why(watch: Watch, asked: dict[str, Any]) -> dict[str, Any]:
     """Answer `why`: the decisions about one request."""
     name = str(asked.get("request") or "")
-    trail = watch.recorder.trails.find(name)
-    if trail is None:
+    found = watch.recorder.trails.find(name)
+    if found is None:
         words = "docs/operate/timeline.md says how long it is"
         return {"error": f"nothing is kept of request {name:.60}; {words}"}
-    return trail.told()
+    return trails.told(*found)
--- a/tests/decide/test_departure.py
+++ b/tests/decide/test_departure.py
@@ -279,3 +279,41 @@
     told = Streams().calm().play(8, slow("s4", 3.0))[0].json()
     assert list(told) == ["event", "id", "at", "since", "scope", "subject", "signal", "evidence"]
     assert told["event"] == "departure_began" and told["scope"] == "server" and told["subject"] == "s4"
+
+
+def test_a_day_with_a_wave_bursts_deploys_and_noisy_reports_raises_none_or_true_ones() -> None:
+    """A day in small: each stretch stands for an hour. A third of the fleet restarts, once each."""
+    streams, rng = Streams(15, rate=6.0, seed=5), random.Random(7)
+    starts: dict[str, int] = {}
+
+    def alter(row: Row) -> Row:
+        at = streams.now
+        if at % 400 == 200 and int(row.server[1:]) % 3 == (at // 400) % 3:
+            starts[row.server], row.changes = at, 2
+        row.cold = at - starts.get(row.server, -99) < 20
+        if int(row.server[1:]) % 5:  # a fifth never reports; half of the rest are off by half, a third late
+            row.load = 2.0 * rng.choice((0.5, 1.0, 1.0, 1.5)) * (0.5 if rng.random() < 0.3 else 1.0)
+        return row
+
+    def factors(name: str, at: int) -> dict[str, float]:
+        wave = 1.0 + 0.4 * math.sin(streams.now / 380)
+        cold = 2.5 if streams.now - starts.get(name, -99) < 15 else 1.0
+        costly = 3.0 if streams.rng.random() < 0.05 else 1.0  # now and then a costly request in one class
+        return {"read": wave * cold, "book": wave * cold * costly}
+
+    told = []
+    for stretch in range(6):
+        streams.rate = 12.0 if stretch == 3 else 6.0  # a burst to twice the load
+        told += streams.play(400, factors, alter=alter)
+    assert {scope for scope, _, _ in began(told)} <= {Scope.ALL, Scope.CLASS}
+
+
+def test_one_that_errs_among_thousands_is_told_apart() -> None:
+    all_, told = Departures(), []
+    for second in range(1, 30):
+        all_.begin(second * 1_000.0)
+        for n in range(0, 10_000, 5):
+            all_.row(Row(f"s{n}", zone="ab"[n % 2], times={"read": (1, 4.0, 16.0)}, answers=1))
+        all_.row(Row("s77", zone="a", answers=2, errors=8))
+        told += all_.end()
+    assert began(told) == [(Scope.SERVER, "s77", Signal.ERRORS)]
--- a/tests/system/test_timeline.py
+++ b/tests/system/test_timeline.py
@@ -237,3 +237,44 @@
     run(test)
 
 
+
+
+async def scrape(port: int, head: bytes = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n") -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(head)
+    got = await asyncio.wait_for(reader.read(), WAIT)
+    writer.close()
+    return got
+
+
+def test_metrics_are_scraped_moved_and_switched_off(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            async with world(tmp_path, monkeypatch) as (rig, _, _), load(rig, 4) as codes:
+                settings = tmp_path / "dillport.toml"
+                base = settings.read_text()
+                settings.write_text(base + f'[metrics]\nlisten = "127.0.0.1:{port}"\n')
+                rig.process.send_signal(signal.SIGHUP)
+                await rig.logged("tried again every 2 s")
+                taken.close()
+                await rig.logged(f"metrics at http://127.0.0.1:{port}/metrics")
+                await asyncio.sleep(2)
+                got = await scrape(port)
+                assert got.startswith(b"HTTP/1.1 200 OK\r\n") and got.endswith(b"# EOF\n")
+                assert b'dillport_requests_total{class="read",result="served"}' in got
+                assert (await scrape(port, b"GET / HTTP/1.1\r\n\r\n")).startswith(b"HTTP/1.1 404 ")
+                assert (await scrape(port, b"POST /metrics HTTP/1.1\r\n\r\n")).startswith(b"HTTP/1.1 405 ")
+                assert (await scrape(port, b"x" * 9_000)).startswith(b"HTTP/1.1 431 ")
+                settings.write_text(base)
+                rig.process.send_signal(signal.SIGHUP)
+                await rig.logged("metrics is off")
+                with pytest.raises(OSError):
+                    for _ in range(100):
+                        await scrape(port)
+                        await asyncio.sleep(0.05)
+                assert set(codes) == {200}
+
+    run(test)
