Pages on the time line; lanes of the report on one scale, zones known from the first list

Looked at in a browser, the page showed sources of formulas on its axes and lanes that could not be compared: plain figures and one scale for all now. The time line was told of lists after it was on, so until the next one no server had a zone and a cut zone would have been told one by one: it begins with what the node knows. Good rows of an event no longer have to make up for the bad ones before them.

--- a/dillport/decide/departure.py
+++ b/dillport/decide/departure.py
@@ -684,7 +684,7 @@
             if server.name in event.servers and event.scope not in (Scope.CLASS, Scope.NODE):
                 event.heard_ms = self.now_ms
                 bad = self._bad(event, server)
-                event.good = max(-RECOVER, event.good - 2) if bad else event.good + 1
+                event.good = max(0, event.good - 2) if bad else event.good + 1
 
     def _age(self) -> None:
         for event in list(self.events.values()):
--- a/dillport/net/timeline.py
+++ b/dillport/net/timeline.py
@@ -14,6 +14,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from dillport import interface as api
 from dillport.decide.departure import Step, Told
 from dillport.members import Address
 from dillport.net.control import Control
@@ -93,6 +94,9 @@
             self.watch.recorder.resize(settings.memory_mb)
             return
         self.watch = Watch(self.node.settings, settings.memory_mb, self._look)
+        # The node has had its first list by now: without it no line would know its zone.
+        known = [backend.entry for backend in self.node.balancer.backends.values()]
+        self.watch.saw(self.node.now(), api.ListUpdate(api.ListKind.FULL, known), [])
         self.watch.listeners.append(self._say)
         for name, view in WORDS.items():
             self.control.register_with(name, partial(view, self.watch))
--- a/dillport/observe/page.py
+++ b/dillport/observe/page.py
@@ -15,6 +15,7 @@
 import matplotlib
 from matplotlib import dates
 from matplotlib.figure import Figure
+from matplotlib.ticker import FuncFormatter, NullFormatter
 
 LANES = 40
 FAILURES = ("error", "reset", "connect_failed", "full", "timeout")
@@ -84,8 +85,10 @@
         axes = figure.subplots(len(lanes), 1, sharex=True, squeeze=False)[:, 0]
         first = min(lane["points"][0]["at"] for lane in lanes)
         last = max(lane["points"][-1]["at"] for lane in lanes) + 1_000
+        timed = [p["answer_ms"]["p90"] for lane in lanes for p in lane["points"] if "answer_ms" in p]
+        reach = (0.8 * max(min(timed), 0.01), 1.25 * max(timed)) if timed else (1.0, 10.0)
         for lane, ax in zip(lanes, axes, strict=True):
-            _lane(ax, lane)
+            _lane(ax, lane, reach)
             for event in events:
                 if _speaks_of(event, lane):
                     end = min(event["until"] or last, last)
@@ -109,7 +112,7 @@
     return scope in ("all", "node") or (scope == "server" and subject == lane["server"])
 
 
-def _lane(ax: Any, lane: dict[str, Any]) -> None:
+def _lane(ax: Any, lane: dict[str, Any], reach: tuple[float, float]) -> None:
     points = lane["points"]
     width = lane["resolution_s"] / 86_400
     at = [_at(point["at"]) for point in points]
@@ -122,6 +125,9 @@
         times = ax.twinx()
         times.plot(*zip(*timed, strict=True), color="tab:blue", lw=1)
         times.set_yscale("log")
+        times.set_ylim(*reach)  # one for all lanes: they are to be compared
+        times.yaxis.set_major_formatter(FuncFormatter(lambda ms, _: f"{ms:g}"))
+        times.yaxis.set_minor_formatter(NullFormatter())
         times.tick_params(labelsize=6, colors="tab:blue", which="both")
     for note in lane.get("notes", ()):
         if note["what"] in MARKS and points[0]["at"] <= note["at"] <= points[-1]["at"] + 60_000:
--- a/tests/observe/test_page.py
+++ b/tests/observe/test_page.py
@@ -64,5 +64,6 @@
 
 def test_lanes_are_bounded_and_none_is_a_page_too() -> None:
     many = page([lane(f"s{n}") for n in range(LANES + 3)], [], "t", left_out=3)
+    assert "mathdefault" not in many  # figures on the axes, and no source of a formula
     assert f">s{LANES - 1}<" in many and f">s{LANES}<" not in many and "3 further servers" in many
     assert "Nothing was recorded" in page([], [], "t")
--- a/tests/system/test_timeline.py
+++ b/tests/system/test_timeline.py
@@ -155,6 +155,10 @@
             assert sum(p["counts"].get("ok", 0) for p in told["points"]) > 0
             code, out, _ = await says("timeline", *here)
             assert code == 0 and server in out and "class" in out and "P99 MS" in out
+            code, out, _ = await says("timeline", "--json", *here)
+            rows = [(r["scope"], r["name"], r["zone"]) for r in json.loads(out)["lines"]]
+            # From the list that the node had before the time line was on.
+            assert ("zone", "a", "") in rows and ("server", server, "a") in rows
             code, out, _ = await says("timeline", server, "node", "--from", "5m", "--class", "read", *here)
             assert code == 0 and out.count("DECISIONS") == 2
             code, _, err = await says("timeline", server, "--from", "half past", *here)
