--- a/dillport/lab/paper.py
+++ b/dillport/lab/paper.py
@@ -121,7 +121,7 @@
                 heappush(timers, (action.when / UNIT_MS, action.token))
             elif isinstance(action, api.Refuse | api.Fail) and not run.literal:
                 del began[int(action.request)]
-            elif not isinstance(action, api.Log):
+            elif not isinstance(action, api.Log | api.Noted):
                 raise ValueError(f"the paper knows no {action!r}")
 
     if tell:
