--- a/tests/system/test_timeline.py
+++ b/tests/system/test_timeline.py
@@ -115,12 +115,12 @@
         async with world(tmp_path, monkeypatch, seed) as (rig, servers, path), load(rig):
             await asyncio.sleep(7)  # what is usual
             assert (await asked(path, "events"))["events"] == []
-            servers.slow["s3"] = 4.0
+            servers.slow["s3"] = 3.0
             began = await event(path, "answer_time")
             name = next(b for b in servers.all if b.name == "s3").member()["id"]
             assert (began["scope"], began["subject"]) == ("server", name)
             servers.slow.clear()
-            servers.errs["s1"] = 0.4
+            servers.errs["s1"] = 0.1
             began = await event(path, "errors")
             name = next(b for b in servers.all if b.name == "s1").member()["id"]
             assert (began["scope"], began["subject"]) == ("server", name)
