Answer operators and rank references in short turns, however many servers there are

Rows are made as they are written, 2 ms of them between two turns, an overview reaches over 6 hours at most, and a reference is made of some 500 servers. Garbage as a time or an event's number is refused in plain words; it was a traceback. The test of turns fails without the limit.

--- a/dillport/cli_timeline.py
+++ b/dillport/cli_timeline.py
@@ -51,6 +51,8 @@
     """Print lines with their points, or an overview where no server is named."""
     for name in servers or [""]:
         told = ask(path, "timeline", **more, server=name)
+        if not name:
+            told["lines"].sort(key=worst_first)
         if as_json:
             print(json.dumps(told))
         elif name:
@@ -59,6 +61,15 @@
             _overview(told, columns)
 
 
+ORDER = {"node": 0, "class": 1, "zone": 2, "server": 3}
+FAILURES = ("error", "reset", "connect_failed", "full", "timeout")
+
+
+def worst_first(row: dict[str, Any]) -> tuple[int, int]:
+    """The node, classes, zones, then servers, those with most failures first."""
+    return ORDER[row["scope"]], -sum(row["counts"].get(name, 0) for name in FAILURES)
+
+
 def _line(row: dict[str, Any]) -> list[str]:
     counts, times = row["counts"], row.get("answer_ms", {})
     failed = sum(counts.get(name, 0) for name in ("error", "reset", "connect_failed"))
@@ -143,11 +154,12 @@
     """Write the page; how many servers are on it. Raises OSError where the file cannot be written."""
     from dillport.observe.page import LANES, page
 
-    rows = [row["name"] for row in ask(path, "timeline", **more)["lines"] if row["scope"] == "server"]
+    told = sorted(ask(path, "timeline", **more)["lines"], key=worst_first)
+    rows = [row["name"] for row in told if row["scope"] == "server"]
     lanes = [ask(path, "timeline", **more, server=name) for name in rows[:LANES]]
     until = f"{datetime.now():%Y-%m-%d %H:%M:%S}"
-    told = ask(path, "events", after=0)["events"]
-    text = page(lanes, told, f"Servers until {until}", len(rows) - len(lanes))
+    events = ask(path, "events", after=0)["events"]
+    text = page(lanes, events, f"Servers until {until}", len(rows) - len(lanes))
     file.write_text(text, encoding="utf-8")
     return len(lanes)
 
--- a/dillport/decide/departure.py
+++ b/dillport/decide/departure.py
@@ -42,6 +42,7 @@
 FAST_LOAD, LOAD_LEAST = math.log(2.0), 2.0  # of the reported load, and requests beyond the usual
 ALL_STEP = math.log(1.6)  # least step of a reference against its own past
 RANK = 0.4  # of the peers' running means: the reference
+RANKED = 500  # servers that a reference is made of, about
 PEERS = 3  # least peers of a kind, else all kinds are peers; fewer than this in all: the own past alone
 WINDOW = 40.0  # answers that a running mean is made of
 TRUST_ROWS = 20.0  # rows that a server's own distance is held to be none for, to begin with
@@ -321,7 +322,9 @@
     def _rank(self) -> None:
         """The references: the `RANK` part of the servers' running means, by kind; of all kinds where few."""
         values: dict[tuple[str, str], list[float]] = {}
-        for server in self.servers.values():
+        # Of thousands some hundreds, always the same: guards against a long turn each second.
+        some_servers = list(self.servers.values())
+        for server in some_servers[:: 1 + len(some_servers) // RANKED]:
             for name, cell in server.cells.items():
                 if cell.n >= 5 and self.now_ms - cell.seen_ms < QUIET_MS:
                     values.setdefault((server.kind, name), []).append(cell.mean - cell.off)
--- a/dillport/net/control.py
+++ b/dillport/net/control.py
@@ -30,6 +30,7 @@
 MAX_CLIENTS = 8
 LIMIT = 5.0  # s for a client from its connect to its last answer
 MAX_ANSWER = 64 * 1024 * 1024  # bytes that `ask` reads: far more than 100,000 members
+TURN = 0.002  # s that a part of an iterator is worked on before the loop turns
 PIECE = 200  # items of an answer's list written between two turns of the loop
 
 Answer = Callable[[], dict[str, object]]
@@ -183,12 +184,12 @@
             yield json.dumps(value)
             continue
         rows: list[str] = []
-        start = "["
+        start, begun = "[", time.monotonic()
         for row in value:
             rows.append(json.dumps(row))
-            if len(rows) == PIECE:
+            if len(rows) == PIECE or time.monotonic() - begun > TURN:
                 yield start + ",".join(rows)
-                rows, start = [], ","
+                rows, start, begun = [], ",", time.monotonic()
         yield (start if rows or start == "[" else "") + ",".join(rows) + "]"
     yield "}\n" if answer else "{}\n"
 
--- a/dillport/timeline/series.py
+++ b/dillport/timeline/series.py
@@ -110,8 +110,9 @@
 
     def read(self, since: int, until: int) -> Iterator[Bucket]:
         """The buckets that begin within a stretch."""
-        for at in range(bisect_left(self.starts, since), bisect_left(self.starts, until)):
-            yield unpack(self.starts[at], self.texts[at])
+        first, last = bisect_left(self.starts, since), bisect_left(self.starts, until)
+        # A copy: whoever reads it in pieces must stand what is added and dropped meanwhile.
+        yield from map(unpack, self.starts[first:last], self.texts[first:last])
 
 
 class Series:
@@ -163,13 +164,16 @@
         for layer, span in zip(self.layers, spans, strict=True):
             layer.trim(now - span, slack)
 
-    def read(self, resolution: int, since: int, until: int) -> list[Bucket]:
+    def each(self, resolution: int, since: int, until: int) -> Iterator[Bucket]:
         """The buckets of a resolution (0, 1, 2) that begin within [since, until), the open one too."""
-        out = list(self.layers[resolution].read(since, until))
         bucket = self.open[resolution - 1] if resolution else None
+        yield from self.layers[resolution].read(since, until)
         if bucket is not None and since <= bucket.at < until:
-            out.append(bucket)
-        return out
+            yield bucket
+
+    def read(self, resolution: int, since: int, until: int) -> list[Bucket]:
+        """The same, at once."""
+        return list(self.each(resolution, since, until))
 
 
 def finest(since: int, now: int, most: int, spans: Spans = FULL) -> int:
--- a/dillport/timeline/views.py
+++ b/dillport/timeline/views.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 from dillport.timeline import keys, sketch, trails
-from dillport.timeline.record import CLASS, NODE, SERVER, ZONE, Line, Recorder
+from dillport.timeline.record import CLASS, NODE, ZONE, Line, Recorder
 from dillport.timeline.series import RESOLUTIONS_S, Bucket, finest
 from dillport.timeline.watch import Watch
 
 MOST_POINTS = 600
+OVERVIEW_S = 6 * 3_600  # that an overview reaches over at the most
 MOST_LINES = 200  # in an overview; the ones with most to tell
 QUANTILES = (0.5, 0.9, 0.99)
 
@@ -54,8 +56,11 @@
     """Answer `timeline`: one line with its points, or an overview. Times asked for are ms since 1970."""
     recorder = watch.recorder
     now = recorder.second
-    since = int(float(asked.get("from") or (now - 900) * 1000) / 1000)
-    until = int(float(asked.get("to") or (now + 1) * 1000) / 1000) + 1
+    try:
+        since = int(float(asked.get("from") or (now - 900) * 1000) / 1000)
+        until = int(float(asked.get("to") or (now + 1) * 1000) / 1000) + 1
+    except (TypeError, ValueError, OverflowError):
+        return {"error": "from and to are times in ms since 1970"}
     name, class_name = str(asked.get("server") or ""), asked.get("class")
     first = recorder.numbers.get(str(class_name)) if class_name else None
     number = None if first is None else keys.class_of(first)
@@ -66,7 +71,8 @@
         line = line_of(recorder, name)
         if line is None:
             return {"error": f"nothing is known of {name:.60}"}
-        buckets = line.series.read(resolution, since, until)
+        first = max(since, until - MOST_POINTS * RESOLUTIONS_S[resolution])
+        buckets = line.series.each(resolution, first, until)
         notes = [
             {"at": round(at), "what": what, "count": count, "span_ms": round(span)}
             for at, what, count, span in line.notes or ()
@@ -74,37 +80,35 @@
         return {
             "server": line.name, "scope": line.scope, "zone": line.zone, "kind": line.kind,
             "resolution_s": RESOLUTIONS_S[resolution], "notes": notes,
-            "points": [point(bucket, number) for bucket in buckets[-MOST_POINTS:]],
+            "points": (point(bucket, number) for bucket in buckets),
         }  # fmt: skip
     return {"lines": overview(recorder, since, until, number)}
 
 
-def overview(recorder: Recorder, since: int, until: int, number: int | None) -> list[dict[str, Any]]:
-    """A row a line, those with most failures first among servers."""
-    rows = []
+def overview(recorder: Recorder, since: int, until: int, number: int | None) -> Iterator[dict[str, Any]]:
+    """A row a line, of `OVERVIEW_S` at the most. One at a time: requests go on between two."""
+    since = max(since, until - OVERVIEW_S)
     lines = [recorder.node, *recorder.classes.values(), *recorder.zones.values()]
     servers = sorted(recorder.servers.values(), key=lambda line: -line.series.size)[:MOST_LINES]
     for line in (*lines, *servers, *recorder.past):
         whole = Bucket(0)
-        for bucket in line.series.read(2 if until - since > 7_200 else 1, since, until):
+        for bucket in line.series.each(2 if until - since > 1_800 else 1, since, until):
             whole.add(bucket.counts, bucket.gauges)
         if not whole.counts:
             continue
         row = point(whole, number)
         del row["at"]
-        rows.append({"name": line.name, "scope": line.scope, "zone": line.zone, **row})
-    order = {NODE: 0, CLASS: 1, ZONE: 2, SERVER: 3}
-    bad = [keys.NAMES[key] for key in (*keys.ERRORS, keys.TURNED_AWAY, keys.TIMED_OUT)]
-    rows.sort(key=lambda row: (order[row["scope"]], -sum(row["counts"].get(name, 0) for name in bad)))
-    return rows
+        yield {"name": line.name, "scope": line.scope, "zone": line.zone, **row}
 
 
 def events(watch: Watch, asked: dict[str, Any]) -> dict[str, Any]:
     """Answer `events`: those told since `after` (a running number), the oldest first."""
-    after = int(asked.get("after") or 0)
+    after = asked.get("after") or 0
+    if not isinstance(after, int):
+        return {"error": "after is the number of an event"}
     first = watch.told - len(watch.events)
     skip = max(0, after - first)
-    told = [one.json() for one in list(watch.events)[skip:]]
+    told = (one.json() for one in list(watch.events)[skip:])
     return {"next": watch.told, "missed": max(0, first - after), "left_out": watch.departures.left_out,
             "events": told}  # fmt: skip
 
--- a/tests/net/test_control.py
+++ b/tests/net/test_control.py
@@ -8,6 +8,7 @@
 import os
 import socket
 import stat
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from pathlib import Path
 
@@ -256,3 +257,16 @@
         mute.listen()
         with pytest.raises(ControlError, match=r"no answer within 0\.1 s"):
             ask(tmp_path / "c.sock", "members", wait=0.1)
+
+
+def test_rows_that_take_their_time_let_the_loop_turn_after_each() -> None:
+    """Guards requests against an operator who asks for all that thousands of servers did."""
+
+    def rows() -> Iterator[int]:
+        for number in range(5):
+            time.sleep(2 * control.TURN)
+            yield number
+
+    pieces = list(control._pieces({"rows": rows()}))
+    assert json.loads("".join(pieces)) == {"rows": [0, 1, 2, 3, 4]}
+    assert sum(any(c.isdigit() for c in piece) for piece in pieces) == 5
--- a/tests/timeline/test_record.py
+++ b/tests/timeline/test_record.py
@@ -223,12 +223,16 @@
             request(w.recorder, f"{second}.{n}", "evil\x1b[31m<b>", now - 500)
         rest(w, now)
     told = views.timeline(w, {"server": "evil\x1b[31m<b>", "from": 0})
-    assert 0 < len(told["points"]) <= views.MOST_POINTS and told["resolution_s"] == 10
+    assert 0 < len(list(told["points"])) <= views.MOST_POINTS and told["resolution_s"] == 10
     fine = views.timeline(w, {"server": "evil\x1b[31m<b>", "from": now - 60_000, "class": "read"})
-    last = fine["points"][-1]["answer_ms"]["p50"]
+    last = list(fine["points"])[-1]["answer_ms"]["p50"]
     assert fine["resolution_s"] == 1 and last == pytest.approx(20.0, rel=0.03)
     assert "nothing is known" in views.timeline(w, {"server": "x"})["error"]
     assert "there is no class" in views.timeline(w, {"class": "x"})["error"]
-    lines = views.timeline(w, {})["lines"]
+    odd: list[object] = ["x", [1], float("inf"), float("nan")]
+    for bad in odd:
+        assert "are times" in views.timeline(w, {"from": bad})["error"]
+    assert "number of an event" in views.events(w, {"after": "x"})["error"]
+    lines = list(views.timeline(w, {})["lines"])
     assert [row["scope"] for row in lines] == ["node", "class", "server"]  # no list has told its zone
     assert SAFE.name in {row["name"] for row in lines}
