Take out two things that nothing read, and hold the observer's bins to the sketch's

The observer has the bin of an answer time written out, for speed; a test keeps it the same as sketch.bin_of. Departures.usual_rate and Server.started were never read.

--- a/dillport/decide/departure.py
+++ b/dillport/decide/departure.py
@@ -213,8 +213,8 @@
     """What is known of one server."""
 
     __slots__ = (
-        "cell", "cells", "changes", "kind", "minute_ms", "name", "past", "seen_ms", "shares", "stale",
-        "started", "zone", )  # fmt: skip
+        "cell", "cells", "changes", "kind", "minute_ms", "name", "past", "seen_ms", "shares", "stale", "zone",
+    )  # fmt: skip
 
     def __init__(self, name: str) -> None:
         self.name, self.zone, self.kind, self.cell = name, "", "", -1
@@ -224,7 +224,6 @@
         self.changes: list[float] = []
         self.seen_ms = self.minute_ms = 0.0
         self.stale = False
-        self.started = False
 
 
 class Reference:
@@ -266,7 +265,6 @@
         self.left_out = 0  # events that were not told one by one
         self.now_ms = self.ranked_ms = 0.0
         self.tainted = False
-        self.usual_rate = 0.0
         self._count = 0
         self._crossed: dict[Signal, dict[str, tuple[str, float, float, float]]] = {}
         self._out: list[Told] = []
--- a/tests/timeline/test_record.py
+++ b/tests/timeline/test_record.py
@@ -9,7 +9,7 @@
 
 from dillport import interface as api
 from dillport.interface import Phase, Status, What, Why
-from dillport.timeline import keys, trails, views
+from dillport.timeline import keys, sketch, trails, views
 from dillport.timeline.record import OTHERS, PAST, Recorder
 from dillport.timeline.series import Bucket
 from dillport.timeline.trails import MOST
@@ -236,3 +236,11 @@
     lines = list(views.timeline(w, {})["lines"])
     assert [row["scope"] for row in lines] == ["node", "class", "server"]  # no list has told its zone
     assert SAFE.name in {row["name"] for row in lines}
+
+
+def test_the_bins_written_out_in_the_observer_are_those_of_the_sketch() -> None:
+    for ms in (0.0, 0.01, 0.0101, 1.0, 19.99, 20.0, 1e5, 1e9):
+        r = recorder()
+        request(r, "x", "a", took=ms)
+        (key,) = [key for key in r.servers["a"].counts if key >= keys.TIMES]
+        assert (key - keys.TIMES) % keys.WIDTH == sketch.bin_of(ms)
