Count etcd's keys, so that a deletion that its watch never told of is found

Checked: traced event by event. The watch is open with revision 10 next; its endpoint is frozen for 47 ms while 10 to 17 are written, 10 with two deletions; the compaction is at 10. The model drops tombstones of the compacted revision and cancels only watches that are below it, so the thawed watch goes on without them. The follower's guard (open from the revision seen last) is at the opening alone: EtcdFollow._open. Ruled out: fragments, replays, the resume. The model is right as far as etcd promises: nothing is dropped of what is in the window of history, and a watch that falls behind is served from the store. The hole is the follower's. Change: every 5 to 15 s a check counts the keys below the prefix; the count is held against the very revision it is of (by events, progress, or the next check); where it does not fit the list is read anew, and comes out as changes where that revision was told of. Keys that withdraw their member or name nobody are counted too.

--- a/dillport/decide/etcd_follow.py
+++ b/dillport/decide/etcd_follow.py
@@ -23,6 +23,11 @@
 fail: a frozen endpoint, and one cut off from its quorum, within 2.5 s. A watch that says nothing for
 some REOPEN_MS while etcd's revision moves on is asked for anew, in case its connection alone is dead.
 
+A watch is not believed to have told of every deletion. In etcd 3.4 a compaction at the very revision of a
+deletion drops it, and a watch that has fallen behind to just there goes on without a word. So every AUDIT_MS
+the check counts the keys below the prefix: where that is not what the list and the watch made of that
+revision, or the watch is a whole check behind, the list is read anew.
+
 Bounds: MAX_ENTRIES of a whole list; RESTARTS of one listing at one endpoint; FORMER cluster ids.
 """
 
@@ -47,6 +52,7 @@
 SPREAD_MS = 200.0  # a watch that broke is taken up within this: many nodes may have lost the same endpoint
 FIRST_MS, MOST_MS = 200.0, 5000.0  # back-off where no endpoint will do
 REOPEN_MS = 60_000.0
+AUDIT_MS = 10_000.0  # between two counts of the keys: etcd walks over its index for each, some ms for 10,000
 BACK_ROUNDS, BACK_MS = 3, 10_000.0
 PAGE = 500  # keys
 MAX_ENTRIES = 100_000
@@ -117,10 +123,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Change:
-    """An event of a watch, at the revision at which it came to be."""
+    """An event of a watch, at the revision at which it came to be.
+
+    `kept`: the member is gone and its key is there still, as what it holds withdraws the member.
+    """
 
     revision: int
     row: Row
+    kept: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,21 +152,26 @@
 
 @dataclass(slots=True, frozen=True)
 class CheckAnswered:
-    """A linearizable read was answered."""
+    """A linearizable read was answered; `keys` are below the prefix, if they were to be counted."""
 
     call: int
     position: Position
+    keys: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
 class PageAnswered:
-    """A page of a range came; `last_key` is where the next one goes on, if there is `more`."""
+    """A page of a range came; `last_key` is where the next one goes on, if there is `more`.
+
+    `keys` are in the range in all, on this page and behind it, at the list's revision.
+    """
 
     call: int
     position: Position
     rows: tuple[Row, ...]
     last_key: bytes
     more: bool
+    keys: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -214,10 +229,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Check:
-    """Read one key, linearizable."""
+    """Read one key, linearizable; or count all that are below the prefix."""
 
     call: int
     endpoint: int
+    count: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -350,6 +366,8 @@
         self.term = 0  # the raft term of a linearizable read
         self.need_list = True
         self.members: set[str] = set()
+        self.keys: set[str] = set()  # what is there below the prefix, readable or not
+        self.unnamed = 0  # keys of the list beyond those, whose names could not be told apart
         self.former: deque[str] = deque(maxlen=FORMER)
         self.told = Told.WELL
         if seen is not None:
@@ -371,9 +389,13 @@
         self.said_ms = 0.0  # when the watch last said something
         self.reopen_ms = REOPEN_MS
         self.chain: tuple[int, int] | None = None  # members before, and ended by, fragments that go on
+        self.audit_ms = 0.0  # when the keys are counted next
+        self.counted: tuple[int, int] | None = None  # a revision and its keys, to be held against the watch
+        self.again_whole = False  # the list is read anew at a revision that may have been told of
         # the list that is being read
         self.rows: list[Row] = []
         self.page_revision = 0
+        self.page_keys = 0
         self.after_key = b""
         self.limit = PAGE
         # the round over all endpoints
@@ -415,7 +437,7 @@
             case TimerFired() if event.token:
                 self._fired(event.token)
             case CheckAnswered() if event.call == self.check_call:
-                self._checked(event.position)
+                self._checked(event.position, event.keys)
             case PageAnswered() if event.call == self.page_call:
                 self._page(event)
             case WatchCreated() if event.call == self.watch_call and self.phase is Phase.OPENING:
@@ -443,10 +465,11 @@
         self.check_call, self.check_ms = self._next(), self.now_ms
         # What is seen while the answer is on its way may be newer than the answer.
         self.check_floor = self.floor
-        self._out.append(Check(self.check_call, self.endpoint))
+        count = self.phase is Phase.WATCHING and self.now_ms >= self.audit_ms
+        self._out.append(Check(self.check_call, self.endpoint, count))
         self._check_token = self._timer(CHECK_WAIT_MS)
 
-    def _checked(self, position: Position) -> None:
+    def _checked(self, position: Position, keys: int | None) -> None:
         self.check_call = 0
         if self.phase is Phase.ASKING:
             self._met(position)
@@ -461,8 +484,13 @@
             if position.revision > self.whole and idle_ms >= self.reopen_ms:
                 self._out.append(CloseWatch(self.endpoint))
                 self._open()
+            elif self.counted is not None and self._lost(self.counted[1], len(self.keys)):
+                pass  # a whole check later the watch has still not said what makes the difference
             else:
+                self.counted = None
                 self._tick()
+                if keys is not None:
+                    self._audit(position.revision, keys - self.unnamed)
 
     def _tick(self) -> None:
         """The next check."""
@@ -490,6 +518,28 @@
             else:
                 self._open()
 
+    # --- whether the watch lost a deletion
+
+    def _audit(self, revision: int, keys: int) -> None:
+        """Hold a count of the keys against what was made of the same revision, once the watch is there."""
+        if self.whole > revision:
+            return  # what there was at that revision is not known any more: the next check counts
+        self.audit_ms = self.now_ms + AUDIT_MS * self.rng.uniform(0.5, 1.5)
+        if self.seen == self.whole == revision:
+            self._lost(keys, len(self.keys))
+        elif keys != len(self.keys):
+            self.counted = revision, keys
+
+    def _lost(self, keys: int, held: int) -> bool:
+        """Whether the count does not fit: then the list is read anew."""
+        self.counted = None
+        if keys == held:
+            return False
+        self._say("warning", f"{keys} keys are there and {held} were told of: the list is read anew")
+        self.again_whole = self.need_list = True
+        self._list()
+        return True
+
     def _same(self, position: Position, floor: int) -> bool:
         """Whether this is the cluster talked to, and no further back than `floor`; else it is left."""
         if position.cluster_id != self.talking:
@@ -508,6 +558,7 @@
         self._close_watch()
         self.check_call = self._check_token = 0
         self.rows, self.page_revision, self.after_key = [], 0, b""
+        self.counted = None
         self._ask_page()
 
     def _ask_page(self) -> None:
@@ -521,7 +572,7 @@
         if not self._same(event.position, self.floor):
             return
         if not self.page_revision:
-            self.page_revision = event.position.revision
+            self.page_revision, self.page_keys = event.position.revision, event.keys
         self.rows += event.rows
         self.limit = min(2 * self.limit, PAGE)
         if len(self.rows) > MAX_ENTRIES:
@@ -538,9 +589,10 @@
         rows, self.rows = self.rows, []
         revision = self.page_revision
         listing = _listing(revision, True, rows)
-        if self.talking == self.cluster and revision == self.seen > self.whole:
-            # The rest of a revision that was cut between fragments: a whole list of a revision that was seen
-            # says nothing new to the membership, changes of it do.
+        told_of = self.talking == self.cluster and revision == self.seen
+        if told_of and (self.seen > self.whole or self.again_whole):
+            # The rest of a revision that was cut between fragments, or what a watch lost on the way to it: a
+            # whole list of a revision that was seen says nothing new to the membership, changes of it do.
             gone = self.members - {m.id for m in listing.members} - {f.key for f in listing.faults}
             listing = Listing(revision, False, listing.members, tuple(gone), listing.faults)
         if self.talking != self.cluster:
@@ -550,8 +602,11 @@
         before = self.members
         self.members = {m.id for m in listing.members} | {f.key for f in listing.faults if f.key in before}
         self._loud(len(before), 0, len(before - self.members), revision)
+        self.keys = {_name(row) for row in rows}
+        self.unnamed = max(0, self.page_keys - len(self.keys))
+        self.audit_ms = self.now_ms + AUDIT_MS * self.rng.uniform(0.5, 1.5)
         self.seen = self.whole = revision
-        self.need_list, self.adopting = False, ""
+        self.need_list, self.again_whole, self.adopting = False, False, ""
         self._deliver(Listed(self.source, self.identity, listing))
         self._open()
 
@@ -560,7 +615,7 @@
     def _open(self) -> None:
         self.phase = Phase.OPENING
         self.check_call = self._check_token = 0
-        self.chain = None
+        self.chain = self.counted = None
         self.watch_call = self._next()
         # Guards against a delete that is lost: a compaction at its very revision drops it, and etcd 3.4 lets
         # a watch from there in all the same. From one revision before it, which was seen and is passed over,
@@ -591,6 +646,10 @@
         # revision of a fragment may be incomplete, so it counts as seen and not as whole: the rest of it is
         # taken, and after a break the watch begins with it once more.
         fresh = sorted((c for c in event.changes if c.revision > self.whole), key=lambda c: c.revision)
+        counted = self.counted
+        self._hold([c for c in fresh if counted is None or c.revision <= counted[0]])
+        held = len(self.keys)
+        self._hold([c for c in fresh if counted is not None and c.revision > counted[0]])
         if fresh:
             rows = [c.row for c in fresh]
             self.seen = max(self.seen, newest)
@@ -606,6 +665,15 @@
             self.whole = max(self.whole, newest - 1)
         else:
             self.whole, self.chain = max(self.whole, newest), None
+        if counted is not None and (newest > counted[0] or (newest == counted[0] and not event.fragment)):
+            self._lost(counted[1], held)
+
+    def _hold(self, changes: Sequence[Change]) -> None:
+        for change in changes:
+            if change.kept or not isinstance(change.row, str):
+                self.keys.add(_name(change.row))
+            else:
+                self.keys.discard(change.row)
 
     def _progressed(self, position: Position) -> None:
         """All up to here was said (etcd's docs), which spares the next watch that way.
@@ -618,6 +686,8 @@
         if self.chain is None:
             self.whole = max(self.whole, min(position.revision, self.checked))
         self._heard()
+        if self.counted is not None and self.chain is None and position.revision >= self.counted[0]:
+            self._lost(self.counted[1], len(self.keys))
 
     def _unwatched(self, trouble: Trouble, reason: str) -> None:
         """The watch has ended. Only a new whole list will do where something may be lost."""
@@ -698,7 +768,7 @@
             self._out.append(Drop(self.endpoint))
         self.check_call = self.page_call = self.watch_call = 0
         self._check_token = self._phase_token = 0
-        self.rows, self.chain = [], None
+        self.rows, self.chain, self.counted = [], None, None
         self.checks_failed, self.restarts, self.token_renewed = 0, 0, False
         self.limit = PAGE
 
@@ -796,6 +866,11 @@
         return token
 
 
+def _name(row: Row) -> str:
+    """What stands for the row's key."""
+    return row if isinstance(row, str) else row.key if isinstance(row, Fault) else row.id
+
+
 def _verdict(trouble: Trouble) -> Verdict:
     denied = trouble in (Trouble.DENIED, Trouble.STALE_TOKEN)
     return Verdict.DENIED if denied else Verdict.DEAD
--- a/dillport/net/sources/etcd.py
+++ b/dillport/net/sources/etcd.py
@@ -270,9 +270,11 @@
         self._do(event)
 
     async def _check(self, action: ef.Check) -> ef.Event:
-        message = await self._request(action.endpoint, self.asks[action.endpoint].check)
+        make = partial(self.asks[action.endpoint].check, count=action.count)
+        message = await self._request(action.endpoint, make)
         if isinstance(message, ew.RangePage):
-            return ef.CheckAnswered(action.call, _position(message.header))
+            keys = message.count if action.count else None
+            return ef.CheckAnswered(action.call, _position(message.header), keys)
         return self._failed(action.call, message)
 
     async def _range(self, action: ef.Range) -> ef.Event:
@@ -289,7 +291,8 @@
             await asyncio.sleep(0)
         rows += [Fault(f"/entry {n}", reason) for n, reason in enumerate(message.unreadable)]
         last = message.kvs[-1].key if message.kvs else b""
-        return ef.PageAnswered(action.call, _position(message.header), tuple(rows), last, message.more)
+        at = _position(message.header)
+        return ef.PageAnswered(action.call, at, tuple(rows), last, message.more, message.count)
 
     async def _open(self, action: ef.Watch) -> None:
         def take(message: ew.Message | None) -> None:
@@ -319,7 +322,8 @@
                 return ef.WatchProgressed(call, _position(header))
             case ew.WatchEvents(header, events, fragment):
                 changes = (
-                    ef.Change(kv.mod_revision, entry(kv, self.prefix, self.config.format)) for kv in events
+                    ef.Change(kv.mod_revision, entry(kv, self.prefix, self.config.format), not kv.deleted)
+                    for kv in events
                 )
                 return ef.WatchSaid(call, _position(header), tuple(changes), fragment)
             case ew.WatchCanceled(_, compacted, reason):
--- a/dillport/proto/etcd_watch.py
+++ b/dillport/proto/etcd_watch.py
@@ -206,13 +206,15 @@
             body["revision"] = str(revision)
         return self._post("/v3/kv/range", body, token)
 
-    def check(self, token: str = "") -> bytes:
+    def check(self, token: str = "", count: bool = False) -> bytes:
         """A read of one key, linearizable: only a member that reaches its quorum can answer it.
 
         The key is the prefix itself, which whoever may read the members may read, and which costs etcd no
-        walk over them, as counting them would.
+        walk over them; `count` walks, and tells how many keys there are below it.
         """
         body = {"key": _text(self.prefix or b"\0"), "count_only": True, "serializable": False}
+        if count:
+            body["range_end"] = _text(end_of(self.prefix))
         return self._post("/v3/kv/range", body, token)
 
     def watch(self, start_revision: int, token: str = "") -> bytes:
