--- a/benchmarks/child.py
+++ b/benchmarks/child.py
@@ -30,7 +30,8 @@
 from dillport.net import assemble
 from dillport.net.config import Config, load
 from dillport.net.control import Control
-from dillport.net.fleet import EtcdPart, Fleet, ViewSink
+from dillport.net.etcd import EtcdPart
+from dillport.net.fleet import Fleet, ViewSink
 from dillport.net.node import Node
 from dillport.net.sources import platform
 from dillport.net.sources.etcd import EtcdSource
--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -2,9 +2,32 @@
 
 from __future__ import annotations
 
+import gc
+import os
 import sys
 
-from dillport.cli import main
+
+def main() -> int:
+    """Carry out the command line; the exit code.
+
+    The platform's own way in, without a word or an operators' file, loads neither the command line nor what
+    reads that file: a node is killed and started under load, with most of its fleet.
+    """
+    if len(sys.argv) > 1 or os.environ.get("DILLPORT_SETTINGS"):
+        from dillport.cli import main as words
+
+        return words()
+    gc.disable()  # what is loaded stays: looking through it again and again finds nothing
+    from dillport.net import assemble
+    from dillport.net.config import read
+
+    config, faults = read(os.environ)
+    if config is None:
+        print(f"dillport: {'; '.join(faults)}", file=sys.stderr)
+        return 2
+    gc.enable()
+    return assemble.run(config)
+
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/dillport/cli.py
+++ b/dillport/cli.py
@@ -22,13 +22,11 @@
 
 import dillport
 from dillport.members import Address
-from dillport.net.config import Config, ConfigError, load
+from dillport.net.config import CONFIG, read
 from dillport.operators import Operators, OperatorsError
 from dillport.operators import load as load_operators
 
 SETTINGS = "DILLPORT_SETTINGS"
-CONFIG = "PROXY_CONFIG"
-WHAT_CONFIG_IS = "it names the JSON file in which the platform configures a node"
 
 _EPILOG = f"""\
 environment:
@@ -165,32 +163,22 @@
         return path, Operators(), [f"{path}: {line}" for line in str(err).splitlines()]
 
 
-def _read_config() -> tuple[Config | None, list[str]]:
-    """The platform's configuration, and what is wrong with it."""
-    if not os.environ.get(CONFIG):
-        return None, [f"{CONFIG} is missing: {WHAT_CONFIG_IS}; see dillport --help"]
-    try:
-        return load(os.environ), []
-    except ConfigError as err:
-        return None, [" ".join(fault.split()) for fault in err.faults]
-
-
 # --- words --------------------------------------------------------------------------------------------
 
 
 def _run(args: argparse.Namespace, rest: list[str]) -> int:
     path, operators, wrong = _read_operators(args)
-    config, faults = _read_config()
+    config, faults = read(os.environ)
     if config is None or wrong:
         raise Trouble(2, *(["; ".join(faults)] if faults else []), *wrong)
     from dillport.net import assemble
 
-    return assemble.run(config, path, operators)
+    return assemble.run(config, path, None if path is None else operators)
 
 
 def _check(args: argparse.Namespace, rest: list[str]) -> int:
     path, operators, wrong = _read_operators(args)
-    config, faults = _read_config()
+    config, faults = read(os.environ)
     if config is not None:
         print(f"configuration {os.environ[CONFIG]}: no fault")
         print(f"  {_cell(config.name or 'a node without a name')} listens on {_at(config.listen)}")
@@ -240,7 +228,7 @@
 
 def _members_of_files() -> dict[str, Any]:
     """The servers that the configuration knows at the start, in the form in which a node tells its own."""
-    config, faults = _read_config()
+    config, faults = read(os.environ)
     if config is None:
         raise Trouble(2, *faults)
     known = config.known
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -2,19 +2,20 @@
 
 - `run`: what `dillport run` does once its files are read.
 - `serve`: the node from its first connection to its last answer.
+
+A node is started anew under load, with hundreds of others: what only the operators' file switches on is
+loaded by that file alone, and `tests/test_start.py` holds what the rest may load.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import gc
 import logging
 import os
 import signal
 import sys
 from dataclasses import replace
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -22,23 +23,21 @@
 from dillport.decide.admission import LEAST_SOCKETS, SPARE, places, shares, unread_budget
 from dillport.decide.membership import Listed, Source
 from dillport.net.config import Config, ConfigError, load
-from dillport.net.control import Control, ControlError
-from dillport.net.fleet import EtcdPart, Fleet
+from dillport.net.fleet import Fleet
 from dillport.net.front import Front
 from dillport.net.listener import fit
 from dillport.net.node import Node
-from dillport.net.reload import reread
 from dillport.net.sources import platform
-from dillport.net.sources.etcd import EtcdSource
 from dillport.net.sources.platform import PlatformSource
-from dillport.operators import ControlSettings, Operators
 
 if TYPE_CHECKING:
-    from dillport.net.timeline import TimelinePart
+    from pathlib import Path
+
+    from dillport.net.operators import OperatorsPart
+    from dillport.operators import Operators
 
 LOG_LINES, LOG_TIME = 50, 10.0  # at most so many lines in so many seconds
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
-CONTROL_RETRY = 2.0  # s until a control socket that could not be made is tried again
 LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
 
 
@@ -71,85 +70,10 @@
     logging.info("reload: discovery is at %s:%d", *config.discovery)
 
 
-class OperatorsPart:
-    """What follows from the operators' file while the node runs. `path` is None where there is no file."""
-
-    def __init__(
-        self, path: Path | None, operators: Operators, control: Control, etcd: EtcdPart, node: Node
-    ) -> None:
-        self.path, self.operators, self.control, self.etcd = path, operators, control, etcd
-        self.node = node
-        self.timeline: TimelinePart | None = None
-        self._etcd(operators)
-        self._timeline(operators)
-        self._changed = asyncio.Event()
-        self._task = asyncio.get_running_loop().create_task(self._keep())
-
-    def reload(self) -> None:
-        """Read the file again; a bad one changes nothing."""
-        if self.path is not None:
-            self.operators = reread(self.path, self.operators, self.apply)
-
-    def apply(self, new: Operators) -> None:
-        """Carry out other settings than those before."""
-        self.operators = new
-        self._etcd(new)
-        self._timeline(new)
-        self._changed.set()
-
-    def _etcd(self, operators: Operators) -> None:
-        try:
-            self.etcd.apply(operators.membership.etcd)
-        except ValueError as err:  # the file was well when it was checked, a moment ago
-            logging.error("etcd: %s; what was there before goes on", err)
-
-    def _timeline(self, operators: Operators) -> None:
-        """Its modules are loaded by the first settings that switch it on."""
-        if self.timeline is None and operators.timeline is not None:
-            from dillport.net.timeline import TimelinePart
-
-            self.timeline = TimelinePart(self.node, self.control)
-        if self.timeline is not None:
-            self.timeline.apply(operators.timeline, operators.metrics)
-
-    async def close(self) -> None:
-        """Switch off what is on."""
-        self.etcd.stop()
-        if self.timeline is not None:
-            await self.timeline.close()
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
-        await self.control.close()
-
-    async def _keep(self) -> None:
-        """Keep the control socket where it is wanted, and try again while that fails.
-
-        Guards against a node that does not serve because one that still drains holds the path.
-        """
-        said = ""
-        while True:
-            self._changed.clear()
-            wait = None
-            try:
-                await self.control.listen(_socket(self.operators.control))
-            except ControlError as err:
-                wait = CONTROL_RETRY
-                if said != str(err):
-                    logging.error("control: %s; it is tried again every %g s", err, wait)
-                said = str(err)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(wait):
-                    await self._changed.wait()
-
-
-def _socket(settings: ControlSettings | None) -> Path | None:
-    return None if settings is None else settings.socket
-
-
 async def serve(config: Config, path: Path | None = None, operators: Operators | None = None) -> None:
     """Run until SIGTERM or SIGINT, then answer what was taken and return; SIGHUP reads the files again.
 
-    `operators` is what was read from `path`, the operators' file, where there is one.
+    `operators` is what was read from `path`, the operators' file; both are None where there is none.
     """
     loop = asyncio.get_running_loop()
     node = Node(config)
@@ -161,22 +85,24 @@
     )  # fmt: skip
     cap, over = places(config.client_sockets)
     front = Front(node, cap, unread_budget(config.memory_mb), over)
-    control = Control()
-    control.register("members", fleet.report)
-    etcd = EtcdPart(fleet, (listed,), lambda settings, seen: EtcdSource(settings, fleet.hand, seen=seen))
+    part: OperatorsPart | None = None
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
 
     def hangup() -> None:  # never before the loop's next turn, when all below is there
         reload(discovery)
-        part.reload()
+        if part is not None:
+            part.reload()
 
     loop.add_signal_handler(signal.SIGHUP, hangup)
     fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
     if not config.settings.must_ask:
         discovery.watch(True)
-    part = OperatorsPart(path, operators or Operators(), control, etcd, node)
+    if operators is not None:
+        from dillport.net.operators import OperatorsPart
+
+        part = OperatorsPart(path, operators, fleet, (listed,), node)
     try:
         await front.listen(config.listen)
         gc.freeze()
@@ -189,12 +115,13 @@
         discovery.watch(False)
         node.pool.close()
     finally:
-        await part.close()
+        if part is not None:
+            await part.close()
     await asyncio.sleep(0.05)  # the last answers leave
     logging.info("%s ends", config.name)
 
 
-def run(config: Config, path: Path | None, operators: Operators) -> int:
+def run(config: Config, path: Path | None = None, operators: Operators | None = None) -> int:
     """Run a node to its end; the exit code. One that cannot start says why in one line."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger().handlers[0].addFilter(Brake())
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -6,7 +6,6 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from pathlib import Path
 from typing import Any
 
 from dillport import interface as api
@@ -15,6 +14,8 @@
 from dillport.members import Address, ListError, Listing, address, listing
 
 PREFIX = "PROXY_"
+CONFIG = PREFIX + "CONFIG"
+WHAT_CONFIG_IS = "it names the JSON file in which the platform configures a node"
 MEMORY_MB = 192  # where the file names none
 
 
@@ -52,6 +53,16 @@
         raise ConfigError(f"{name} makes no sense: {value!r:.120}") from None
 
 
+def read(env: Mapping[str, str]) -> tuple[Config | None, list[str]]:
+    """The configuration at the start, and what is wrong with it, a line a fault."""
+    if not env.get(CONFIG):
+        return None, [f"{CONFIG} is missing: {WHAT_CONFIG_IS}; see dillport --help"]
+    try:
+        return load(env), []
+    except ConfigError as err:
+        return None, [" ".join(fault.split()) for fault in err.faults]
+
+
 def load(env: Mapping[str, str], again: bool = False) -> Config:
     """The configuration that the environment points to; raises ConfigError with all its faults.
 
@@ -102,17 +113,18 @@
 
 
 def _raw(env: Mapping[str, str]) -> dict[str, Any]:
-    path = env.get(PREFIX + "CONFIG")
+    path = env.get(CONFIG)
     if not path:
-        raise ConfigError(f"{PREFIX}CONFIG is missing")
+        raise ConfigError(f"{CONFIG} is missing")
     try:
-        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+        with open(path, encoding="utf-8") as file:
+            raw = json.loads(file.read())
     except OSError as err:
-        raise ConfigError(f"{PREFIX}CONFIG cannot be read: {err}") from None
+        raise ConfigError(f"{CONFIG} cannot be read: {err}") from None
     except (ValueError, RecursionError) as err:
-        raise ConfigError(f"{PREFIX}CONFIG is not JSON: {err}") from None
+        raise ConfigError(f"{CONFIG} is not JSON: {err}") from None
     if not isinstance(raw, dict):
-        raise ConfigError(f"{PREFIX}CONFIG is not an object")
+        raise ConfigError(f"{CONFIG} is not an object")
     return raw
 
 
--- /dev/null
+++ b/dillport/net/etcd.py
@@ -0,0 +1,82 @@
+"""etcd as a source of the fleet's list: switched on, off and over by the operators' file while the node runs.
+
+It is loaded where that file has the table, as all of etcd's modules are.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from dillport.decide import membership
+from dillport.decide.etcd_follow import EtcdConfig
+from dillport.decide.membership import Role, Source
+from dillport.net.fleet import Fleet
+from dillport.operators import EtcdSettings
+
+ETCD = "etcd"
+
+
+class EtcdLike(Protocol):
+    """What `EtcdPart` needs of a source; sources are made by whoever puts the node together."""
+
+    @property
+    def seen(self) -> tuple[str, int] | None:
+        """The order in force and the newest revision delivered in it."""
+
+    def start(self) -> None:
+        """Begin."""
+
+    def stop(self) -> None:
+        """End; connections are closed on return."""
+
+
+Make = Callable[[EtcdConfig, tuple[str, int] | None], EtcdLike]
+
+
+class EtcdPart:
+    """etcd as a source: on where the operators' file has its table. `others` come before it in precedence."""
+
+    def __init__(self, fleet: Fleet, others: tuple[Source, ...], make: Make) -> None:
+        self.fleet, self.others, self.make = fleet, others, make
+        self.settings: EtcdSettings | None = None
+        self.source: EtcdLike | None = None
+        self._made = 0
+
+    def apply(self, settings: EtcdSettings | None) -> None:
+        """Switch it on, off or over; what was seen is not gone behind. Raises ValueError: a bad TLS file."""
+        if settings == self.settings:
+            return
+        seen = None if self.source is None else self.source.seen
+        source = None if settings is None else self.make(etcd_config(settings), seen)
+        self.stop()
+        self.settings, self.source = settings, source
+        sources = self.others
+        if settings is not None:
+            self._made += 1
+            sources = (*sources, Source(ETCD, Role(settings.role), pieces=True, made=self._made))
+        self.fleet.hand(membership.Configured(sources))
+        if source is not None:
+            source.start()
+
+    def stop(self) -> None:
+        """End its connections; its last word stays in force."""
+        if self.source is not None:
+            self.source.stop()
+
+
+def etcd_config(settings: EtcdSettings) -> EtcdConfig:
+    """The operators' table as the source takes it."""
+    files = (settings.ca, settings.cert, settings.key)
+    ca, cert, key = (None if path is None else str(path) for path in files)
+    return EtcdConfig(
+        endpoints=settings.endpoints,
+        prefix=settings.prefix,
+        format=settings.format,
+        ca=ca,
+        cert=cert,
+        key=key,
+        user=settings.user,
+        password=settings.password if settings.user is not None else None,
+        epoch=settings.epoch,
+    )
--- a/tests/net/test_fleet.py
+++ b/tests/net/test_fleet.py
@@ -12,7 +12,8 @@
 from dillport.decide.etcd_follow import EtcdConfig
 from dillport.decide.membership import Apply, Source
 from dillport.members import Member
-from dillport.net.fleet import ETCD, EtcdPart, Fleet
+from dillport.net.etcd import ETCD, EtcdPart
+from dillport.net.fleet import Fleet
 from dillport.net.sources.etcd import EtcdSource
 from dillport.operators import EtcdSettings
 from tests.net.test_etcd_source import WAIT, Gateway, b64, run, until, value
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,7 +19,8 @@
 import pytest
 
 import dillport
-from dillport.cli import CONFIG, SETTINGS, main
+from dillport.cli import SETTINGS, main
+from dillport.net.config import CONFIG
 from tests.sockets import ROOT, WAIT, Backend, configuration, running
 
 SERVERS: list[dict[str, Any]] = [
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,66 @@
+"""What a node loads until it serves: hundreds of nodes may pay for a start at once, under load."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib.util
+import json
+import os
+import re
+import sys
+from pathlib import Path
+
+from tests.sockets import ROOT, WAIT, FakeDiscovery, configuration
+
+MODULES = 26  # of the project, packages too
+LINES = 5_300  # of their sources
+SPARED = {  # what only a word, the operators' file or another program needs
+    "argparse", "tomllib", "difflib", "pathlib", "dillport.cli", "dillport.operators",
+    "dillport.net.operators", "dillport.net.control", "dillport.net.etcd", "dillport.net.sources.etcd",
+    "dillport.decide.etcd_follow", "dillport.proto.etcd_watch", "dillport.timeline", "dillport.observe",
+    "dillport.wire", "msgspec",
+}  # fmt: skip
+
+
+async def loaded(path: Path, *words: str) -> set[str]:
+    """The modules that the program has imported by the line that says that it serves."""
+    discovery = FakeDiscovery()
+    await discovery.start()
+    path.write_text(json.dumps(configuration([], discovery.port)))
+    env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "DILLPORT_"))}
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-X", "importtime", "-m", "dillport", *words, cwd=ROOT,
+        env=env | {"PROXY_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    assert process.stderr is not None and discovery.server is not None
+    found = set[str]()
+    try:
+        async with asyncio.timeout(WAIT):
+            while b"serves on" not in (line := await process.stderr.readline()):
+                assert line, "the node has ended"
+                if match := re.search(r"\|\s+([\w.]+)$", line.decode().rstrip()):
+                    found.add(match[1])
+    finally:
+        process.kill()
+        await process.wait()
+        discovery.server.close()
+    return found
+
+
+def test_a_platform_node_loads_what_it_needs_and_no_more(tmp_path: Path) -> None:
+    found = asyncio.run(loaded(tmp_path / "c.json"))
+    assert "dillport.policy" in found and not found & SPARED
+    ours = sorted(name for name in found if name.split(".")[0] == "dillport")
+    lines = 0
+    for name in ours:
+        spec = importlib.util.find_spec(name)
+        assert spec is not None and spec.origin is not None
+        lines += len(Path(spec.origin).read_text().splitlines())
+    assert len(ours) <= MODULES and lines <= LINES, (len(ours), lines, ours)
+
+
+def test_the_operators_file_loads_what_it_switches_on_alone(tmp_path: Path) -> None:
+    settings = tmp_path / "s.toml"
+    settings.write_text(f'[control]\nsocket = "{tmp_path}/c.sock"\n')
+    found = asyncio.run(loaded(tmp_path / "c.json", "--settings", str(settings)))
+    assert "dillport.net.control" in found and "dillport.decide.etcd_follow" not in found
