A SIGHUP while a node starts no longer ends it, and is heeded once it serves

Checked: its process had ended by signal 1; SIGHUP came in the 0.2 to 0.3 s before the loop's handler is there, when the signal's default ends the process. Ruled out: the new configuration (it was well) and the port. Lines at fault: net/assemble.py installs the first handler in serve(). Change: the run line ignores SIGHUP until Python's first handler is there (nothing has been read by then), __main__ notes it from there on, and serve reads the files again once it can. Measured: the new test sends SIGHUP in the midst of the imports; without the handler the process ends and it fails.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 
@@ -17,6 +18,8 @@
         from dillport.cli import main as words
 
         return words()
+    hung_up: list[int] = []  # guards against SIGHUP's default, which ends a node that has not come that far
+    signal.signal(signal.SIGHUP, lambda number, frame: hung_up.append(number))
     gc.disable()  # what is loaded stays: looking through it again and again finds nothing
     from dillport.net import assemble
     from dillport.net.config import read
@@ -26,7 +29,7 @@
         print(f"dillport: {'; '.join(faults)}", file=sys.stderr)
         return 2
     gc.enable()
-    return assemble.run(config)
+    return assemble.run(config, hung_up=hung_up)
 
 
 if __name__ == "__main__":
--- a/dillport/cli.py
+++ b/dillport/cli.py
@@ -15,6 +15,7 @@
 import importlib.util
 import json
 import os
+import signal
 import sys
 from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
@@ -167,13 +168,15 @@
 
 
 def _run(args: argparse.Namespace, rest: list[str]) -> int:
+    hung_up: list[int] = []  # as in __main__
+    signal.signal(signal.SIGHUP, lambda number, frame: hung_up.append(number))
     path, operators, wrong = _read_operators(args)
     config, faults = read(os.environ)
     if config is None or wrong:
         raise Trouble(2, *(["; ".join(faults)] if faults else []), *wrong)
     from dillport.net import assemble
 
-    return assemble.run(config, path, None if path is None else operators)
+    return assemble.run(config, path, None if path is None else operators, hung_up)
 
 
 def _check(args: argparse.Namespace, rest: list[str]) -> int:
--- a/dillport/lab/world.py
+++ b/dillport/lab/world.py
@@ -110,6 +110,7 @@
             sys.executable, "-B", "-m", "dillport", *self.args, cwd=ROOT, env=env,
             stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE, limit=1 << 20,
+            preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_IGN),  # as in deploy/balancer.toml
         )  # fmt: skip
         self._keep(self._read(process))
         self._keep(self._watch(process))
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -15,6 +15,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -70,10 +71,13 @@
     logging.info("reload: discovery is at %s:%d", *config.discovery)
 
 
-async def serve(config: Config, path: Path | None = None, operators: Operators | None = None) -> None:
+async def serve(
+    config: Config, path: Path | None = None, operators: Operators | None = None, hung_up: Sequence[int] = ()
+) -> None:
     """Run until SIGTERM or SIGINT, then answer what was taken and return; SIGHUP reads the files again.
 
     `operators` is what was read from `path`, the operators' file; both are None where there is none.
+    `hung_up` holds a SIGHUP that came before the loop could take it: the files may have changed since.
     """
     loop = asyncio.get_running_loop()
     node = Node(config)
@@ -96,6 +100,8 @@
             part.reload()
 
     loop.add_signal_handler(signal.SIGHUP, hangup)
+    if hung_up:
+        loop.call_soon(hangup)
     fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
     if not config.settings.must_ask:
         discovery.watch(True)
@@ -121,7 +127,9 @@
     logging.info("%s ends", config.name)
 
 
-def run(config: Config, path: Path | None = None, operators: Operators | None = None) -> int:
+def run(
+    config: Config, path: Path | None = None, operators: Operators | None = None, hung_up: Sequence[int] = ()
+) -> int:
     """Run a node to its end; the exit code. One that cannot start says why in one line."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger().handlers[0].addFilter(Brake())
@@ -137,7 +145,7 @@
             wanted, there, clients, upstream,
         )  # fmt: skip
     try:
-        uvloop.run(serve(config, path, operators))
+        uvloop.run(serve(config, path, operators, hung_up))
     except OSError as err:
         print(f"dillport: listen: {err}", file=sys.stderr)
         return 2
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -7,6 +7,7 @@
 import json
 import os
 import re
+import signal
 import sys
 from pathlib import Path
 
@@ -64,3 +65,35 @@
     settings.write_text(f'[control]\nsocket = "{tmp_path}/c.sock"\n')
     found = asyncio.run(loaded(tmp_path / "c.json", "--settings", str(settings)))
     assert "dillport.net.control" in found and "dillport.decide.etcd_follow" not in found
+
+
+def test_a_hangup_while_it_starts_is_heeded_once_it_serves(tmp_path: Path) -> None:
+    """Guards against the signal's default, which ends the process, and against a reload that is lost."""
+
+    async def test() -> list[str]:
+        path, env = tmp_path / "c.json", dict(os.environ) | {"PROXY_CONFIG": str(tmp_path / "c.json")}
+        path.write_text(json.dumps(configuration([], 1)))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-X", "importtime", "-m", "dillport", cwd=ROOT, env=env,
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        assert process.stderr is not None
+        said, hung_up = list[str](), False
+        try:
+            async with asyncio.timeout(WAIT):
+                while line := (await process.stderr.readline()).decode():
+                    if not hung_up and "dillport.interface" in line:  # long before it can read the file anew
+                        process.send_signal(signal.SIGHUP)
+                        hung_up = True
+                    if "import time" not in line:
+                        said.append(line)
+                    if "reload: discovery" in line:
+                        break
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        return said
+
+    said = asyncio.run(test())
+    assert any("reload: discovery is at" in line for line in said), said
