--- a/dillport/cli.py
+++ b/dillport/cli.py
@@ -1,7 +1,8 @@
 """The command line: its words, what each of them reads and prints, exit codes. Nothing is decided here.
 
 - `run`, also without a word: one node, as the platform asks. `check`: both files, every fault.
-- `members`: what the sources say of whom. `demo`: a small fleet on stand-ins.
+- `members`: what the sources say of whom. `demo`: a small fleet on stand-ins; `lab`: scripts of faults on
+  one.
 - `timeline`, `events`, `why`, `report`: what a running node recorded (`dillport.cli_timeline`).
 
 Exit code 0 is well, 1 a running node that cannot be asked, 2 files or words that make no sense. What a node
@@ -59,7 +60,7 @@
     """Carry out a command line; the exit code."""
     parser = _parser()
     args, rest = parser.parse_known_args(argv)
-    if rest and args.command is not _demo:
+    if rest and args.command not in (_demo, _lab):
         parser.error(f"unknown: {' '.join(rest)}")
     if args.version:
         print(f"dillport {_version()}")
@@ -129,6 +130,8 @@
         one.add_argument("--control", metavar="PATH", type=Path, help=text)
         if one is not report:
             one.add_argument("--json", action="store_true", help="print JSON, one object a line")
+    text = "play scripts of faults on real processes; see lab --help"
+    word("lab", _lab, text, add_help=False)
     word("demo", _demo, "run a small fleet on stand-ins and judge it; see demo --help", add_help=False)
     return parser
 
@@ -319,14 +322,25 @@
 
 
 def _demo(args: argparse.Namespace, rest: list[str]) -> int:
-    name = "dillport.lab.demo"
+    return _stand_ins("demo", rest)
+
+
+def _lab(args: argparse.Namespace, rest: list[str]) -> int:
+    return _stand_ins("play", rest)
+
+
+def _stand_ins(module: str, rest: list[str]) -> int:
+    """What runs on the stand-in world, which an installation may lack."""
+    name = f"dillport.lab.{module}"
     try:
-        demo = importlib.import_module(name)
+        found = importlib.import_module(name)
     except ModuleNotFoundError as err:
+        if err.name == "msgspec":
+            raise Trouble(2, "lab: no package msgspec: the install `dillport[timeline]` has it") from None
         if err.name not in (name, "dillport.lab"):
             raise
-        raise Trouble(2, f"demo: there is no {name} in this installation") from None
-    return int(demo.main(rest))
+        raise Trouble(2, f"{module}: there is no {name} in this installation") from None
+    return int(found.main(rest))
 
 
 # --- tables -------------------------------------------------------------------------------------------
--- a/dillport/lab/etcd/stream.py
+++ b/dillport/lab/etcd/stream.py
@@ -14,22 +14,44 @@
 import contextlib
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from dillport.lab.etcd import wire
 from dillport.lab.etcd.http import BUFFER, Asked, Connection, chunk
-from dillport.lab.etcd.shared import Garbage, Record, names, now_ms
+from dillport.lab.etcd.shared import Garbage, Record, Shared, names, now_ms
 from dillport.lab.etcd.store import Event, StoreError, inside
-from dillport.lab.etcd.wire import lean
-
-if TYPE_CHECKING:
-    from dillport.lab.etcd.gateway import Endpoint
+from dillport.lab.etcd.wire import Json, lean
 
 BATCH = 1000  # revisions that a watch which is behind is told in one line
 ENDLESS = 64 * 1024 * 1024  # bytes after which a line that never ends falls silent
 NO_LEADER = "etcdserver: no leader"
 
 
+class Member(Protocol):
+    """What a stream needs of the member that it is an answer of."""
+
+    shared: Shared
+    index: int
+    lost_ms: float | None
+    twice: bool
+    fragment: int
+
+    def view(self) -> int:
+        """The newest revision that it knows of."""
+
+    def header(self, revision: int | None = None) -> Json:
+        """A ResponseHeader."""
+
+    async def awake(self) -> None:
+        """Until nothing keeps it from working."""
+
+    def garble(self, key: bytes, row: Json) -> Json:
+        """A key's row, spoilt where the key is to be."""
+
+    def garbled(self, kind: Garbage, key: bytes) -> Json:
+        """A row that makes no sense."""
+
+
 class EndedError(Exception):
     """The stream is over; its connection is not."""
 
@@ -58,7 +80,7 @@
 class Stream:
     """The answer to a watch call: lines until it ends."""
 
-    def __init__(self, endpoint: Endpoint, connection: Connection, asked: Asked) -> None:
+    def __init__(self, endpoint: Member, connection: Connection, asked: Asked) -> None:
         self.endpoint, self.connection, self.shared = endpoint, connection, endpoint.shared
         self.token, self.wants_leader, self.last = asked.token, asked.wants_leader, asked.last
         self.watches: dict[int, Watch] = {}
--- a/dillport/lab/script.py
+++ b/dillport/lab/script.py
@@ -31,7 +31,7 @@
 from dillport.lab.records import Answered, Asked, NodeEnded, NodeStarted, Received, Record, Told, Wanted
 from dillport.lab.servers import Machine
 from dillport.lab.site import Site
-from dillport.lab.world import Step, World
+from dillport.lab.world import ROOT, Step, World
 
 WINDOW_MS = 1_000.0  # over which service is compared with what it was
 SHORT = 0.05  # of the requests in time, by which it may fall short of that
@@ -369,9 +369,14 @@
 
 async def play(
     script: Script, seed: int, directory: Path, strikes: Sequence[Strike] | None = None,
-    tell: Callable[[float, str], None] | None = None,
+    tell: Callable[[float, str], None] | None = None, program: Path = ROOT,
+    watch: Callable[[World], object] | None = None,
 ) -> Played:  # fmt: skip
-    """Play a script on a world of its own, or some of its strikes alone."""
+    """Play a script on a world of its own, or some of its strikes alone.
+
+    `program` is the checkout whose nodes run; `watch` gets the world before it is played, and once more
+    after.
+    """
     struck = draw(script, seed) if strikes is None else list(strikes)
     wired = {(n, s) for one in struck for n in one.nodes for s in one.names}
     running: set[asyncio.Task[Any]] = set()
@@ -386,11 +391,16 @@
     world = World(
         directory, site=site, seed=seed, nodes=script.nodes, servers=script.servers, notice_s=script.notice_s,
         machine=Machine(cores=script.cores, speed=script.speed), habits=Habits(), wired=sorted(wired),
+        program=program,
     )  # fmt: skip
     async with world:
+        if watch is not None:
+            watch(world)
         steps = [Step(one.at_s, str(one), partial(begin, one)) for one in struck]
         await world.play(script.rate, script.seconds, steps, tell)
         await asyncio.gather(*running)
+        if watch is not None:
+            watch(world)
         records, verdict = list(world.journal), world.verdict()
         crashes = [f"{node.name}: {line}" for node in world.nodes for line in node.log
                    if "Traceback" in line or "decision on" in line]  # fmt: skip
--- a/dillport/lab/servers.py
+++ b/dillport/lab/servers.py
@@ -249,7 +249,7 @@
         self.machine = machine or Machine()
         self.zone, self.cell, self.host, self.port, self.seed = zone, cell, host, 0, seed
         self.rng = random.Random(f"{seed}:{name}")
-        self.incarnation = self._connections = self._attempts = 0
+        self.incarnation = self.taken = self._attempts = 0  # `taken`: connections, ever
         self.connections: set[Connection] = set()
         self.running: set[Job] = set()
         self.waiting: deque[Job] = deque()
@@ -383,8 +383,8 @@
 
     def next_connection(self) -> int:
         """Number a connection."""
-        self._connections += 1
-        return self._connections
+        self.taken += 1
+        return self.taken
 
     def _attempt(self) -> str:
         self._attempts += 1
--- a/dillport/lab/world.py
+++ b/dillport/lab/world.py
@@ -107,7 +107,7 @@
         env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "DILLPORT_"))}
         env |= {"PROXY_CONFIG": str(self.path), **self.env}
         self.process = process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "dillport", *self.args, cwd=ROOT, env=env,
+            sys.executable, "-B", "-m", "dillport", *self.args, cwd=world.program, env=env,
             stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE, limit=1 << 20,
             preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_IGN),  # as in deploy/balancer.toml
@@ -217,17 +217,19 @@
 
 class World:
     """All of it. `directory` takes the nodes' configurations; `notice_s` is how long the front does not see
-    that a node has died; `prepare` sees each node once, before its first start, and may add to its `args` and
-    `env`. `wired` names the pairs of node and server between which there is a link that can be made faulty.
-    On leaving, every process that the world started is gone.
+    that a node has died; `prepare` sees each node once, before its first start, and may add to its `args`
+    and `env`. `program` is the checkout whose nodes run, another version of them for a comparison. `wired`
+    names the pairs of node and server between which there is a link that can be made faulty. On leaving,
+    every process that the world started is gone.
     """
 
     def __init__(
         self, directory: Path, *, site: Site | None = None, seed: int = 1, nodes: int = 1, servers: int = 6,
         machine: Machine | None = None, habits: Habits | None = None, notice_s: float = 1.0,
         prepare: Callable[[Node], Awaitable[object] | object] | None = None,
-        wired: Collection[tuple[str, str]] = (),
+        wired: Collection[tuple[str, str]] = (), program: Path = ROOT,
     ) -> None:  # fmt: skip
+        self.program = program
         self.wired, self.paths = wired, dict[tuple[str, str], Link]()
         self.directory, self.site, self.seed = directory, site or Site(), seed
         self.node_count, self.server_count, self.machine = nodes, servers, machine
