--- a/dillport/decide/pause.py
+++ b/dillport/decide/pause.py
@@ -1,6 +1,6 @@
 """Whether this process stood still, and what it must not do right after.
 
-A process that was stopped, starved or suspended goes on as if nothing had been. What came meanwhile waits in
+A process that was stopped, or starved of a core, goes on as if nothing had been. What came meanwhile waits in
 its sockets and is read in no order: a client's request before the drain that discovery wrote seconds ago, a
 request whose client has long gone, and timers that are overdue come before either. So a gap of over STOOD_MS
 between two turns of the loop begins a *doubt* (a member that is slow doubts itself first: Dadgar et al.,
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -169,7 +169,9 @@
         self._turned()
         event.deadline -= self._pause.age_ms
         request = self.open[event.request] = Open(client, event.deadline - MARGIN, render)
-        wait = max(0.0, request.deadline - self.now()) / 1000
+        # What is held back is the module's to refuse, as soon as it is let go.
+        least = 2 * SETTLE_MS if self._pause.hold else 0.0
+        wait = max(least, request.deadline - self.now()) / 1000
         request.limit = self.loop.call_later(wait, self._deadline, event.request)
         self.event(event)
 
