--- a/tests/system/test_timeline.py
+++ b/tests/system/test_timeline.py
@@ -269,7 +269,8 @@
                 rig.process.send_signal(signal.SIGHUP)
                 await rig.logged("tried again every 2 s")
                 taken.close()
-                await rig.logged(f"INFO metrics at http://127.0.0.1:{port}/metrics")  # its own word, not the file's
+                # Its own word: the reload's line on what changed names the address too.
+                await rig.logged(f"INFO metrics at http://127.0.0.1:{port}/metrics")
                 await asyncio.sleep(2)
                 got = await scrape(port)
                 assert got.startswith(b"HTTP/1.1 200 OK\r\n") and got.endswith(b"# EOF\n")
