Counts of etcd's keys that are wrong by themselves grow rare

Need, seen on reading the change again: a gateway that cannot count the keys would have each of 200 nodes read the whole list every 5 to 15 s for good. Change: where a list that was read for a count shows nothing new the next count is twice as far off, up to 10 minutes; a count that was right brings the pace back.

--- a/dillport/decide/etcd_follow.py
+++ b/dillport/decide/etcd_follow.py
@@ -26,7 +26,8 @@
 A watch is not believed to have told of every deletion. In etcd 3.4 a compaction at the very revision of a
 deletion drops it, and a watch that has fallen behind to just there goes on without a word. So every AUDIT_MS
 the check counts the keys below the prefix: where that is not what the list and the watch made of that
-revision, or the watch is a whole check behind, the list is read anew.
+revision, or the watch is a whole check behind, the list is read anew. Where that shows nothing new the next
+count is twice as far off: a gateway that cannot count must not have all nodes read all of it for good.
 
 Bounds: MAX_ENTRIES of a whole list; RESTARTS of one listing at one endpoint; FORMER cluster ids.
 """
@@ -52,6 +53,7 @@
 SPREAD_MS = 200.0  # a watch that broke is taken up within this: many nodes may have lost the same endpoint
 FIRST_MS, MOST_MS = 200.0, 5000.0  # back-off where no endpoint will do
 REOPEN_MS = 60_000.0
+AUDIT_MOST_MS = 600_000.0  # where counts are wrong by themselves
 AUDIT_MS = 10_000.0  # between two counts of the keys: etcd walks over its index for each, some ms for 10,000
 BACK_ROUNDS, BACK_MS = 3, 10_000.0
 PAGE = 500  # keys
@@ -390,6 +392,7 @@
         self.reopen_ms = REOPEN_MS
         self.chain: tuple[int, int] | None = None  # members before, and ended by, fragments that go on
         self.audit_ms = 0.0  # when the keys are counted next
+        self.audit_every_ms = AUDIT_MS
         self.counted: tuple[int, int] | None = None  # a revision and its keys, to be held against the watch
         self.again_whole = False  # the list is read anew at a revision that may have been told of
         # the list that is being read
@@ -524,12 +527,15 @@
         """Hold a count of the keys against what was made of the same revision, once the watch is there."""
         if self.whole > revision:
             return  # what there was at that revision is not known any more: the next check counts
-        self.audit_ms = self.now_ms + AUDIT_MS * self.rng.uniform(0.5, 1.5)
+        self._audit_later()
         if self.seen == self.whole == revision:
             self._lost(keys, len(self.keys))
         elif keys != len(self.keys):
             self.counted = revision, keys
 
+    def _audit_later(self) -> None:
+        self.audit_ms = self.now_ms + self.audit_every_ms * self.rng.uniform(0.5, 1.5)
+
     def _lost(self, keys: int, held: int) -> bool:
         """Whether the count does not fit: then the list is read anew."""
         self.counted = None
@@ -602,9 +608,11 @@
         before = self.members
         self.members = {m.id for m in listing.members} | {f.key for f in listing.faults if f.key in before}
         self._loud(len(before), 0, len(before - self.members), revision)
-        self.keys = {_name(row) for row in rows}
-        self.unnamed = max(0, self.page_keys - len(self.keys))
-        self.audit_ms = self.now_ms + AUDIT_MS * self.rng.uniform(0.5, 1.5)
+        keys = {_name(row) for row in rows}
+        vain = self.again_whole and keys == self.keys
+        self.audit_every_ms = min(2 * self.audit_every_ms, AUDIT_MOST_MS) if vain else AUDIT_MS
+        self.keys, self.unnamed = keys, max(0, self.page_keys - len(keys))
+        self._audit_later()
         self.seen = self.whole = revision
         self.need_list, self.again_whole, self.adopting = False, False, ""
         self._deliver(Listed(self.source, self.identity, listing))
--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -197,6 +197,19 @@
     assert verdict(gone, after).broken(3) and verdict(gone, after, NodeHeldUp("n0", 3_095.0, 50.0)).ok
 
 
+def test_a_node_that_was_stopped_is_given_that_time_and_no_more() -> None:
+    stop = [NodeSignalled("n0", 1_100, "SIGSTOP"), NodeSignalled("n0", 5_100, "SIGCONT")]
+    late = [*asked("r1", "read", 1_000), *answered("r1", 5_200, status=503)]
+    assert verdict(*stop, late).ok
+    one(verdict(late), 1, "r1", "after its deadline")
+    # Its clients give up while it stands still; one that is asked once it goes on is owed as ever.
+    assert verdict(*stop, asked("r1", "read", 1_000), served("r2", "read", 9_000)).ok
+    one(verdict(*stop, asked("r1", "read", 5_200), served("r2", "read", 19_000)), 1, "r1", "no answer")
+    # What it sends then is its own doing.
+    drained = [told("draining", "s0", 1_200, 42), served("r1", "read", 5_150)]
+    one(verdict(up("s0"), *stop, *drained), 3, "r1", "after it was told")
+
+
 def test_connection_ended_without_an_answer() -> None:
     got = verdict(asked("r9", "read", 100), Answered("r9", 150, 0, False))
     one(got, 1, "r9", "its connection ended without an answer")
