--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -206,8 +206,8 @@
     assert verdict(*stop, asked("r1", "read", 1_000), served("r2", "read", 9_000)).ok
     one(verdict(*stop, asked("r1", "read", 5_200), served("r2", "read", 19_000)), 1, "r1", "no answer")
     # What it sends then is its own doing.
-    drained = [told("draining", "s0", 1_200, 42), served("r1", "read", 5_150)]
-    one(verdict(up("s0"), *stop, *drained), 3, "r1", "after it was told")
+    drained = told("draining", "s0", 1_200, 42)
+    one(verdict(up("s0"), *stop, drained, served("r1", "read", 5_150)), 3, "r1", "after it was told")
 
 
 def test_connection_ended_without_an_answer() -> None:
