The command line on click, as a package of one file a group of words

Need: cli.py (388 lines) held all words, the time line's stood in a second file, and two modules of lab/ read words of their own; more words come.

Change: dillport/cli/ with node, members, timeline, lab and common; a word's module is loaded when it is called. lab/play.py and lab/demo.py read no words any more, and tests/test_imports.py holds that lab/ knows neither argparse nor click. Exit codes and texts of errors are as they were; an error of words says the usage of its own word. The early SIGHUP is noted in one place, `__main__.held_hangups`. An odd name is shown by `members` and `check` as ASCII, as the time line's words did, where it was as repr.

Result: a platform node loads neither click nor cli (tests/test_start.py names click now). A SIGHUP during the start of `run` has a test: it fails where the handler is not set; the one on modules fails where __main__ imports click.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -8,6 +8,16 @@
 import sys
 
 
+def held_hangups() -> list[int]:
+    """From now on each SIGHUP is noted in this list, until the node's loop takes the signal.
+
+    Guards against the signal's default, which ends a node that has not come that far.
+    """
+    hung_up: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, frame: hung_up.append(number))
+    return hung_up
+
+
 def main() -> int:
     """Carry out the command line; the exit code.
 
@@ -18,8 +28,7 @@
         from dillport.cli import main as words
 
         return words()
-    hung_up: list[int] = []  # guards against SIGHUP's default, which ends a node that has not come that far
-    signal.signal(signal.SIGHUP, lambda number, frame: hung_up.append(number))
+    hung_up = held_hangups()
     gc.disable()  # what is loaded stays: looking through it again and again finds nothing
     from dillport.net import assemble
     from dillport.net.config import read
--- /dev/null
+++ b/dillport/cli/common.py
@@ -0,0 +1,86 @@
+"""What several words need: how they end early, the settings' option and file, tables for people."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from dillport.members import Address
+from dillport.operators import Operators, OperatorsError
+from dillport.operators import load as load_operators
+
+SETTINGS = "DILLPORT_SETTINGS"
+PATH: click.Path = click.Path(path_type=Path)
+
+Wrapped = Callable[..., Any]
+
+
+class Trouble(Exception):
+    """What ends a command early: an exit code, and lines for standard error."""
+
+    def __init__(self, code: int, *lines: str) -> None:
+        super().__init__(*lines)
+        self.code, self.lines = code, lines
+
+
+# --- options and files --------------------------------------------------------------------------------
+
+
+def _or_before_the_word(ctx: click.Context, param: click.Parameter, value: Path | None) -> Path | None:
+    found: Path | None = ctx.obj if value is None else value
+    return found
+
+
+def settings_option(command: Wrapped) -> Wrapped:
+    """`--settings FILE`, which is understood before a word and after it; after it goes first."""
+    return click.option(
+        "--settings", metavar="FILE", type=PATH, callback=_or_before_the_word,
+        help=f"The operators' settings, a TOML file (or {SETTINGS}).",
+    )(command)  # fmt: skip
+
+
+def json_option(command: Wrapped) -> Wrapped:
+    """`--json`."""
+    return click.option("--json", "as_json", is_flag=True, help="Print JSON, one object a line.")(command)
+
+
+def read_operators(settings: Path | None) -> tuple[Path | None, Operators, list[str]]:
+    """Where the operators' settings are, what they are, and what is wrong with them."""
+    named = settings or os.environ.get(SETTINGS)
+    path = Path(named).absolute() if named else None
+    try:
+        return path, load_operators(path) if path else Operators(), []
+    except OperatorsError as err:
+        return path, Operators(), [f"{path}: {line}" for line in str(err).splitlines()]
+
+
+# --- tables -------------------------------------------------------------------------------------------
+
+
+def at(address: Address) -> str:
+    """An address as it is written."""
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def count(number: int, what: str, plural: str = "s") -> str:
+    """So many of them."""
+    return f"{number} {what}{'' if number == 1 else plural}"
+
+
+def cell(value: object) -> str:
+    """A value on one line; guards the terminal against what a list may hold."""
+    text = "-" if value is None or value == "" else str(value)
+    return text if text.isprintable() else ascii(text)
+
+
+def columns(rows: Iterable[list[str]]) -> None:
+    """Print them below each other."""
+    rows = list(rows)
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        print("  ".join(text.ljust(width) for text, width in zip(row, widths, strict=True)).rstrip())
--- /dev/null
+++ b/dillport/cli/members.py
@@ -0,0 +1,98 @@
+"""`members`: which servers the sources list, from a running node or else from the files."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from dillport.cli.common import PATH, Trouble, at, cell, columns, count, read_operators, settings_option
+from dillport.net.config import read
+
+MEMBERS = "Show which servers the sources list, as a running node sees it."
+
+
+@click.command(help=MEMBERS, short_help=MEMBERS)
+@settings_option
+@click.option(
+    "--control", metavar="PATH", type=PATH,
+    help="The node's control socket; without it that of the settings is asked, and if no node answers there, "
+    "the servers that the configuration knows at the start are shown.",
+)  # fmt: skip
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def members(settings: Path | None, control: Path | None, as_json: bool) -> int:
+    """The word."""
+    told = _told(settings, control)
+    if told is None:
+        told = _members_of_files()
+    if as_json:
+        print(json.dumps(told, indent=1))
+    else:
+        _show(told)
+    return 0
+
+
+def _told(settings: Path | None, control: Path | None) -> dict[str, Any] | None:
+    """What a running node says; None where there is none to ask, or none that answers by the settings."""
+    from dillport.net.control import ControlError, ask
+
+    if control is not None:
+        try:
+            return ask(control, "members")
+        except ControlError as err:
+            raise Trouble(1, str(err)) from None
+    _, operators, wrong = read_operators(settings)
+    if wrong:
+        raise Trouble(2, *wrong)
+    if operators.control is not None:
+        try:
+            return ask(operators.control.socket, "members")
+        except ControlError as err:
+            print(f"dillport: {err}; what the files say instead:", file=sys.stderr)
+    return None
+
+
+def _members_of_files() -> dict[str, Any]:
+    """The servers that the configuration knows at the start, in the form in which a node tells its own."""
+    config, faults = read(os.environ)
+    if config is None:
+        raise Trouble(2, *faults)
+    known = config.known
+    return {
+        "members": [
+            {
+                "id": member.id,
+                "address": at(member.address),
+                "phase": member.entry.phase.value,
+                "zone": member.entry.zone,
+                "weight": member.entry.weight,
+                "sources": {"configuration": member.entry.phase.value},
+            }
+            for member in known.members
+        ],
+        "faults": [{"source": "configuration", "key": f.key, "reason": f.reason} for f in known.faults],
+    }
+
+
+def _show(told: dict[str, Any]) -> None:
+    """The sources and the members as tables, a column for what each source says; then what is unreadable."""
+    if about := told.get("sources", []):
+        keys = ["name", "role", "state", "revision", "members", "unreadable", "not_applied", "reason"]
+        head = ["SOURCE", *(key.upper().replace("_", " ") for key in keys[1:])]
+        columns([head, *([cell(source.get(key)) for key in keys] for source in about)])
+        print()
+    listed = told.get("members", [])
+    sources = sorted({source for member in listed for source in member.get("sources", {})})
+    names = ["id", "address", "phase", "zone", "weight"]
+    rows = [[name.upper() for name in names] + [f"BY {source.upper()}" for source in sources]]
+    for member in listed:
+        says = member.get("sources", {})
+        rows.append([cell(member.get(name)) for name in names] + [cell(says.get(s)) for s in sources])
+    columns(rows)
+    print(count(len(listed), "server"))
+    for fault in told.get("faults", []):
+        print(f"cannot be read, from {fault['source']}: {cell(fault['key'])}: {cell(fault['reason'])}")
--- a/dillport/cli_timeline.py
+++ b/dillport/cli/timeline.py
@@ -1,4 +1,4 @@
-"""The words of the command line that read a running node's time line: `timeline`, `events`, `why`, `report`.
+"""The words that read a running node's time line: `timeline`, `events`, `why`, `report`.
 
 Each asks over the control socket and prints JSON, or tables for people. `events --follow` asks again and
 again with the number of the last event that it has: a reader that stops reading holds up itself alone.
@@ -6,24 +6,148 @@
 
 from __future__ import annotations
 
+import importlib.util
 import json
 import sys
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from datetime import datetime
 from pathlib import Path
 from typing import Any
 
+import click
+
+from dillport.cli.common import (
+    PATH,
+    Trouble,
+    Wrapped,
+    cell,
+    columns,
+    count,
+    json_option,
+    read_operators,
+    settings_option,
+)
 from dillport.net.control import ControlError, ask
 
 FOLLOW_S = 0.5  # between two questions of `events --follow`
-Columns = Callable[[Iterable[list[str]]], None]
+
+TIMELINE = "Show what servers did and what was decided about them."
+EVENTS = "Show which servers departed from the usual, since when, by how much."
+WHY = "Show each decision about a request, with its reason."
+REPORT = "Write what servers did as one HTML file that opens without a network."
+
+
+# --- words --------------------------------------------------------------------------------------------
+
+
+class Moment(click.ParamType[float]):
+    """A time on the command line, as ms since 1970."""
+
+    name = "time"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> float:
+        """As `moment` reads it."""
+        try:
+            return moment(value)
+        except ValueError:
+            self.fail(f"{value!r} is no time: 09:30, 2026-12-01T09:30 or 15m", param, ctx)
+
+
+def asking(command: Wrapped) -> Wrapped:
+    """`--settings` and `--control`: which node is asked."""
+    text = "The node's control socket; that of the settings by default."
+    return settings_option(click.option("--control", metavar="PATH", type=PATH, help=text)(command))
+
+
+def between(command: Wrapped) -> Wrapped:
+    """`--from` and `--to`."""
+    text = "09:30, 09:30:15, 2026-12-01T09:30 or 15m (ago), which it is by default."
+    since = click.option("--from", "since", metavar="TIME", type=Moment(), help=text)
+    until = click.option("--to", "until", metavar="TIME", type=Moment(), help="Now by default.")
+    return since(until(command))
+
+
+@click.command(help=TIMELINE, short_help=TIMELINE)
+@click.argument(
+    "servers", metavar="[SERVER]...", nargs=-1,
+    help="A server's id, zone:NAME, class:NAME or node; without one, an overview.",
+)  # fmt: skip
+@between
+@click.option("--class", "class_name", metavar="CLASS", help="Answer times of this class alone.")
+@asking
+@json_option
+def timeline(
+    servers: tuple[str, ...], since: float | None, until: float | None, class_name: str | None,
+    settings: Path | None, control: Path | None, as_json: bool,
+) -> int:  # fmt: skip
+    """The word."""
+    given = _given(("from", since), ("to", until), ("class", class_name))
+    return _asked(settings, control, lambda path: print_timeline(path, servers, given, as_json))
+
+
+@click.command(help=EVENTS, short_help=EVENTS)
+@click.option("--follow", is_flag=True, help="Go on with what comes.")
+@asking
+@json_option
+def events(follow: bool, settings: Path | None, control: Path | None, as_json: bool) -> int:
+    """The word."""
+    return _asked(settings, control, lambda path: print_events(path, follow, as_json))
+
+
+@click.command(help=WHY, short_help=WHY)
+@click.argument("request", metavar="REQUEST-ID")
+@asking
+@json_option
+def why(request: str, settings: Path | None, control: Path | None, as_json: bool) -> int:
+    """The word."""
+    return _asked(settings, control, lambda path: print_why(path, request, as_json))
+
+
+@click.command(help=REPORT, short_help=REPORT)
+@click.option("--html", metavar="FILE", type=PATH, required=True, help="The file to write.")
+@between
+@asking
+def report(
+    html: Path, since: float | None, until: float | None, settings: Path | None, control: Path | None
+) -> int:
+    """The word."""
+    if importlib.util.find_spec("matplotlib") is None:
+        raise Trouble(2, "report: no package matplotlib: the install `dillport[report]` has it")
+
+    def write(path: Path) -> None:
+        try:
+            lanes = write_report(path, html, _given(("from", since), ("to", until)))
+        except OSError as err:
+            raise Trouble(2, f"report: {html}: {err.strerror}") from None
+        print(f"{html}: {count(lanes, 'server')}")
+
+    return _asked(settings, control, write)
+
+
+def _given(*pairs: tuple[str, Any]) -> dict[str, Any]:
+    return {key: value for key, value in pairs if value is not None}
+
+
+def _asked(settings: Path | None, control: Path | None, tell: Callable[[Path], None]) -> int:
+    """Ask the node at the control socket that the words or the settings name."""
+    if control is None:
+        _, operators, wrong = read_operators(settings)
+        if wrong:
+            raise Trouble(2, *wrong)
+        if operators.control is None:
+            raise Trouble(2, "no node to ask: name its socket by --control, or settings with [control]")
+        control = operators.control.socket
+    try:
+        tell(control)
+    except ControlError as err:
+        raise Trouble(1, str(err)) from None
+    except KeyboardInterrupt:
+        pass
+    return 0
 
 
-def cell(value: object) -> str:
-    """A value on one line; guards the terminal against what a list may hold."""
-    text = "-" if value is None or value == "" else str(value)
-    return text if text.isprintable() else ascii(text)
+# --- what they print ----------------------------------------------------------------------------------
 
 
 def moment(text: str) -> float:
@@ -47,7 +171,7 @@
     return datetime.fromtimestamp(at_ms / 1000).strftime("%m-%d %H:%M:%S")
 
 
-def timeline(path: Path, servers: list[str], more: dict[str, Any], as_json: bool, columns: Columns) -> None:
+def print_timeline(path: Path, servers: Sequence[str], more: dict[str, Any], as_json: bool) -> None:
     """Print lines with their points, or an overview where no server is named."""
     for name in servers or [""]:
         told = ask(path, "timeline", **more, server=name)
@@ -56,9 +180,9 @@
         if as_json:
             print(json.dumps(told))
         elif name:
-            _points(told, columns)
+            _points(told)
         else:
-            _overview(told, columns)
+            _overview(told)
 
 
 ORDER = {"node": 0, "class": 1, "zone": 2, "server": 3}
@@ -86,7 +210,7 @@
 }  # fmt: skip
 
 
-def _points(told: dict[str, Any], columns: Columns) -> None:
+def _points(told: dict[str, Any]) -> None:
     zone = f", zone {cell(told['zone'])}" if told.get("zone") else ""
     print(f"{told['scope']} {cell(told['server'])}{zone}, in steps of {told['resolution_s']} s")
     rows = [["TIME", *HEAD, "DECISIONS"]]
@@ -100,13 +224,13 @@
         print(f"{clock(note['at'])}  {cell(note['what'])}{count}{span}")
 
 
-def _overview(told: dict[str, Any], columns: Columns) -> None:
+def _overview(told: dict[str, Any]) -> None:
     rows = [["SCOPE", "NAME", "ZONE", *HEAD]]
     rows += [[cell(r["scope"]), cell(r["name"]), cell(r["zone"]), *_line(r)] for r in told["lines"]]
     columns(rows)
 
 
-def events(path: Path, follow: bool, as_json: bool) -> None:
+def print_events(path: Path, follow: bool, as_json: bool) -> None:
     """Print the events, and with `follow` go on until the reader leaves or the node ends."""
     after = 0
     while True:
@@ -130,7 +254,7 @@
     return f"#{event['id']} {step}: {event['signal']} of {who} since {clock(event['since'])} ({evidence})"
 
 
-def why(path: Path, request: str, as_json: bool, columns: Columns) -> None:
+def print_why(path: Path, request: str, as_json: bool) -> None:
     """Print each decision about a request in order."""
     told = ask(path, "why", request=request)
     if as_json:
@@ -150,7 +274,7 @@
         print("further steps were not kept")
 
 
-def report(path: Path, file: Path, more: dict[str, Any]) -> int:
+def write_report(path: Path, file: Path, more: dict[str, Any]) -> int:
     """Write the page; how many servers are on it. Raises OSError where the file cannot be written."""
     from dillport.observe.page import LANES, page
 
@@ -163,5 +287,3 @@
     file.write_text(text, encoding="utf-8")
     return len(lanes)
 
-
-__all__ = ["ControlError", "events", "moment", "report", "timeline", "why"]
--- a/dillport/lab/__init__.py
+++ b/dillport/lab/__init__.py
@@ -8,7 +8,7 @@
 - `world`, `fleet_world`: real node processes among the stand-ins, with discovery, and with etcd beside it.
 - `schedules`: seeded rows of faults of the sources, played on such a world; `demo`: one to look at.
 - `script`: faults of processes, servers and paths as data, drawn, played and judged on a world; `scripts`:
-  the hard days of a fleet; `play`: the command.
+  the hard days of a fleet; `play`: one played, in lines and as a picture.
 - `fleet`: nodes and servers by the thousand in virtual time, without a socket.
 - `paper`: one dispatcher in the setting of the paper on Join-Up-To(m).
 """
--- a/dillport/lab/demo.py
+++ b/dillport/lab/demo.py
@@ -5,11 +5,7 @@
 
 from __future__ import annotations
 
-import argparse
-import asyncio
-import sys
 import tempfile
-from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
 from typing import TextIO
@@ -18,7 +14,7 @@
 from dillport.lab.site import CLASSES, Site
 from dillport.lab.world import Step, World
 
-SECONDS, LEAST, RATE = 20.0, 5.0, 100.0
+RATE = 100.0
 NODES, SERVERS = 2, 6
 SITE = Site(classes=tuple(replace(c, work_ms=2 * c.work_ms) for c in CLASSES))  # half of what all can do
 SHOWN = 5  # breaches that are shown with their records
@@ -73,9 +69,7 @@
     return out
 
 
-async def demo(
-    out: TextIO, seconds: float = SECONDS, seed: int = 1, records: Path | None = None
-) -> int:
+async def demo(out: TextIO, seconds: float, seed: int = 1, records: Path | None = None) -> int:
     """Run it and write to `out`; returns 0 if no rule was broken, else 1. `records` takes the journal."""
 
     def say(text: str) -> None:
@@ -98,23 +92,3 @@
         say(line)
     return 0 if verdict.ok else 1
 
-
-def main(argv: Sequence[str] | None = None) -> int:
-    """The command; returns its exit code."""
-    parser = argparse.ArgumentParser(prog="dillport demo", description=__doc__.partition("\n")[0])
-    length = f"length, {LEAST:.0f} or more (%(default)s)"
-    parser.add_argument("--seconds", type=float, default=SECONDS, help=length)
-    parser.add_argument("--seed", type=int, default=1, help="of all chance in it (%(default)s)")
-    parser.add_argument("--records", type=Path, metavar="FILE", help="write what was recorded, as JSON lines")
-    args = parser.parse_args(argv)
-    if not args.seconds >= LEAST:
-        parser.error(f"--seconds is {args.seconds:g}, it has to be {LEAST:.0f} or more")
-    try:
-        return asyncio.run(demo(sys.stdout, args.seconds, args.seed, args.records))
-    except KeyboardInterrupt:
-        print("ended early: no verdict", file=sys.stderr)
-        return 130
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/tests/system/test_world.py
+++ b/tests/system/test_world.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from dillport.cli import main
 from dillport.lab import demo
 from dillport.lab.clients import Habits
 from dillport.lab.judge import judge
@@ -180,7 +181,6 @@
     text = "\n".join(demo.report(got, {}))
     assert "rule 1, every request is answered: 1 BROKEN, first r9: answered 498 ms" in text
     assert "    Answered(request=r9" in text
-    with pytest.raises(SystemExit):
-        demo.main(["--seconds", "1"])
+    assert main(["demo", "--seconds", "1"]) == 2
     assert "--seconds is 1, it has to be 5 or more" in capsys.readouterr().err
     assert not any(tmp_path.iterdir())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,6 +19,7 @@
 import pytest
 
 import dillport
+from dillport import cli
 from dillport.cli import SETTINGS, main
 from dillport.net.config import CONFIG
 from tests.sockets import ROOT, WAIT, Backend, configuration, running
@@ -69,6 +70,17 @@
         assert word in got.stdout
 
 
+@pytest.mark.parametrize("word", cli.MODULES)
+def test_each_word_has_a_help_and_takes_no_abbreviation(
+    word: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main([word, "--help"]) == 0
+    assert f"Usage: dillport {word} " in capsys.readouterr().out
+    for words in ([word[:-1]], [word, "--hel"], [word, "--sett", "x"]):
+        assert main(words) == 2
+        assert "usage: dillport" in capsys.readouterr().err
+
+
 def test_version_is_the_packages() -> None:
     assert says("--version").stdout == f"dillport {dillport.__version__}\n"
     project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))
@@ -100,10 +112,15 @@
 
 def test_demo_gets_its_words(monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
     demo: Any = types.ModuleType("demo")
-    demo.main = lambda argv: print(*argv) or 3
+
+    async def played(out: object, *words: object) -> int:
+        print(*words)
+        return 3
+
+    demo.demo = played
     monkeypatch.setitem(sys.modules, "dillport.lab.demo", demo)
-    assert main(["demo", "--help", "--settings", "x", "y"]) == 3
-    assert capsys.readouterr().out == "--help --settings x y\n"
+    assert main(["demo", "--seconds", "7", "--records", "no/x"]) == 3
+    assert capsys.readouterr().out == "7.0 1 no/x\n"
     monkeypatch.setitem(sys.modules, "dillport.lab.demo", None)
     assert main(["demo"]) == 2
     assert "there is no dillport.lab.demo in this installation" in capsys.readouterr().err
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -67,8 +67,11 @@
         assert not wrong, f"{here[0]} may not import {wrong}"
     if here[0] in PURE:
         assert not {name.split(".")[0] for name in names} & IMPURE
-    if here[0] != "lab" and here != ("cli",):  # the one command that runs on the stand-ins
+    if here[0] != "lab" and here != ("cli", "lab"):  # the words that run on the stand-ins
         assert not {name for name in ours if room(name) == "lab"}
+    if here[0] == "lab":  # words are read by the command line
+        assert not {name.split(".")[0] for name in names} & {"argparse", "click"}
+        assert not {name for name in ours if room(name) == "cli"}
     if here[:2] in (("net", "fronts"), ("net", "upstreams"), ("net", "sources")) and here[-1] != "__init__":
         apart = {"fronts", "upstreams", "sources"} - {here[1]}
         assert not {name for name in ours if name.split(".")[1:2] == ["net"] and set(name.split(".")) & apart}
@@ -77,4 +80,4 @@
 def test_every_room_is_named() -> None:
     """Guards against a folder that no border speaks of."""
     rooms = {path.relative_to(ROOT).parts[0].removesuffix(".py") for path in FILES}
-    assert rooms <= MAY.keys() | {"__init__", "__main__", "cli", "cli_timeline", "lab"}
+    assert rooms <= MAY.keys() | {"__init__", "__main__", "cli", "lab"}
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -11,12 +11,14 @@
 import sys
 from pathlib import Path
 
+import pytest
+
 from tests.sockets import ROOT, WAIT, FakeDiscovery, configuration
 
 MODULES = 27  # of the project, packages too
 LINES = 5_350  # of their sources
 SPARED = {  # what only a word, the operators' file or another program needs
-    "argparse", "tomllib", "difflib", "pathlib", "dillport.cli", "dillport.operators",
+    "argparse", "click", "tomllib", "difflib", "pathlib", "dillport.cli", "dillport.operators",
     "dillport.net.operators", "dillport.net.control", "dillport.net.etcd", "dillport.net.sources.etcd",
     "dillport.decide.etcd_follow", "dillport.proto.etcd_watch", "dillport.timeline", "dillport.observe",
     "dillport.wire", "msgspec",
@@ -67,14 +69,17 @@
     assert "dillport.net.control" in found and "dillport.decide.etcd_follow" not in found
 
 
-def test_a_hangup_while_it_starts_is_heeded_once_it_serves(tmp_path: Path) -> None:
+@pytest.mark.parametrize(("words", "begun"), [([], "dillport.interface"), (["run"], "uvloop")])
+def test_a_hangup_while_it_starts_is_heeded_once_it_serves(
+    tmp_path: Path, words: list[str], begun: str
+) -> None:
     """Guards against the signal's default, which ends the process, and against a reload that is lost."""
 
     async def test() -> list[str]:
         path, env = tmp_path / "c.json", dict(os.environ) | {"PROXY_CONFIG": str(tmp_path / "c.json")}
         path.write_text(json.dumps(configuration([], 1)))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-X", "importtime", "-m", "dillport", cwd=ROOT, env=env,
+            sys.executable, "-B", "-X", "importtime", "-m", "dillport", *words, cwd=ROOT, env=env,
             stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         assert process.stderr is not None
@@ -82,7 +87,7 @@
         try:
             async with asyncio.timeout(WAIT):
                 while line := (await process.stderr.readline()).decode():
-                    if not hung_up and "dillport.interface" in line:  # long before it can read the file anew
+                    if not hung_up and begun in line:  # long before it can read the file anew
                         process.send_signal(signal.SIGHUP)
                         hung_up = True
                     if "import time" not in line:
