Parts of the operators' file in one shape, and none keeps another from its change

Need: etcd, the time line, metrics and the control socket had each their own way to start, change on SIGHUP and end, by hand in one class; three more parts come. An unexpected fault of etcd's kept the time line and the control socket from their change, and ended a start.

Change: net/part.py has `Part` (`apply(settings)`, `close()`) and what parts may hold, net/operators.py a list of them: a name, when it is on, how it is made (which loads its modules). A new part is a class and one line. Each takes the whole of the settings and looks at its own table. Metrics are a part beside the time line's now, and the control socket's keeper stands by the socket. A ValueError is one line in the log as etcd's was, anything else a traceback; the part goes on as it was, and one that could not be made is made by the next change. Parts end in the reverse order, each whatever became of the others.

Each defence was taken out: both guards of `apply` (three tests fail), the guard of `close`, the reverse order, the check that nothing changed for metrics, and theirs of the time line that is on.

--- a/benchmarks/child.py
+++ b/benchmarks/child.py
@@ -105,7 +105,7 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     fleet.hand(Listed(platform.NAME, platform.identity(config.discovery), config.known, saved=True))
     discovery.watch(True)
-    etcd.apply(settings.membership.etcd)
+    etcd.apply(settings)
     gc.freeze()
     logging.info("the parts are up")
     await stop.wait()
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -34,7 +34,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from dillport.net.operators import OperatorsPart
+    from dillport.net.operators import Parts
     from dillport.operators import Operators
 
 LOG_LINES, LOG_TIME = 50, 10.0  # at most so many lines in so many seconds
@@ -89,15 +89,15 @@
     )  # fmt: skip
     cap, over = places(config.client_sockets)
     front = Front(node, cap, unread_budget(config.memory_mb), over)
-    part: OperatorsPart | None = None
+    parts: Parts | None = None
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
 
     def hangup() -> None:  # never before the loop's next turn, when all below is there
         reload(discovery)
-        if part is not None:
-            part.reload()
+        if parts is not None:
+            parts.reload()
 
     loop.add_signal_handler(signal.SIGHUP, hangup)
     if hung_up:
@@ -106,9 +106,11 @@
     if not config.settings.must_ask:
         discovery.watch(True)
     if operators is not None:
-        from dillport.net.operators import OperatorsPart
+        from dillport.net.control import Control
+        from dillport.net.operators import Parts
+        from dillport.net.part import Running
 
-        part = OperatorsPart(path, operators, fleet, (listed,), node)
+        parts = Parts(path, operators, Running(node, fleet, (listed,), Control()))
     try:
         await front.listen(config.listen)
         gc.freeze()
@@ -121,8 +123,8 @@
         discovery.watch(False)
         node.pool.close()
     finally:
-        if part is not None:
-            await part.close()
+        if parts is not None:
+            await parts.close()
     await asyncio.sleep(0.05)  # the last answers leave
     logging.info("%s ends", config.name)
 
--- a/dillport/net/control.py
+++ b/dillport/net/control.py
@@ -22,7 +22,10 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from dillport.operators import Operators
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +34,7 @@
 LIMIT = 5.0  # s for a client from its connect to its last answer
 MAX_ANSWER = 64 * 1024 * 1024  # bytes that `ask` reads: far more than 100,000 members
 TURN = 0.002  # s that a part of an iterator is worked on before the loop turns
+AGAIN = 2.0  # s until a socket that could not be made is tried again
 PIECE = 200  # items of an answer's list written between two turns of the loop
 
 Answer = Callable[[], dict[str, object]]
@@ -160,6 +164,46 @@
             return {"error": f"{name} failed: {type(err).__name__}"}
 
 
+class ControlPart:
+    """Keeps the control socket where the operators' file wants it, and tries again while that fails.
+
+    Guards against a node that does not serve because one that still drains holds the path.
+    """
+
+    def __init__(self, control: Control) -> None:
+        self.control = control
+        self._wanted: Path | None = None
+        self._changed = asyncio.Event()
+        self._task = asyncio.get_running_loop().create_task(self._keep())
+
+    def apply(self, settings: Operators) -> None:
+        """Move to another path, or to none, in the loop's next turns."""
+        self._wanted = None if settings.control is None else settings.control.socket
+        self._changed.set()
+
+    async def close(self) -> None:
+        """Serve no more, and remove the socket file."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self.control.close()
+
+    async def _keep(self) -> None:
+        said = ""
+        while True:
+            self._changed.clear()
+            wait = None
+            try:
+                await self.control.listen(self._wanted)
+            except ControlError as err:
+                wait = AGAIN
+                if said != str(err):
+                    log.error("control: %s; it is tried again every %g s", err, wait)
+                said = str(err)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait):
+                    await self._changed.wait()
+
+
 def _peer(writer: asyncio.StreamWriter) -> int:
     """The user at the other end, by the kernel's word."""
     sock = writer.get_extra_info("socket")
--- a/dillport/net/etcd.py
+++ b/dillport/net/etcd.py
@@ -12,7 +12,7 @@
 from dillport.decide.etcd_follow import EtcdConfig
 from dillport.decide.membership import Role, Source
 from dillport.net.fleet import Fleet
-from dillport.operators import EtcdSettings
+from dillport.operators import EtcdSettings, Operators
 
 ETCD = "etcd"
 
@@ -43,8 +43,15 @@
         self.source: EtcdLike | None = None
         self._made = 0
 
-    def apply(self, settings: EtcdSettings | None) -> None:
+    def apply(self, settings: Operators) -> None:
         """Switch it on, off or over; what was seen is not gone behind. Raises ValueError: a bad TLS file."""
+        self._apply(settings.membership.etcd)
+
+    async def close(self) -> None:
+        """As `stop`."""
+        self.stop()
+
+    def _apply(self, settings: EtcdSettings | None) -> None:
         if settings == self.settings:
             return
         seen = None if self.source is None else self.source.seen
--- a/dillport/net/metrics.py
+++ b/dillport/net/metrics.py
@@ -1,4 +1,4 @@
-"""Where `[metrics]` listens: a small HTTP/1.1 server that answers `GET /metrics` and nothing else.
+"""`[metrics]`: a small HTTP/1.1 server that answers `GET /metrics` and nothing else, on while it is wanted.
 
 Bounds: 8 scrapes at a time, 8 KiB a request's head, 5 s a scrape. The text is made and written a family at a
 time; requests go on between two.
@@ -11,12 +11,67 @@
 import logging
 
 from dillport.members import Address
+from dillport.net.part import Running
 from dillport.observe.metrics import CONTENT_TYPE, Metrics
+from dillport.operators import Operators
 from dillport.timeline.watch import Watch
 
 log = logging.getLogger(__name__)
 
 MOST, HEAD, LIMIT = 8, 8 * 1024, 5.0
+AGAIN = 2.0  # s until an address that could not be had is tried again
+Target = tuple[Address, Watch]
+
+
+class MetricsPart:
+    """Serves the metrics where the operators' file has `[metrics]`, of the time line that is on by then."""
+
+    def __init__(self, running: Running) -> None:
+        self.running = running
+        self.loop = asyncio.get_running_loop()
+        self._target: Target | None = None
+        self._server: MetricsServer | None = None
+        self._moving: asyncio.Task[None] | None = None
+
+    def apply(self, settings: Operators) -> None:
+        """Move to another address, or to none."""
+        wanted, watch = settings.metrics, self.running.watch
+        self._aim(None if wanted is None or watch is None else (wanted.listen, watch))
+
+    async def close(self) -> None:
+        """Serve no more."""
+        self._aim(None)
+        if self._moving is not None:
+            await asyncio.gather(self._moving, return_exceptions=True)
+
+    def _aim(self, target: Target | None) -> None:
+        if target != self._target:
+            self._target = target
+            self._moving = self.loop.create_task(self._move(target, self._moving))
+
+    async def _move(self, target: Target | None, before: asyncio.Task[None] | None) -> None:
+        """One change after the other."""
+        if before is not None:
+            await asyncio.gather(before, return_exceptions=True)
+        if self._server is not None:
+            await self._server.close()
+            self._server = None
+        said = False
+        while target is not None and target is self._target:
+            address, watch = target
+            server = MetricsServer(watch)
+            try:
+                await server.listen(address)
+            except OSError as err:
+                if not said:
+                    why = err.strerror or type(err).__name__
+                    log.error("metrics: %s:%d: %s; it is tried again every %g s", *address, why, AGAIN)
+                said = True
+                await asyncio.sleep(AGAIN)
+                continue
+            self._server = server
+            log.info("metrics at http://%s:%d/metrics", address[0], server.port)
+            return
 
 
 class MetricsServer:
--- a/dillport/net/timeline.py
+++ b/dillport/net/timeline.py
@@ -12,25 +12,19 @@
 from collections.abc import Sequence
 from datetime import UTC, datetime
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from dillport import interface as api
 from dillport.decide.departure import Step, Told
-from dillport.members import Address
-from dillport.net.control import Control
-from dillport.net.node import Node
-from dillport.operators import MetricsSettings, TimelineSettings
+from dillport.net.part import Running
+from dillport.operators import Operators, TimelineSettings
 from dillport.timeline import views
 from dillport.timeline.watch import Watch
 
-if TYPE_CHECKING:
-    from dillport.net.metrics import MetricsServer
-
 log = logging.getLogger(__name__)
 
 EVERY = 1.0  # s
 LATE = 0.05  # s by which a turn may be late without counting as a stall
-AGAIN = 2.0  # s until an address that could not be had is tried again
 SAID = 10  # lines of events logged in one second
 WORDS = {"timeline": views.timeline, "events": views.events, "why": views.why}
 
@@ -38,53 +32,21 @@
 class TimelinePart:
     """Switches the time line on and off."""
 
-    def __init__(self, node: Node, control: Control) -> None:
-        self.node, self.control = node, control
+    def __init__(self, running: Running) -> None:
+        self.running, self.node, self.control = running, running.node, running.control
         self.watch: Watch | None = None
         self.loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
-        self._wanted: Address | None = None
-        self._metrics: MetricsServer | None = None
-        self._serving: asyncio.Task[None] | None = None
-
-    def apply(self, settings: TimelineSettings | None, metrics: MetricsSettings | None = None) -> None:
-        """Do as these settings say from now on."""
-        self._apply(settings)
-        wanted = metrics.listen if metrics is not None and self.watch is not None else None
-        if wanted != self._wanted or wanted is None:
-            self._wanted = wanted
-            self._serving = self.loop.create_task(self._serve(wanted, self._serving))
+
+    def apply(self, settings: Operators) -> None:
+        """Switch it on or off, or give it another size."""
+        self._apply(settings.timeline)
+        self.running.watch = self.watch
 
     async def close(self) -> None:
-        """Switch all of it off."""
-        self.apply(None)
-        if self._serving is not None:
-            await asyncio.gather(self._serving, return_exceptions=True)
-
-    async def _serve(self, wanted: Address | None, before: asyncio.Task[None] | None) -> None:
-        """Move the metrics to another address, or to none; one change after the other."""
-        if before is not None:
-            await asyncio.gather(before, return_exceptions=True)
-        if self._metrics is not None:
-            await self._metrics.close()
-            self._metrics = None
-        said = False
-        while wanted is not None and wanted == self._wanted and self.watch is not None:
-            from dillport.net.metrics import MetricsServer
-
-            server = MetricsServer(self.watch)
-            try:
-                await server.listen(wanted)
-            except OSError as err:
-                if not said:
-                    why = err.strerror or type(err).__name__
-                    log.error("metrics: %s:%d: %s; it is tried again every %g s", *wanted, why, AGAIN)
-                said = True
-                await asyncio.sleep(AGAIN)
-                continue
-            self._metrics = server
-            log.info("metrics at http://%s:%d/metrics", wanted[0], server.port)
-            return
+        """Switch it off."""
+        self.stop()
+        self.running.watch = None
 
     def _apply(self, settings: TimelineSettings | None) -> None:
         if settings is None:
--- a/tests/net/test_fleet.py
+++ b/tests/net/test_fleet.py
@@ -15,7 +15,7 @@
 from dillport.net.etcd import ETCD, EtcdPart
 from dillport.net.fleet import Fleet
 from dillport.net.sources.etcd import EtcdSource
-from dillport.operators import EtcdSettings
+from dillport.operators import EtcdSettings, Membership, Operators
 from tests.net.test_etcd_source import WAIT, Gateway, b64, run, until, value
 
 
@@ -41,6 +41,11 @@
             self.view[one.id] = one
 
 
+def on(etcd: EtcdSettings) -> Operators:
+    """An operators' file with this table."""
+    return Operators(membership=Membership(etcd=etcd))
+
+
 def test_a_fault_of_the_program_does_not_end_a_source(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a source that waits for good for what it was about to do when its news failed."""
 
@@ -74,10 +79,10 @@
         others = (Source("platform"),)
         part = EtcdPart(fleet, others, lambda config, seen: EtcdSource(config, fleet.hand, seen=seen))
         settings = EtcdSettings(endpoints=(gateway.url,), prefix="/m/")
-        part.apply(settings)
+        part.apply(on(settings))
         await until(lambda: list(sink.view) == ["a"])
         gateway.keys = {b"/other/b": value(2), b"/m/c": b'{"Op":0,"Addr":"10.0.0.1:3"}'}
-        part.apply(replace(settings, **change))
+        part.apply(on(replace(settings, **change)))
         await until(lambda: "a" not in sink.view)
         await until(lambda: len(sink.view) == 1)
         part.stop()
@@ -93,7 +98,7 @@
         fleet = Fleet(sink, [])
         part = EtcdPart(fleet, (), lambda config, seen: EtcdSource(config, fleet.hand, seen=seen))
         settings = EtcdSettings(endpoints=(gateway.url,), prefix="/m/")
-        part.apply(settings)
+        part.apply(on(settings))
         await until(lambda: len(sink.view) == 2)
         async with asyncio.timeout(WAIT):
             stream = await gateway.streams.get()
@@ -101,7 +106,7 @@
         ended = {"type": "DELETE", "kv": {"key": b64(b"/m/a"), "mod_revision": "11"}}
         stream.line(events=[ended], fragment=True)
         await until(lambda: list(sink.view) == ["b"])
-        part.apply(replace(settings, endpoints=(gateway.url.replace("127.0.0.1", "localhost"),)))
+        part.apply(on(replace(settings, endpoints=(gateway.url.replace("127.0.0.1", "localhost"),))))
         await until(lambda: not sink.view)
         part.stop()
         gateway.stop()
