--- a/dillport/lab/fleet_world.py
+++ b/dillport/lab/fleet_world.py
@@ -73,7 +73,7 @@
         if record.kind == "watch":
             if order == self._order.get(node):
                 self._changes(node, order, record)
-        elif record.end == self._end:  # else a read of one key, which names nobody
+        elif record.kind == "range" and record.end == self._end:  # else a count, or a read of one key
             self._page(node, order, record)
 
     def _changes(self, node: str, order: str, record: Record) -> None:
