--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -27,9 +27,9 @@
     "relay": CORE | {"relay", "policy", "decide"},
     "timeline": CORE | {"timeline", "decide"},
     "observe": CORE | {"observe", "timeline"},
-    "net": CORE | {"net", "relay", "policy", "settings", "operators", "decide", "proto", "records",
+    "net": CORE | {"net", "relay", "policy", "settings", "operators", "decide", "proto", "store",
             "timeline", "observe"},
-    "records": CORE | {"decide", "proto", "records"},
+    "store": CORE | {"decide", "store"},
     "grpcplug": CORE | {"grpcplug", "relay", "settings", "decide", "proto", "operators"},
     "client": CORE | {"client", "proto"},
 }
