--- a/dillport/operators.py
+++ b/dillport/operators.py
@@ -5,7 +5,7 @@
 what was found and what is allowed. A table that is there is on; one that is not costs nothing.
 
 - `Operators`: the file. `Membership`, `EtcdSettings`, `ControlSettings`, `TimelineSettings`,
-  `MetricsSettings`: its tables.
+  `MetricsSettings`, `StateSettings`: its tables.
 - `load`, `parse`: a file, or its tables as TOML gives them, to `Operators`; raise `OperatorsError`.
 - `changes`: what differs between two readings, for the log.
 
@@ -511,6 +511,60 @@
         return f"metrics at http://{at}/metrics{known}"
 
 
+def own_folder(value: object, at: At) -> Path | None:
+    """A folder that may be written to; a relative path is one from the folder of the operators' file."""
+    allowed = "the path of a folder that is there and may be written to"
+    if not isinstance(value, str) or not value or not value.isprintable():
+        at.fault(_shown(value), allowed)
+        return None
+    path = at.folder / value
+    try:
+        there = path.is_dir()
+    except (OSError, ValueError):  # a name too long
+        there = False
+    if not there or not os.access(path, os.R_OK | os.W_OK | os.X_OK):
+        why = "may not be written to" if there else "is no folder"
+        at.fault(f"{_shown(str(path))}, which {why}", allowed)
+        return None
+    return path
+
+
+def seconds(low: int, high: int) -> Check[int]:
+    """A whole number of seconds in these bounds."""
+
+    def check(value: object, at: At) -> int | None:
+        if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= high:
+            at.fault(_shown(value), f"a whole number of seconds from {low} to {high}")
+            return None
+        return value
+
+    return check
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StateSettings(Table):
+    """`[state]`: what the node keeps over a restart. `max_age` and `every` are in seconds."""
+
+    directory: Annotated[Path | None, own_folder] = None
+    max_age: Annotated[int, seconds(60, 31_536_000)] = 86_400
+    every: Annotated[int, seconds(1, 3_600)] = 10
+
+    @classmethod
+    def together(cls, values: dict[str, Any], given: Set[str], at: At) -> None:
+        """It needs a directory, and three packages that a bare install leaves out."""
+        if "directory" not in given:
+            at.key("directory").fault("nothing", "the path of a folder that is there and may be written to")
+        if values.get("every", 0) > values.get("max_age", values.get("every", 0)):
+            at.key("every").fault(f"{values['every']} s, over max_age", "max_age at most")
+        for package in ("msgspec", "apsw", "xxhash"):
+            if importlib.util.find_spec(package) is None:
+                at.fault(f"no package {package}", "the install `dillport[state]`")
+
+    def says(self) -> str:
+        """Where, how old, how often."""
+        return f"memory in {self.directory}, believed for {self.max_age} s, figures each {self.every} s"
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Operators(Table):
     """The operators' file. Everything is off where it is empty or there is none."""
@@ -519,6 +573,7 @@
     control: ControlSettings | None = None
     timeline: TimelineSettings | None = None
     metrics: MetricsSettings | None = None
+    state: StateSettings | None = None
 
     @classmethod
     def together(cls, values: dict[str, Any], given: Set[str], at: At) -> None:
--- a/dillport/store/engine.py
+++ b/dillport/store/engine.py
@@ -41,9 +41,9 @@
 KEPT = 2  # generations
 SEGMENT = 8 * 1024 * 1024  # bytes of a journal's segment, about
 JUMP = 1_000_000_000  # positions left out after a segment that cannot be read: none is given twice
-_TABLES = re.compile(r"tables-(\d{8})\.db")
-_JOURNAL = re.compile(r"journal-([a-z][a-z0-9_]{0,39})-(\d{12})\.db")
-_OURS = re.compile(r"(tables-\d{8}|journal-[a-z][a-z0-9_]{0,39}-\d{12}|new)\.db(-wal|-journal|-shm)?")
+TABLES = re.compile(r"tables-(\d{8})\.db")
+JOURNAL = re.compile(r"journal-([a-z][a-z0-9_]{0,39})-(\d{12})\.db")
+OURS = re.compile(r"(tables-\d{8}|journal-[a-z][a-z0-9_]{0,39}-\d{12}|new)\.db(-wal|-journal|-shm)?")
 NAME = re.compile(r"[a-z][a-z0-9_]{0,39}")
 
 Tables = dict[str, dict[str, Row]]
@@ -106,7 +106,7 @@
         self, files: Files, directory: str, wall_ms: Callable[[], int],
         migrations: Sequence[Migration] = MIGRATIONS, segment: int = SEGMENT,
     ) -> None:  # fmt: skip
-        self.files, self.directory, self.wall_ms = files, directory, wall_ms
+        self.files, self.directory, self.wall_ms = files, os.path.realpath(directory), wall_ms
         self.migrations, self.segment = migrations, segment
         self.tables: Tables = {}  # what is durable
         self.generation = 0
@@ -128,11 +128,11 @@
                 raise StoreFault(Trouble.OWNED, self.directory, str(err.strerror or err)) from err
         try:
             names = self._swept()
-            numbers = sorted((int(m[1]) for n in names if (m := _TABLES.fullmatch(n))), reverse=True)
+            numbers = sorted((int(m[1]) for n in names if (m := TABLES.fullmatch(n))), reverse=True)
             self.generation = numbers[0] if numbers else 0
             good = self._believe(numbers, out)
             for name in names:
-                if match := _JOURNAL.fullmatch(name):
+                if match := JOURNAL.fullmatch(name):
                     self._journals.setdefault(match[1], _Journal()).firsts.append(int(match[2]))
             for journal in self._journals.values():
                 journal.firsts.sort()
@@ -152,9 +152,9 @@
             names = self.files.names(self.directory)
             for name in names:
                 base = name.rpartition("-")[0] if name.endswith(("-wal", "-journal", "-shm")) else name
-                if _OURS.fullmatch(name) and (base == "new.db" or base not in names):
+                if OURS.fullmatch(name) and (base == "new.db" or base not in names):
                     self.files.remove(self._path(name))
-        return [n for n in names if _OURS.fullmatch(n)]
+        return [n for n in names if OURS.fullmatch(n)]
 
     def _believe(self, numbers: list[int], out: Opened) -> list[int]:
         """Load the newest generation that holds; which of them do."""
@@ -260,7 +260,7 @@
         with _system(fresh.path):
             self._inode = self.files.inode(fresh.path)
             if before:
-                names = sorted(m[0] for n in self.files.names(self.directory) if (m := _TABLES.fullmatch(n)))
+                names = sorted(m[0] for n in self.files.names(self.directory) if (m := TABLES.fullmatch(n)))
                 for name in names[:-KEPT]:
                     self._remove(name)
 
--- a/dillport/store/piece.py
+++ b/dillport/store/piece.py
@@ -210,6 +210,16 @@
         return out
 
 
+    def damage(self) -> list[str]:
+        """What SQLite says of its own structure, a line a fault; empty where it is sound."""
+        try:
+            with told(self.path):
+                found = [str(row[0]) for row in self._db.execute("pragma integrity_check(20)")]
+        except StoreFault as fault:
+            return [fault.what]
+        return [] if found == ["ok"] else found
+
+
 def _one(found: Iterable[tuple[object, ...]]) -> int:
     for row in found:
         return int(str(row[0]))
--- a/dillport/store/store.py
+++ b/dillport/store/store.py
@@ -31,6 +31,7 @@
 GROUP = 1_000  # changes and records of one commit, or one batch more
 CHUNK = 100  # calls of `done` in one turn of the loop
 RETRY_FIRST, RETRY_MOST = 0.1, 10.0  # s
+LOCK_WAIT = 0.5  # s for which a start waits for an owner to go
 SLOW = 1.0  # s of a commit from which the store says that it is slow
 
 Done = Callable[[int], None]
@@ -114,7 +115,15 @@
 
     def open(self) -> Opened:
         """Take the directory and load it; blocks, so not on the loop. Raises StoreFault."""
-        out = self.engine.open()
+        until = time.monotonic() + LOCK_WAIT
+        while True:
+            try:
+                out = self.engine.open()
+                break
+            except StoreFault as fault:  # a process that is dying, or a look at the directory
+                if fault.trouble is not Trouble.OWNED or time.monotonic() > until:
+                    raise
+                time.sleep(0.02)
         self._thread = threading.Thread(target=self._run, name="store", daemon=True)
         self._thread.start()
         return out
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -64,6 +64,7 @@
     assert told["control"]["socket"] == str(ControlSettings().socket)
     assert told["metrics"] == {"listen": "{}:{}".format(*MetricsSettings().listen)}
     assert told["timeline"] == {"memory_mb": TimelineSettings().memory_mb}
+    assert told["state"] == {"directory": "state", "max_age": 86_400, "every": 10}
 
 
 def renewed(cert: Path, key: Path) -> bytes:
@@ -239,7 +240,7 @@
 
 
 KNOWN = {
-    "control": "membership, control, timeline, metrics", "etcd": "etcd",
+    "control": "membership, control, timeline, metrics, state", "etcd": "etcd",
     "endpoints": "endpoints, prefix, format, ca, cert, key, user, password_file, epoch, role",
 }  # fmt: skip
 
