--- a/dillport/lab/disk_port.py
+++ b/dillport/lab/disk_port.py
@@ -24,6 +24,7 @@
 
 SECTOR = 512  # bytes that a disk writes whole
 _numbers = count()
+_KINDS: dict[int, type[apsw.Error]] = {errno.ENOSPC: apsw.FullError, errno.EROFS: apsw.ReadOnlyError}
 
 
 class Broken(Exception):
@@ -86,7 +87,7 @@
         except Broken as err:
             if not sqlite:
                 raise OSError(err.number, os.strerror(err.number)) from None
-            raise (apsw.FullError if err.number == errno.ENOSPC else apsw.IOError)(str(err)) from None
+            raise _KINDS.get(err.number, apsw.IOError)(str(err)) from None
         except PowerCut:
             self.dead = True  # whatever the dying process still does reaches nothing
             raise
--- a/dillport/store/engine.py
+++ b/dillport/store/engine.py
@@ -25,9 +25,10 @@
 import operator
 import os
 import re
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import reduce
+from itertools import chain
 from typing import NamedTuple
 
 import msgspec
@@ -246,15 +247,17 @@
         self, more: Sequence[tuple[str, str, Row | None]] = (), seal: Seal | None = None
     ) -> None:
         """Write all tables, with `more` on top, into a new file that takes the place of that in use."""
-        rows = {(table, key): row for table, found in self.tables.items() for key, row in found.items()}
-        for table, key, found_row in more:
-            rows.pop((table, key), None)
-            if found_row is not None:
-                rows[table, key] = found_row
+        over = {(table, key): row for table, key, row in more}
+        # One row after another, with the interpreter let go of at each: a long list would hold up the loop.
+        kept = (
+            (table, key, row) for table, found in self.tables.items() for key, row in found.items()
+            if (table, key) not in over
+        )  # fmt: skip
+        added = ((*at, row) for at, row in over.items() if row is not None)
         seal = seal or Seal(self._seal.rows, self._seal.digest, self._seal.stamp, self.wall_ms())
         number = self.generation + 1
         before = self.generation if self._piece is not None else 0
-        fresh = self._made(_tables_name(number), seal, [(*at, row) for at, row in rows.items()])
+        fresh = self._made(_tables_name(number), seal, chain(kept, added))
         self._drop()
         self._piece, self.generation = fresh, number
         with _system(fresh.path):
@@ -264,7 +267,7 @@
                 for name in names[:-KEPT]:
                     self._remove(name)
 
-    def _made(self, name: str, seal: Seal, rows: Sequence[tuple[str, str, Row | None]] = ()) -> Piece:
+    def _made(self, name: str, seal: Seal, rows: Iterable[tuple[str, str, Row | None]] = ()) -> Piece:
         """A new file, whole and durable under its name before this returns, opened; raises StoreFault."""
         new = self._path("new.db")
         with _system(self.directory):
@@ -276,7 +279,6 @@
             piece.finish()
             with _system(self.directory):
                 self._remove(name)  # guards against the log of a file of this name that counts no more
-                self.files.settle(self.directory)
                 self.files.rename(new, self._path(name))
                 self.files.settle(self.directory)
             piece = Piece(self.files, self._path(name))
--- a/tests/decide/test_keeping.py
+++ b/tests/decide/test_keeping.py
@@ -69,6 +69,7 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.batch, k.BATCH = k.BATCH, 2  # so that what hangs together is in several commits
         self.now, self.revision = 0.0, 0
         self.told: list[tuple[int, str, str]] = []  # revision, server, up, draining or gone
         self.durable: dict[tuple[str, str], Kept] = {("self", "node"): ME}
@@ -91,7 +92,8 @@
         order = sorted(names)
         self.told += [(self.revision, name, what) for name in order]
         gone = tuple(order) if what == "gone" else ()
-        listed = () if gone else tuple((name, server(draining=what == "draining")) for name in order)
+        one = server(draining=what == "draining", weight=float(self.revision))
+        listed = () if gone else tuple((name, one) for name in order)
         self.do(k.Changed("platform", "x", self.revision, NOW, listed, gone))
 
     @rule()
@@ -115,10 +117,11 @@
                     self.ended[at[1]] = row.revision
             self.do(k.Written(write.number))
 
-    @rule(urgent=st.booleans())
-    def turned_away(self, urgent: bool) -> None:
-        if self.lanes[urgent]:
-            self.do(k.TurnedAway(self.lanes[urgent].pop().number))
+    @rule(urgent=st.booleans(), which=st.integers(0, 3))
+    def turned_away(self, urgent: bool, which: int) -> None:
+        """Any of them: what was handed over after it may have found room."""
+        if which < len(self.lanes[urgent]):
+            self.do(k.TurnedAway(self.lanes[urgent].pop(which).number))
 
     @invariant()
     def a_start_from_here_believes_nothing_stale(self) -> None:
@@ -138,10 +141,12 @@
                 assert name not in found.view
             elif last[name] == (at, "draining"):
                 assert name not in found.view or found.view[name].server.draining
+            if name in found.view and not found.view[name].server.draining:
+                assert found.view[name].server.weight > at, name  # the revision that listed it
 
     def teardown(self) -> None:
         """All is written in the end, and what is kept then is what was told."""
-        for _ in range(100):
+        for _ in range(200):
             self.now += 2_000
             self.do(k.Ticked(NOW))
             for urgent in (True, False):
@@ -154,6 +159,7 @@
         }
         assert not self.told or found.sources["platform"].revision == self.revision
         assert {n for n, w in last.items() if w != "up"} == found.ends.keys()
+        k.BATCH = self.batch
         super().teardown()
 
 
@@ -177,6 +183,23 @@
     assert handed == 1 and len(keeping.state.dirty) <= 2_001
 
 
+def test_what_was_turned_away_stays_ahead_of_what_came_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a revision that is kept before what it brought, and an older word behind a newer one."""
+    monkeypatch.setattr(k, "BATCH", 2)
+    keeping = started()
+    keeping.handle(0, k.Changed("platform", "x", 1, NOW, (("a", server()), ("b", server()))))
+    (first,) = writes(keeping.handle(60, k.Ticked(NOW)))
+    keeping.handle(61, k.Changed("platform", "x", 2, NOW, (("c", server()),)))
+    assert not writes(keeping.handle(62, k.TurnedAway(first.number)))
+    (again,) = writes(keeping.handle(2_000, k.Ticked(NOW)))
+    assert [at for at, _ in again.changes] == [("view", "a"), ("view", "b")]
+    (drain,) = writes(keeping.handle(2_001, k.Changed("p", "x", 3, NOW, (("a", server(draining=True)),))))
+    (gone,) = writes(keeping.handle(2_002, k.Changed("p", "x", 4, NOW, (), ("a",))))
+    keeping.handle(2_003, k.TurnedAway(drain.number))
+    (once_more,) = [w for w in writes(keeping.handle(9_000, k.Ticked(NOW))) if w.changes[0][0][0] == "ends"]
+    assert once_more.changes == gone.changes
+
+
 def test_what_was_learned_is_written_where_it_moved() -> None:
     keeping = started()
     assert any(isinstance(a, k.AskLearned) for a in keeping.handle(10_000, k.Ticked(NOW)))
--- a/tests/store/test_engine.py
+++ b/tests/store/test_engine.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import os
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 
 import apsw
+import msgspec
 import pytest
 
 from dillport.lab.disk_port import Broken, Disk, PowerCut, SimFiles
@@ -45,7 +48,7 @@
         self.durable = len(self.states) - 1
 
     def append(self, *values: bytes) -> None:
-        self.records += values
+        self.records = [*self.records[: self.kept], *values]
         self.engine.append("log", values)
         self.kept = len(self.records)
 
@@ -77,6 +80,9 @@
     assert not found.older and not found.faults, found
     records = engine.read("log", 1, 1000)
     assert [r.position for r in records] == list(range(1, len(records) + 1))
+    names = disk.names.keys()
+    left = [n for n in names if "/new.db" in n or (n[-4:] == "-wal" and n[:-4] not in names)]
+    assert not left, "what was half made is swept"
     values = [r.value for r in records]
     assert None not in values
     return state(engine), [v for v in values if v is not None], engine, files
@@ -191,6 +197,39 @@
         held_to(m, failing)
 
 
+def again(what: Callable[[], object]) -> None:
+    """As the store's thread does: what failed is tried once more, whole."""
+    try:
+        what()
+    except StoreFault:
+        what()
+
+
+def test_a_call_that_fails_and_then_a_power_cut() -> None:
+    """Random pairs of calls: what the failed one left behind meets the cut."""
+    total = calls()
+    for seed in range(4 * SEEDS):
+        rng, m = random.Random(seed), Machine()
+        failing = rng.randrange(1, total)
+        cut = failing + rng.randrange(1, 120)
+
+        def plan(call: int, name: str, failing: int = failing, cut: int = cut) -> None:
+            if call == failing:
+                raise Broken
+            if call >= cut:
+                raise PowerCut
+
+        m.disk.plan = plan
+        try:
+            again(m.engine.open)
+            for n in range(6):
+                again(partial(m.append, b"r%d" % n))
+                again(partial(m.commit, Put("view", f"s{n}", b"x" * 100)))
+        except PowerCut:
+            pass
+        held_to(m, seed)
+
+
 def test_after_a_sync_that_failed_nothing_goes_to_that_file_any_more() -> None:
     """The kernel may say that the next sync is good although what the first one failed on is gone."""
     m = Machine()
@@ -264,7 +303,7 @@
         content.now[at // 8] ^= 1 << at % 8
     engine, found = opened(disk)
     try:
-        assert state(engine) in states, (change, at)
+        assert state(engine) in states and found.wrote_ms == 1_000, (change, at)
         if state(engine) != states[0]:
             assert found.older and [f.where for f in found.faults] == ["/d/tables-00000002.db"], (change, at)
             assert found.found == 1 and found.generation == 3
@@ -287,6 +326,12 @@
     rng = random.Random(5)
     for at in range(0, size, 1 if os.environ.get("DILLPORT_CRASHES") else 16):
         spoiled(small, "flip", 8 * at + rng.randrange(8))
+    files = SimFiles(small[0].copy())
+    seal = Piece(files, "/d/tables-00000002.db").read_seal()
+    packed = msgspec.msgpack.encode(seal)
+    first = small[0].names["/d/tables-00000002.db"].now.rindex(packed)
+    for bit in range(8 * first, 8 * (first + len(packed))):
+        spoiled(small, "flip", bit)
 
 
 def test_a_bit_flipped_in_a_journal_costs_one_record_and_is_said(small: tuple[Disk, list[State]]) -> None:
@@ -299,6 +344,19 @@
     engine.close()
 
 
+def test_a_record_that_is_not_there_is_a_gap(tmp_path: Path) -> None:
+    engine = Engine(Real(), str(tmp_path), lambda: 1)
+    engine.open()
+    engine.append("log", [b"r1", b"r2", b"r3"])
+    engine.close()
+    db = apsw.Connection(str(tmp_path / "journal-log-000000000001.db"))
+    db.execute("delete from records where position=2")
+    db.close()
+    engine.open()
+    assert [(r.position, r.value) for r in engine.read("log", 1, 9)] == [(1, b"r1"), (2, None), (3, b"r3")]
+    engine.close()
+
+
 def test_a_journal_that_cannot_be_read_is_one_gap_and_no_position_comes_twice(
     small: tuple[Disk, list[State]],
 ) -> None:
@@ -377,6 +435,20 @@
         engine.close()
 
 
+def test_a_lock_on_a_file_that_was_replaced_is_none(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    lock = fcntl.flock
+
+    def replaced(fd: int, how: int) -> None:
+        (tmp_path / "owner").unlink()
+        (tmp_path / "owner").write_text("")
+        lock(fd, how)
+
+    monkeypatch.setattr(fcntl, "flock", replaced)
+    with pytest.raises(StoreFault) as caught:
+        Engine(Real(), str(tmp_path), lambda: 1).open()
+    assert caught.value.trouble is Trouble.OWNED
+
+
 def test_folders_links_and_others_files_are_named(tmp_path: Path) -> None:
     outside = tmp_path / "outside.db"
     home = tmp_path / "home"
@@ -392,6 +464,7 @@
     found = engine.open()
     troubles = [Trouble.FOREIGN, Trouble.SPOILED, Trouble.FOREIGN, Trouble.FOREIGN]
     assert [f.trouble for f in found.faults] == troubles and (home / "tables-00000001.db").is_dir()
+    assert [f.where[-4:] for f in found.faults if "a folder or a link" in f.what] == ["2.db", "1.db"]
     assert found.generation == 5 and (home / "notes.txt").read_text() == "another's" and not outside.exists()
     engine.close()
     (home / "owner").unlink()
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -6,6 +6,8 @@
 import errno
 import json
 import os
+import subprocess
+import sys
 import threading
 from collections.abc import Callable
 from pathlib import Path
@@ -22,7 +24,7 @@
 from dillport.store.inspect import clear, show, verify
 from dillport.store.piece import Piece
 from dillport.store.store import Store, StoreFull
-from tests.sockets import WAIT
+from tests.sockets import ROOT, WAIT
 
 
 class Gate:
@@ -140,7 +142,10 @@
     gate.files.close()
 
 
-@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO])
+TROUBLES = {errno.ENOSPC: Trouble.FULL, errno.EIO: Trouble.FAILED, errno.EROFS: Trouble.READ_ONLY}
+
+
+@pytest.mark.parametrize("number", TROUBLES)
 def test_a_disk_that_fails_is_said_and_all_is_written_once_it_is_back(number: int) -> None:
     gate, failed = Gate(), threading.Event()
     store = made(gate)
@@ -161,7 +166,7 @@
         if store.state().failures:
             break
         threading.Event().wait(0.01)
-    assert store.state().trouble is (Trouble.FULL if number == errno.ENOSPC else Trouble.FAILED)
+    assert store.state().trouble is TROUBLES[number]
     assert not acknowledged and not done.is_set() and store.get("view", "a") is None
     broken = False
     assert done.wait(WAIT) and len(acknowledged) == 2
@@ -224,6 +229,47 @@
     store.close()
 
 
+WRITER = """
+import sys, time
+from dillport.store.store import Store
+store = Store(sys.argv[1], lambda run: run())
+found = store.open()
+print("open", found.generation, len(found.faults), flush=True)
+n = int(sys.argv[2])
+while True:
+    n += 1
+    store.put("view", "n", n, lambda stamp, n=n: print("done", n, flush=True))
+    store.append("log", n)
+    store.put("ends", "n", n)
+    while store.state().waiting > 50:
+        time.sleep(0.001)
+"""
+
+
+def test_a_process_that_is_killed_leaves_what_it_acknowledged(tmp_path: Path) -> None:
+    """SIGKILL, five times in a row, each start at once after the one before."""
+    last = 0
+    for life in range(5):
+        command = [sys.executable, "-c", WRITER, str(tmp_path), str(last)]
+        process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+        assert process.stdout is not None
+        opened = process.stdout.readline().split()
+        assert opened[:3] == ["open", str(life + 1), "0"], opened
+        while (acknowledged := int(process.stdout.readline().split()[1])) < last + 30 + 40 * life:
+            pass
+        process.kill()
+        whole = process.stdout.read().split("\n")[:-1]  # the last line may be cut off
+        process.wait()
+        last = max([acknowledged, *(int(line.split()[1]) for line in whole)])
+        found = show(str(tmp_path))
+        assert not found["faults"] and found["owner"] is None and found["believed"] == life + 1
+    store = Store(str(tmp_path), lambda run: run())
+    store.open()
+    value = store.get("view", "n")
+    assert value is not None and msgspec.msgpack.decode(value) >= last
+    store.close()
+
+
 # --- looking at a directory
 
 
