--- a/dillport/operators/checks.py
+++ b/dillport/operators/checks.py
@@ -51,6 +51,18 @@
     return check
 
 
+def seconds(low: int, high: int) -> Check[int]:
+    """A whole number of seconds in these bounds."""
+
+    def check(value: object, at: At) -> int | None:
+        if isinstance(value, bool) or not isinstance(value, int) or not low <= value <= high:
+            at.fault(shown(value), f"a whole number of seconds from {low} to {high}")
+            return None
+        return value
+
+    return check
+
+
 def choice(*among: str) -> Check[str]:
     """One of these words."""
 
