--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -23,6 +23,7 @@
 
 from dillport.decide.admission import LEAST_SOCKETS, SPARE, places, shares, unread_budget
 from dillport.decide.membership import Listed, Source
+from dillport.net import clock
 from dillport.net.config import Config, ConfigError, load
 from dillport.net.fleet import Fleet
 from dillport.net.front import Front
@@ -133,6 +134,9 @@
     """Run a node to its end; the exit code. One that cannot start says why in one line."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger().handlers[0].addFilter(Brake())
+    if operators is not None and (wrong := clock.set_off(os.environ)):
+        print(f"dillport: {wrong}", file=sys.stderr)
+        return 2
     wanted = config.client_sockets + config.upstream_sockets + SPARE
     if (there := fit(wanted)) < min(wanted, LEAST_SOCKETS):
         print(f"dillport: limits: {there} descriptors (ulimit -n), {LEAST_SOCKETS} at least", file=sys.stderr)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -13,6 +13,7 @@
 from dillport import interface as api
 from dillport.decide.membership import Apply
 from dillport.decide.pause import BEAT_MS, SETTLE_MS, Pause
+from dillport.net.clock import wall_ms
 from dillport.net.config import Config
 from dillport.net.upstream import Answer, Attempt, Pool
 from dillport.policy import Balancer
@@ -79,7 +80,7 @@
         self.balancer = Balancer(config.settings, config.seed)
         self.loop = asyncio.get_running_loop()
         # The clock is monotonic and set to Unix time once, at the start: it can read `up_since_ms` as it is.
-        self._zero = time.time() * 1000 - time.monotonic() * 1000
+        self._zero = wall_ms() - time.monotonic() * 1000
         self.pool = Pool(config.settings, config.upstream_sockets)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
--- a/tests/net/test_assemble.py
+++ b/tests/net/test_assemble.py
@@ -5,14 +5,18 @@
 import asyncio
 import json
 import signal
+import time
+from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from dillport.net import assemble
+from dillport.net import assemble, clock
 from dillport.net.config import load
 from dillport.net.fleet import Fleet
+from dillport.net.node import Node
+from dillport.operators import Operators
 from tests.sockets import configuration
 
 
@@ -37,3 +41,28 @@
     with pytest.raises(Reached):
         asyncio.run(assemble.serve(config))
     assert found[0] not in (before, signal.SIG_DFL)
+
+
+def test_a_clock_set_off_for_a_test_is_read_beside_an_operators_file_alone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards a platform start against a variable that moves its clock: cold servers would count as warm."""
+    (tmp_path / "c.json").write_text(json.dumps(configuration([], 1)))
+    config = load({"PROXY_CONFIG": str(tmp_path / "c.json")})
+    off: list[float] = []
+
+    async def now() -> float:
+        return Node(config).now()
+
+    def stopped(work: Coroutine[Any, Any, None]) -> None:
+        work.close()
+        off.append(round((asyncio.run(now()) / 1000 - time.time()) / 10) * 10)
+
+    monkeypatch.setattr("uvloop.run", stopped)
+    monkeypatch.setattr(clock, "_off_ms", 0.0)
+    monkeypatch.setenv(clock.TEST_CLOCK, "-90000")
+    assert assemble.run(config) == 0 and assemble.run(config, tmp_path, Operators()) == 0
+    assert off == [0, -90]
+    monkeypatch.setenv(clock.TEST_CLOCK, "soon")
+    assert assemble.run(config, tmp_path, Operators()) == 2
+    assert "DILLPORT_TEST_CLOCK_MS: found 'soon'; allowed: whole milliseconds" in capsys.readouterr().err
