--- a/dillport/lab/link.py
+++ b/dillport/lab/link.py
@@ -103,7 +103,8 @@
     size: int = 0
 
 
-def _loopback(address: Address) -> Address:
+def loopback(address: Address) -> Address:
+    """The address itself; raises ValueError where it is off loopback."""
     try:
         if ipaddress.ip_address(address[0]).is_loopback:
             return address
@@ -343,8 +344,8 @@
     """
 
     def __init__(self, target: Address, seed: int = 0, host: str = "127.0.0.1") -> None:
-        self.target = _loopback(target)
-        self.address: Address = _loopback((host, 0))
+        self.target = loopback(target)
+        self.address: Address = loopback((host, 0))
         self.rng = random.Random(seed)
         self.counts = Counts()
         self.records: deque[Record] = deque(maxlen=RECORDS)
