--- a/tests/lab/test_lab_discovery.py
+++ b/tests/lab/test_lab_discovery.py
@@ -12,7 +12,7 @@
 
 from dillport.lab import discovery as module
 from dillport.lab.discovery import Agent, Book, Discovery
-from dillport.lab.records import Journal, Told
+from dillport.lab.records import Journal, NodeStarted, Told, now_ms
 from tests.lab.world import Wire, of, run, until
 
 Line = dict[str, Any]
@@ -282,3 +282,43 @@
             assert world.told() == [(41, "a", "up")]
 
     run(test)
+
+
+def test_what_a_path_keeps_from_a_node_counts_once_it_is_well(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "OVERDUE_MS", 30.0)
+
+    async def test() -> None:
+        async with rig() as r:
+            r.agent.away_at_ms = 0
+            r.agent.stray(True)
+            r.publish(entry("c"))  # nobody watches: it is there for long, and yet cannot have been heard
+            await asyncio.sleep(0.1)
+            r.agent.stray(False)
+            assert r.told() == []
+            before = len(r.journal)
+            r.agent.stray(True)
+            watch = await r.watch(42)
+            r.publish(entry("a", "terminating"))
+            await watch.line()
+            await r.whole()
+            assert len(r.journal) == before
+            r.agent.stray(False)
+            told = of(r.journal, Told)[before:]
+            assert told[0].server == "a" and told[0].phase == "draining" and told[0].at_ms > 0
+            r.agent.stray(True)
+            r.publish(entry("b", "terminating"))
+            await watch.line()
+            r.journal.add(NodeStarted("n0", now_ms()))  # it was on its way to the process before
+            r.agent.tell_known()  # which a file tells, past the path
+            now = of(r.journal, Told)[before + len(told) :]
+            assert [(t.server, t.phase) for t in now] == [
+                ("c", "up"), ("a", "draining"), ("b", "draining")
+            ]  # fmt: skip
+            r.publish(entry("a"))  # the path is still at fault
+            await watch.line()
+            assert len(of(r.journal, Told)) == before + len(told) + len(now)
+            r.journal.lose("n0", "platform")
+            r.agent.stray(False)
+            assert len(of(r.journal, Told)) == before + len(told) + len(now)
+
+    run(test)
