The scripts herd, join, quiet and zone notice when their defences are taken out

They have bounds of their own now (`spent`, `failed`, `pushed`), a server off the list that goes on serving, colder servers, and vanished servers that answer no connect. `benchmarks/fleet_processes.py` plays a fleet that sees a request in ten seconds a node (`--seconds`, `--failing`) and counts attempts at failing servers.

--- a/benchmarks/fleet_processes.py
+++ b/benchmarks/fleet_processes.py
@@ -1,10 +1,14 @@
 """Fifty real nodes through the hard days of a fleet: what is served, when all is again, what it costs.
 
     python -m benchmarks.fleet_processes --nodes 50 --servers 40 [--before ../older/checkout] [--script herd]
+    python -m benchmarks.fleet_processes --script quiet --nodes 40 --servers 40 --rate 4 --seconds 120 \
+        --failing 1
 
+The second: 40 nodes that see a request in ten seconds each, and what one failing server of 40 costs them.
 Plays the scripts of `dillport/lab/scripts` with more nodes and servers, each version in turn within one
-run, and prints for each: the worth in time, the longest time to full service after a fault, breaches,
-connections that servers took a second (mean and peak), and the nodes' CPU time and peak memory (/proc).
+run, and prints for each: the worth in time, the longest time to full service after a fault, breaches, the
+attempts that came to servers while these were made to fail, connections that servers took a second (mean and
+peak), and the nodes' CPU time and peak memory (/proc).
 Servers and clients share the machine, in one Python process: `lab late` says by how much that was behind,
 and a rate it cannot hold is no figure of the nodes.
 """
@@ -68,12 +72,20 @@
                 self.memory_mb.append(int(line.split()[1]) / 1024)
 
 
-def played(name: str, nodes: int, servers: int, rate: float, seed: int, program: Path) -> str:
+def played(
+    name: str, nodes: int, servers: int, rate: float, seed: int, program: Path,
+    seconds: float | None = None, failing: int | None = None,
+) -> str:  # fmt: skip
     """One script, larger; its figures in a line."""
     small = sc.parse((SCRIPTS / f"{name}.toml").read_bytes())
     faults = tuple(msgspec.structs.replace(row, names=None, part=row.part or len(row.names) / small.servers)
                    if row.names else row for row in small.fault)  # fmt: skip
-    script = msgspec.structs.replace(small, nodes=nodes, servers=servers, rate=rate, fault=faults)
+    script = msgspec.structs.replace(small, nodes=nodes, servers=servers, rate=rate, fault=faults,
+                                     seconds=seconds or small.seconds)  # fmt: skip
+    if failing is not None:
+        one = [msgspec.structs.replace(row, part=None, count=failing) if row.kind == "fail" else row
+               for row in script.fault]  # fmt: skip
+        script = msgspec.structs.replace(script, fault=tuple(one))
     watch = Watch()
     with tempfile.TemporaryDirectory(prefix="dillport-fleet-") as directory:
         got = asyncio.run(sc.play(script, seed, Path(directory), program=program, watch=watch))
@@ -82,6 +94,7 @@
     taken = watch.taken[1:] or [0]  # all before the first look came up with the nodes
     return (
         f"worth {got.worth:.1%}, full service {longest}, {len(got.verdict.breaches)} breaches, "
+        f"{got.spent[0]} of {got.spent[1]} attempts at failing servers, "
         f"{statistics.mean(taken):.0f} connections a second ({max(taken)} at most), "
         f"CPU {statistics.median(watch.cpu_s):.2f} s, {max(watch.memory_mb):.0f} MB, "
         f"lab late {watch.late_ms:.0f} ms"
@@ -95,6 +108,8 @@
     parser.add_argument("--nodes", type=int, default=50)
     parser.add_argument("--servers", type=int, default=40)
     parser.add_argument("--rate", type=float, default=250.0, help="requests a second of all clients (250)")
+    parser.add_argument("--seconds", type=float, help="that clients ask, in place of the script's own")
+    parser.add_argument("--failing", type=int, help="how many servers fail, where a script has some fail")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--before", type=Path, metavar="DIR", help="a checkout of an older version")
     names = sorted(path.stem for path in SCRIPTS.glob("*.toml"))
@@ -104,7 +119,8 @@
     rows = []
     for name in args.script or names:
         for version, program in versions:
-            figures = played(name, args.nodes, args.servers, args.rate, args.seed, program)
+            figures = played(name, args.nodes, args.servers, args.rate, args.seed, program, args.seconds,
+                             args.failing)
             rows.append(Row(f"{name}, {version}", figures))
     title = f"{args.nodes} nodes, {args.servers} servers, {args.rate:.0f} requests a second"
     print("\n".join(table(title, rows)))
--- a/dillport/lab/judge.py
+++ b/dillport/lab/judge.py
@@ -106,12 +106,16 @@
 
 @dataclass(slots=True)
 class Verdict:
-    """All breaches, the classes with `all` for the sum, the servers, and how many attempts requests took."""
+    """All breaches, the classes with `all` for the sum, the servers, and how many attempts requests took.
+
+    `pushed` is the most that a cold server was sent, of what it may be sent.
+    """
 
     breaches: list[Breach] = field(default_factory=list)
     classes: dict[str, Tally] = field(default_factory=dict)
     servers: dict[str, Served] = field(default_factory=dict)
     attempts: Counter[int] = field(default_factory=Counter)
+    pushed: float = 0.0
 
     @property
     def ok(self) -> bool:
@@ -477,6 +481,8 @@
             for number, r in enumerate(got.get(place, [])):
                 at = r.last_byte_at_ms or 0.0
                 used = pressure.add(at - start.at_ms, r.work_ms)
+                if start.cold_share < 1.0:
+                    self.out.pushed = max(self.out.pushed, used)
                 if used <= 1.0:
                     continue
                 window = got[place][number + 1 - len(pressure.window) : number + 1]
--- a/dillport/lab/link.py
+++ b/dillport/lab/link.py
@@ -31,6 +31,7 @@
 
 HELD = 256 * 1024  # bytes held of one connection and way before its sender is no longer read
 RECORDS = 100_000
+DIAL_S = 0.9  # that the target gets to answer: less than the second after which Linux sends a SYN again
 _AT_ONCE = struct.pack("ii", 1, 0)  # SO_LINGER: close by RST and keep nothing
 
 
@@ -274,7 +275,10 @@
         try:
             accepted, _ = await loop.connect_accepted_socket(lambda: self.client, sock)
             accepted.pause_reading()
-            joined, _ = await loop.create_connection(lambda: self.server, *self.link.target)
+            # Guards against what was written long ago, by one who has given up since, reaching a target that
+            # is back: without the link between them no connection would have come up.
+            async with asyncio.timeout(DIAL_S):
+                joined, _ = await loop.create_connection(lambda: self.server, *self.link.target)
             joined.pause_reading()
         except asyncio.CancelledError:
             if self.up.reader is None:
--- a/dillport/lab/script.py
+++ b/dillport/lab/script.py
@@ -32,7 +32,7 @@
 from dillport.lab.judge import Verdict
 from dillport.lab.records import Answered, Asked, NodeEnded, NodeStarted, Received, Record, Told, Wanted
 from dillport.lab.servers import Machine
-from dillport.lab.site import Site
+from dillport.lab.site import Rules, Site
 from dillport.lab.world import DISCOVERY, ROOT, Node, Step, World
 from dillport.net.clock import TEST_CLOCK
 
@@ -63,9 +63,11 @@
 class Script(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The file. `least` is the worth in time, of all asked for, below which the script fails.
 
-    `spent` is the share of all attempts above which it fails if so many came to servers while these were made
-    to `fail`, `vanish` or `slow`. `notice_s` is how long clients go on coming to a node that is dead. With
-    `etcd` servers are in its stand-in as well, of which each node has two endpoints.
+    It fails too above `spent`, the share of all attempts that came to servers while these were to `fail`,
+    `vanish` or `slow`, above `failed`, the share of requests answered by a failure (no refusal), and above
+    `pushed`, the most that a cold server was sent of what it may be sent. `notice_s` is how long clients go
+    on coming to a node that is dead. With `etcd` servers are in its stand-in too, of which each node has two
+    endpoints. A server that has just started does the part `cold` of what it does once warm.
     """
 
     name: str
@@ -76,9 +78,12 @@
     zones: tuple[str, ...] = ("a", "b")
     cores: Count = 2
     speed: Positive = 0.5
+    cold: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.3
     notice_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
     least: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     spent: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    failed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    pushed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
     etcd: bool = False
     fault: tuple[Row, ...] = ()
 
@@ -243,9 +248,9 @@
 
 
 async def _silent(world: World, strike: Strike) -> None:
-    """A machine vanishes: connections stay open and say nothing. It is back cold, its old ones reset."""
+    """Machines vanish: connections stay open, say nothing and do not come up; back cold, old ones reset."""
     for name in strike.names:
-        world.fleet[name].hang()
+        world.fleet[name].vanish()
     await asyncio.sleep(strike.for_s)
     for name in strike.names:
         world.fleet[name].die()
@@ -362,6 +367,7 @@
     "die": Kind("server", _dies),
     "drain": Kind("server", lambda w, s: w.drain(*s.names)),
     "remove": Kind("server", lambda w, s: w.remove(*s.names)),
+    "delist": Kind("server", lambda w, s: w.enter(*s.names, phase="terminated")),
     "replace": Kind("server", _replaced),
     "vanish": Kind("server", _silent, ("for_s",)),
     "fail": Kind("server", _fails, ("value",)),
@@ -509,7 +515,7 @@
     rows: tuple[Quarter, ...]
     beliefs: tuple[str, ...]
     spent: tuple[int, int] = (0, 0)  # attempts that came to servers made to fail, and all
-    most_spent: float = 1.0
+    over: tuple[str, ...] = ()  # what is over the script's own bounds
 
     def wrong(self, least: float) -> list[str]:
         """Everything that must not be."""
@@ -517,10 +523,7 @@
         out += [*self.beliefs, *self.crashes]
         if self.worth < least:
             out.append(f"worth in time {self.worth:.1%}, {least:.1%} is the least")
-        if self.spent[0] > self.most_spent * self.spent[1]:
-            found = "{} of {} attempts".format(*self.spent)
-            out.append(f"{found} came to servers that were made to fail, {self.most_spent:.1%} is the most")
-        return out
+        return [*out, *self.over]
 
 
 async def play(
@@ -544,7 +547,7 @@
         if asyncio.iscoroutine(done):
             running.add(asyncio.ensure_future(done))
 
-    site = Site(zones=script.zones)
+    site = Site(zones=script.zones, rules=Rules(cold_share=script.cold))
     make: Callable[..., World] = FleetWorld if script.etcd else World
     world = make(
         directory, site=site, seed=seed, nodes=script.nodes, servers=script.servers, notice_s=script.notice_s,
@@ -567,12 +570,25 @@
     held = [line for breach in verdict.breaches[:1] for line in beliefs(records, breach.evidence)]
     total = verdict.classes["all"]
     rows = tuple(_rows(records, at0))
+    lost = spent(records, struck, at0)
     return Played(
-        seed, tuple(struck), verdict, tuple(crashes), total.worth, full, rows, tuple(held),
-        spent(records, struck, at0), script.spent,
+        seed, tuple(struck), verdict, tuple(crashes), total.worth, full, rows, tuple(held), lost,
+        tuple(_over(script, records, lost, verdict.pushed)),
     )  # fmt: skip
 
 
+def _over(script: Script, records: Iterable[Record], lost: tuple[int, int], pushed: float) -> Iterable[str]:
+    ends = [r.status for r in records if isinstance(r, Answered)]
+    failed = sum(status not in (200, 429, 503) for status in ends)
+    if lost[0] > script.spent * lost[1]:
+        at = f"{lost[0]} of {lost[1]} attempts"
+        yield f"{at} came to servers that were made to fail, {script.spent:.1%} is the most"
+    if failed > script.failed * len(ends):
+        yield f"{failed} of {len(ends)} answers were failures, {script.failed:.1%} is the most"
+    if pushed > script.pushed:
+        yield f"a cold server was sent {pushed:.2f} of what it may be sent, {script.pushed:.2f} is the most"
+
+
 def spent(records: Iterable[Record], strikes: Iterable[Strike], at0: float) -> tuple[int, int]:
     """Attempts that came to servers while a strike made these fail, vanish or slow, and all attempts."""
     bad = [(set(one.names), at0 + one.at_s * 1000, at0 + (one.at_s + (one.for_s or 1e6)) * 1000)
--- a/dillport/lab/servers.py
+++ b/dillport/lab/servers.py
@@ -262,6 +262,7 @@
         self.held: list[Job] = []  # done while it hangs
         self.report = ""
         self._looks: asyncio.TimerHandle | None = None
+        self._plug: list[socket.socket] = []  # keeps connections from coming up
 
     # --- the process
 
@@ -296,6 +297,9 @@
         at = now_ms()
         if self.listener is not None:
             self.listener.close()
+        for sock in self._plug:
+            sock.close()
+        self._plug.clear()
         if self._looks is not None:
             self._looks.cancel()
         for connection in list(self.connections):
@@ -342,6 +346,22 @@
         """The process stands still: it reads and says nothing."""
         self.hung = True
 
+    def vanish(self) -> None:
+        """The machine is gone: the process hangs, and new connections get no answer at all.
+
+        Linux leaves a SYN alone while the queue of a listener is full: one whose queue holds one takes this
+        one's place, with a connection in the queue that nobody takes out.
+        """
+        self.hang()
+        if self.listener is None or self._plug:
+            return
+        self.listener.close()
+        last = socket.socket(socket.AF_INET6 if ":" in self.host else socket.AF_INET)
+        last.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        last.bind((self.host, self.port))
+        last.listen(0)
+        self._plug = [last, socket.create_connection((self.host, self.port), 1.0)]
+
     def resume(self) -> None:
         """It goes on, and answers what was done meanwhile."""
         self.hung = False
--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -401,7 +401,7 @@
     got = verdict(burst(180, 5.5))
     one(got, 4, "s4", "of what it may be sent")
     assert any(isinstance(r, Received) and r.server == "s4" for r in got.breaches[0].evidence)
-    assert verdict(burst(150, 6.5)).ok
+    assert verdict(burst(150, 6.5)).ok and 0.8 < verdict(burst(150, 6.5)).pushed < 1.0
     assert verdict(burst(300, 9)).ok  # more, but in a longer time
     assert verdict(burst(180, 5.5, begin=9_000)).ok  # it is warm by then
 
--- a/tests/lab/test_link.py
+++ b/tests/lab/test_link.py
@@ -175,6 +175,26 @@
     run(test)
 
 
+def test_a_target_that_says_nothing_gets_nothing_later() -> None:
+    """Its queue is full, so that connects get no answer until there is room."""
+
+    async def test() -> None:
+        with socket.socket() as target:
+            target.bind(("127.0.0.1", 0))
+            target.listen(0)
+            with socket.create_connection(target.getsockname()):
+                async with Link(target.getsockname()) as link:
+                    end = End(*await asyncio.open_connection(*link.address))
+                    await end.says(b"by now it is too late")
+                    await end.is_reset()
+                    target.accept()[0].close()  # now there is room
+                    target.settimeout(1.5)  # by then the SYN would have come again
+                    with pytest.raises(TimeoutError):
+                        await asyncio.to_thread(target.accept)
+
+    run(test)
+
+
 def test_a_slow_reader_holds_up_its_writer_and_loses_nothing() -> None:
     async def test() -> None:
         async with world() as w:
--- a/tests/lab/test_script.py
+++ b/tests/lab/test_script.py
@@ -123,3 +123,23 @@
 
     left = asyncio.run(sc.shrink(strikes, fails))
     assert [one.names for one in left] == [("n3",), ("n8",)] and played < 40
+
+
+def test_what_is_over_a_scripts_own_bounds_is_said() -> None:
+    def got(server: str, at: float) -> Received:
+        return Received(server, 1, 1, "a", "r", "", "", 1.0, at, at)
+
+    strikes = [sc.Strike(1.0, "fail", ("s1",), for_s=1.0), sc.Strike(3.0, "vanish", ("s2",)),
+               sc.Strike(0.0, "drain", ("s3",))]  # fmt: skip
+    times = (("s1", 1_900.0), ("s1", 2_000.0), ("s1", 2_999.0), ("s2", 3_999.0), ("s2", 4_000.0), ("s3", 5.0))
+    records: list[Record] = [got(server, at) for server, at in times]
+    assert sc.spent(records, strikes, 1_000.0) == (3, 6)
+    records += [Answered(f"r{n}", 1.0, status, True) for n, status in enumerate((200, 429, 503, 500))]
+    script = sc.parse(HEAD + b"spent = 0.5\nfailed = 0.25\npushed = 0.4\n")
+    assert not list(sc._over(script, records, (3, 6), 0.4))
+    lines = list(sc._over(script, [*records, Answered("r", 1.0, 0, False)], (4, 6), 0.41))
+    assert lines == [
+        "4 of 6 attempts came to servers that were made to fail, 50.0% is the most",
+        "2 of 5 answers were failures, 25.0% is the most",
+        "a cold server was sent 0.41 of what it may be sent, 0.40 is the most",
+    ]
--- a/tests/lab/test_servers.py
+++ b/tests/lab/test_servers.py
@@ -394,3 +394,24 @@
                 wire.close()
 
     run(test)
+
+
+def test_one_that_vanished_answers_no_connect_and_is_back_at_its_address() -> None:
+    async def test() -> None:
+        async with fleet() as world:
+            wire, server = await to(world["s0"]), world["s0"]
+            server.vanish()
+            server.vanish()
+            wire.send("r1")
+            await until(partial(count, world.journal, 1))
+            with pytest.raises(TimeoutError):  # nor is it refused
+                await asyncio.wait_for(to(server), 0.3)
+            server.die()
+            with pytest.raises(ConnectionResetError):
+                await wire.end()
+            with pytest.raises(ConnectionRefusedError):
+                await to(server)
+            await server.start(cold=True)
+            assert (await (await to(server)).ask("r2")).code == 200
+
+    run(test)
--- a/tests/system/test_scripts.py
+++ b/tests/system/test_scripts.py
@@ -1,7 +1,9 @@
 """The hard days of a fleet, each a script on several real processes, and the judge's word over all of them.
 
-`dillport/lab/scripts` says what happens in each. Without the defences named here the judge finds breaches:
-`stand`: `decide/pause.py` (rule 3: drains that lay unread while the process stood still).
+`dillport/lab/scripts` says what happens in each. Without the defences named here they fail:
+`stand`: `decide/pause.py` (rule 3: drains that lay unread while the process stood still);
+`herd`: outlier ejection (`spent`); `join`: what is removed gets nothing (rule 3), slow start (`pushed`);
+`zone`: slow start (`pushed`); `quiet`: repeats elsewhere (`failed`).
 """
 
 from __future__ import annotations
