Weigh a small node's decisions in virtual time: benchmarks/little.py, servers that fail

The fleet in virtual time gets a failing server; live weights and servers that turn slow it has already.

--- a/dillport/lab/fleet/report.py
+++ b/dillport/lab/fleet/report.py
@@ -14,9 +14,9 @@
     `service` is the worth answered within its aim over the worth asked for. Waiting, in milliseconds, is what
     an answer took beyond the time it ran: in line, on the network, held, tried elsewhere. `largest_share` is
     the most that any one server received, in shares of the mean. `chokes` is how often a server that held too
-    many turned slow. `digest` goes by each attempt and its time:
-    equal ones mean the same run. `cpu_us` is the policy's CPU time for each request, all its events counted,
-    where it was measured; it differs from run to run and does not count in a comparison.
+    many turned slow, `errors` how many attempts a failing one answered. `digest` goes by each attempt and its
+    time: equal ones mean the same run. `cpu_us` is the policy's CPU time for each request, all its events
+    counted, where it was measured; it differs from run to run and does not count in a comparison.
     """
 
     scenario: Scenario
@@ -34,6 +34,7 @@
     rules: tuple[int, int, int, int]
     breaches: tuple[str, ...]
     chokes: int
+    errors: int
     digest: int
     cpu_us: float = field(default=0.0, compare=False)
 
--- a/dillport/lab/fleet/scenario.py
+++ b/dillport/lab/fleet/scenario.py
@@ -12,7 +12,7 @@
 from dillport.interface import Effect
 from dillport.lab.site import RequestClass, Rules, Site
 
-KINDS = ("drain", "crash", "cut", "silence", "burst")
+KINDS = ("drain", "crash", "cut", "silence", "burst", "fail")
 
 SITE = Site(
     classes=(
@@ -31,7 +31,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Trouble:
-    """One trouble: `which` numbers the server or the zone, `size` is what a burst multiplies the rate by."""
+    """One trouble: `which` numbers the server or the zone, `size` is what a burst multiplies the rate by, or
+    the part of its requests that a server that fails answers at once with an error.
+    """
 
     kind: str
     at_ms: float
--- a/dillport/lab/fleet/servers.py
+++ b/dillport/lab/fleet/servers.py
@@ -70,6 +70,7 @@
         self.pressure: Pressure | None = None  # while it is cold
         self.informed: deque[tuple[float, float]] = deque()  # of its window: what came from nodes that knew
         self.received = 0
+        self.failing = 0.0  # part of its requests that it answers at once with an error
         self.choke, self.choked, self.chokes = choke, False, 0
         self._held, self._load, self._seen = 0.0, 0.0, 0.0  # means of late, and when they were taken
         self._shown, self._turn, self._offset, self._every = 0, -1, offset, report_ms
--- a/dillport/lab/fleet/world.py
+++ b/dillport/lab/fleet/world.py
@@ -74,6 +74,7 @@
         self.end_ms = scenario.seconds * 1_000
         self.since_ms = scenario.warm_up * self.end_ms
         self.asked = self.served = self.refused = self.failed = self.retried = self.attempts = self.digest = 0
+        self.errors = 0
         self.worth = self.worth_asked = 0.0
         self.waits: list[float] = []
 
@@ -279,7 +280,10 @@
             return
         if server.pushed(self.now, one):
             self.rules.pushed(server)
-        if server.offer(self.now, one):
+        if server.failing and self.chance.random() < server.failing:
+            self.errors += 1
+            self._back(one, api.Status.ERROR)
+        elif server.offer(self.now, one):
             self._begin(server)
         else:
             self._back(one, api.Status.FULL)
@@ -315,9 +319,15 @@
             self.silences.append((start, end))
         elif trouble.kind == "burst":
             self.bursts.append((start, end, trouble.size))
+        elif trouble.kind == "fail":
+            self.at(start, self._fail, (trouble.which, trouble.size))
+            self.at(end, self._fail, (trouble.which, 0.0))
         else:
             self.at(start, self._drain if trouble.kind == "drain" else self._crash, trouble)
 
+    def _fail(self, what: tuple[int, float]) -> None:
+        self.servers[self.places[what[0] % len(self.places)]].failing = what[1]
+
     def _drain(self, trouble: Trouble) -> None:
         """It drains, ends, and another takes its place under a new name."""
         server = self.servers[self.places[trouble.which % len(self.places)]]
@@ -406,7 +416,7 @@
             sum(waits) / len(waits) if waits else 0.0, part(0.5), part(0.99),
             max(received) * len(self.places) / max(1, sum(received)),
             (self.rules.counts[0], self.rules.counts[1], self.rules.counts[2], self.rules.counts[3]),
-            tuple(self.rules.told), sum(s.chokes for s in self.servers.values()), self.digest,
+            tuple(self.rules.told), sum(s.chokes for s in self.servers.values()), self.errors, self.digest,
             self.cpu_s * 1e6 / max(1, self.asked),
         )  # fmt: skip
 
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -5,14 +5,19 @@
 import asyncio
 import math
 import socket
+from dataclasses import replace
 
 import pytest
 
 from benchmarks.decide import Subject
 from benchmarks.herd import crowd, herd
+from benchmarks.little import DAYS, QUESTIONS, other
 from benchmarks.proxies import FLOOR, Client, Figure, Line, Relay, servers
 from benchmarks.proxies import table as proxies_table
 from benchmarks.report import Row, cores, part_of, spread, table
+from dillport import policy
+from dillport.lab.fleet.scenario import Trouble
+from dillport.lab.fleet.world import play
 
 
 def test_the_most_within_any_one_second_is_counted() -> None:
@@ -52,6 +57,21 @@
     assert len(most) == 3 and all(0 < n < 200 for n in most), figures
 
 
+def test_a_constant_is_set_for_one_play_alone() -> None:
+    was = policy.SPARE
+    with other("SPARE", (1e8, 1e9)):
+        assert policy.SPARE == (1e8, 1e9)
+    assert was == policy.SPARE
+    for question in QUESTIONS.values():
+        assert hasattr(policy, question.name) and set(question.days) <= set(DAYS)
+
+
+def test_a_failing_server_answers_what_it_should() -> None:
+    some = replace(DAYS["failing"], seconds=6.0, nodes=10, servers=8)
+    run = play(replace(some, troubles=(Trouble("fail", 1_000, 5_000, 0, 1.0),)))
+    assert run.ok and 0 < run.errors < run.attempts / 8
+
+
 def test_requests_that_were_refused_are_not_taken_for_fast_ones() -> None:
     subject = Subject(20, 1, 8)
     subject.requests()
