A test's client ends when it is told to, on Python 3.11 too

Seen: test_a_server_that_moves_is_a_line_of_its_own ran out of time now and then (once in eight runs, twice in some fifteen with its core shared with a busy loop). Cause: its clients were cancelled and one went on, so that the test waited for it: asyncio.wait_for of Python 3.11 loses a cancellation that comes as its answer does. Change: asyncio.timeout, which does not.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -168,7 +168,8 @@
 
     async def answer(self) -> Message:
         """The next answer."""
-        return await asyncio.wait_for(read_message(self.reader), WAIT)
+        async with asyncio.timeout(WAIT):  # wait_for of Python 3.11 may swallow the end of a task
+            return await read_message(self.reader)
 
     async def ask(self, target: str, *headers: str, method: str = "GET", body: bytes = b"") -> Message:
         """Send a request and wait for its answer."""
@@ -181,7 +182,8 @@
 
     async def ended(self) -> bytes:
         """Whatever else comes until the node closes."""
-        return await asyncio.wait_for(self.reader.read(), WAIT)
+        async with asyncio.timeout(WAIT):
+            return await self.reader.read()
 
 
 @dataclass
