A stand-in client whose connection came up too late asks nobody

Clients now end a try whose time is over before it was asked, as one that reached nobody. The test fails without it.

--- a/dillport/lab/clients.py
+++ b/dillport/lab/clients.py
@@ -290,6 +290,10 @@
                 self.journal.add(Unreached(name, connection, now_ms()))
                 return UNREACHED
             at = now_ms()
+            if at >= give_up:  # the connection came too late: nobody asks for what nobody waits for
+                self.release(connection)
+                self.journal.add(Unreached(name, connection.node, at))
+                return UNREACHED
             lines = [
                 f"{cls.method} {target} HTTP/1.1", "Host: api.internal", f"Request-Id: {name}",
                 f"Tenant: {arrival.tenant}", f"Request-Timeout: {max(1, int((give_up - at) * 1000))}u",
--- a/tests/lab/test_clients.py
+++ b/tests/lab/test_clients.py
@@ -12,7 +12,7 @@
 import pytest
 
 from dillport.interface import Effect, Group
-from dillport.lab.clients import Arrival, Clients, Front, Habits, draw
+from dillport.lab.clients import Arrival, Clients, Connection, Front, Habits, draw
 from dillport.lab.records import Answered, Asked, ClientLeft, Crossed, Journal, Unreached, Wanted
 from dillport.lab.site import RequestClass, Site
 from tests.lab.world import of, run, until
@@ -201,6 +201,25 @@
     run(test)
 
 
+def test_who_has_no_time_left_once_connected_does_not_ask(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the judge against requests that were late before any node had them, on a busy machine."""
+
+    async def test() -> None:
+        async with rig(OK) as world:
+            connect, hasty = world.clients._connection, replace(SITE.classes[3], give_up_ms=30)
+
+            async def late() -> Connection | str:
+                connection = await connect()
+                await asyncio.sleep(0.05)
+                return connection
+
+            monkeypatch.setattr(world.clients, "_connection", late)
+            assert (await world.clients.ask(Arrival(0, "0" * 16, hasty, "", "north", None))).status == -1
+            assert of(world.journal, Unreached) and not of(world.journal, Asked) and not world.got
+
+    run(test)
+
+
 def test_leaves_early() -> None:
     async def test() -> None:
         async with rig(OK) as world:
