--- a/benchmarks/little.py
+++ b/benchmarks/little.py
@@ -45,6 +45,7 @@
     "calm": BASE,
     "burst": replace(BASE, troubles=(Trouble("burst", 6_000, 4_000, size=2.0),)),
     "failing": replace(BASE, load=0.55, troubles=_some("fail", 1 / 8, 4_000, 10_000, 0.9)),
+    "noise": replace(BASE, load=0.55, troubles=_some("fail", 1, 2_000, 14_000, 0.04)),
     "restarts": replace(BASE, load=0.55, troubles=_some("crash", 1 / 2, 4_000, 1_500)),
     "silence": replace(
         BASE, troubles=(Trouble("silence", 5_000, 8_000), Trouble("burst", 5_500, 2_500, size=1.8))
@@ -72,7 +73,7 @@
     ),
     "eject": Question(
         "failures in a row that chance explains less often eject", "CHANCE", (0.1, 0.01, 0.0001),
-        ("calm", "failing"),
+        ("noise", "failing"),
     ),
     "cold": Question("part of a cold server's room that is used", "COLD_PART", (0.25, 0.75), ("restarts",)),
     "first": Question("first share of sends that are trusted", "THROTTLE", (1.1, 1.8), ("burst", "restarts")),
