Let a node's least limit follow its part of the fleet, down to 0.6 of four

Change: LIMIT_PART 0.6 for the 1.0 that was written into Balancer._list; 0.6 and not 0.4 or less, as a few arrivals at once would meet it.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -29,7 +29,8 @@
 FLOOR_RISE = 0.001  # part of an answer's time by which the least time rises again, lest one outlive its cause
 RECALL = 4.0  # longest aims without an answer after which a class no longer steers the limit
 EASY = 0.1  # less than this part of the time that the limit steers for counts as this part
-LIMIT_LEAST = 4.0  # lowest and first limit, for each backend that falls to this node if that is over one
+LIMIT_LEAST = 4.0  # lowest and first limit, for each backend that falls to this node...
+LIMIT_PART = 0.6  # ...or for so much of one: less would be met by the chance of a few arrivals
 ROOMY = 1.6  # requests held a core, in the mean, up to which the least limit may rise while it binds
 SPARE = (1.5, 3.0)  # requests held a core from which a backend is spared, and at which it gets none
 HELD_MOST = 16.0  # more than any backend holds: not a crowd, but another size
@@ -761,7 +762,7 @@
             self.acts.append(api.Noted("", JOINED, self.width))
         else:
             self._subset(was, self.width)
-        self.least = LIMIT_LEAST * max(1.0, n / self.cfg.group_size) * self.ease
+        self.least = LIMIT_LEAST * max(LIMIT_PART, n / self.cfg.group_size) * self.ease
         self.index.resize(0 if self.looks else max(self.width, self.out), self.now)
 
     def _entry(self, b: Backend, entry: api.Entry, first: bool) -> None:
--- a/tests/policy/test_mechanism.py
+++ b/tests/policy/test_mechanism.py
@@ -578,6 +578,13 @@
     assert b.limit >= 20.0
 
 
+def test_many_nodes_before_few_backends_have_lower_limits() -> None:
+    """Guards against a crowd of which each node holds no more than its least: 200 times 4 for 80 servers."""
+    few, even, many = (node(replace(BASE, group_size=size), NAMES).least for size in (2, len(NAMES), 200))
+    assert few > even > many
+    assert many == 0.6 * even
+
+
 def test_live_weights_let_the_least_limit_rise_and_take_it_back() -> None:
     """Guards against shedding while cores stand idle, and against keeping a limit that crowds them."""
 
--- a/tests/policy/test_replay.py
+++ b/tests/policy/test_replay.py
@@ -2,7 +2,7 @@
 
 The digests were taken from the text before actions carried reasons (`dillport/policy.py` of 1,025 lines). A
 change that is meant to alter decisions sets them anew and says so; one that is not must leave them. Crowded
-servers are spared since; where none is, all else is as it was.
+servers are spared since, and many nodes before few servers have lower limits; all else is as it was.
 """
 
 from __future__ import annotations
@@ -132,4 +132,5 @@
 @pytest.mark.parametrize("name", FLEETS)
 def test_the_actions_are_those_from_before_reasons(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(policy, "SPARE", (1e9, 2e9))
+    monkeypatch.setattr(policy, "LIMIT_PART", 1.0)
     assert [Run(FLEETS[name], seed).play(1_500) for seed in (1, 2)] == DIGESTS[name]
