Servers that memory alone vouches for count less, get no bookings first, drop at one failure

A restarted node took its configuration's `known` for the truth: bookings went to servers that might have been replaced, and a dead one was tried again after each ejection until discovery spoke.

`Entry.age_ms` says how long ago a source vouched for a server that only memory knows. The merge sets it for what was saved and takes it off, entry by entry and in slices, as soon as the source lists it or shows that nothing has changed since. In the module such a server gets one safe request at a time and bookings only where nobody else is left; one failure to answer drops it until a source lists it anew, but for half of the list; the older, the more often it is passed over for a better vouched one. An OK answer proves it. `learned` hands out usual times, the limit, slowness and ejections; `Remembered` brings them back, each faded by its age.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -13,6 +13,10 @@
   such source in the order given; its start time is the latest that any of them names, as one that may be cold
   is to be treated as cold.
 
+What is *remembered* (out of the configuration's `known`, or kept on disk: `Listed.saved`) is in the view with
+its age, until its source lists it, or shows that nothing has changed since: then it is vouched for, entry by
+entry, at once. Its revision counts as seen, so that the source cannot bring back an older view.
+
 `Membership.handle` takes an event and a clock time and returns actions. Nothing here does I/O.
 """
 
@@ -31,6 +35,7 @@
 MAX_REMOVED = 20_000  # removals remembered a source beside those of whom another source lists
 MAX_SAID = 20  # lines on entries left out, of one listing or slice: the log is bounded, others need it too
 MAX_FAULTS = 1000  # unreadable entries shown a source; further ones are counted
+MOST_AGE_MS = 365 * 86_400_000.0  # of what was kept: a clock may say anything
 LOUD_LEAST = 4  # removals at once, over half of what the source listed, that are worth a line of their own
 
 
@@ -62,7 +67,8 @@
     source: str
     identity: str
     listing: Listing
-    saved: bool = False  # out of what the node was given at its start
+    saved: bool = False  # out of what the node was given or had kept at its start
+    age_ms: float = 0.0  # of what was saved: how long ago the source said so, or 0 where nobody knows
     watched: bool = False  # by a watch, which tells things in their order: a call may be overtaken by it
 
 
@@ -166,6 +172,7 @@
     revision: int | None = None
     state: State = State.UNHEARD
     spoiled: bool = False  # a line was lost: only a whole list will do
+    remembered: bool = False  # memory alone vouches for some of what it lists
     behind: bool = False  # it went back: that it lives does not show that its last word is current
     heard_ms: float | None = None
     reason: str = ""  # why it is silent or refused
@@ -182,6 +189,11 @@
         return self.revision is not None and not self.spoiled
 
 
+def vouched(member: Member) -> Member:
+    """The same, by a source's word and not by memory."""
+    return Member(replace(member.entry, age_ms=None), member.address)
+
+
 def _by_name(sources: Sequence[Source]) -> dict[str, Source]:
     out = {s.name: s for s in sources}
     if len(out) != len(sources):
@@ -267,10 +279,11 @@
         if listing.complete:
             # An equal one is taken where something may have been lost on the way: a line, or a piece.
             if newer or (listing.revision == source.revision and (source.spoiled or source.pieces)):
-                self._whole(source, listing, event.saved)
+                self._whole(source, listing, event.saved, event.age_ms)
             elif listing.revision == source.revision:
                 self._current(source)
                 self._apply([], ListKind.CHANGES)
+                self._confirm(source)
             else:
                 what = f"its whole list is of revision {listing.revision}, older than {source.revision}"
                 source.old += 1
@@ -298,12 +311,22 @@
         source.heard_ms = self._now_ms
         if source.whole and not source.behind:
             self._current(source)
+            self._confirm(source)
 
     def _current(self, source: Source) -> None:
         if source.state in (State.SILENT, State.REFUSED):
             self._out.append(Say(f"{source.name}: in sync again"))
         source.state, source.reason, source.behind = State.IN_SYNC, "", False
 
+    def _confirm(self, source: Source) -> None:
+        """Nothing has changed since: the source vouches for all that only memory did, in slices."""
+        if source.remembered:
+            source.remembered = False
+            for name, last in source.members.items():
+                if last.entry.age_ms is not None:
+                    source.pending.setdefault(name, vouched(last))
+            self._continue()
+
     def _lost(self, source: Source, state: State, reason: str) -> None:
         """The view stays: a source that says nothing has taken nothing back."""
         if (source.state, source.reason) != (state, reason):
@@ -313,9 +336,13 @@
 
     # --- what was listed
 
-    def _whole(self, source: Source, listing: Listing, saved: bool) -> None:
+    def _whole(self, source: Source, listing: Listing, saved: bool, age_ms: float) -> None:
         """Removals and drains at once; the rest in slices, as one of thousands would hold the loop."""
         named = {m.entry.backend: m for m in listing.members}
+        if saved:
+            age_ms = min(max(0.0, age_ms), MOST_AGE_MS)
+            named = {name: Member(replace(m.entry, age_ms=age_ms), m.address) for name, m in named.items()}
+        source.remembered = saved
         unread = {fault.key for fault in listing.faults}
         listed = source.members | source.pending
         gone = [name for name in listed if name not in named and name not in unread]
@@ -396,6 +423,7 @@
         if later:
             source.pending |= {m.entry.backend: m for m in later}
             self._continue()
+        self._confirm(source)
 
     def _remove(self, source: Source, names: Iterable[str]) -> list[str]:
         out = []
@@ -451,7 +479,7 @@
     def _resolve(self, name: str) -> Member | None:
         """What holds of a backend over all sources; None: it is not to be used."""
         found: Member | None = None
-        drains, started = False, 0.0
+        drains, started, ages = False, 0.0, list[float | None]()
         for source in self.sources.values():
             if name in source.removed:
                 return None
@@ -464,13 +492,15 @@
             if source.role is Role.FULL:
                 drains = drains or leaving
             started = max(started, said.entry.started_at)
+            ages.append(said.entry.age_ms)
             if found is None or (found.entry.phase is not Phase.UP and not leaving and not drains):
                 found = said
         if found is None:
             return None
         phase = Phase.DRAINING if drains else found.entry.phase
-        if phase is not found.entry.phase or started != found.entry.started_at:
-            found = Member(replace(found.entry, phase=phase, started_at=started), found.address)
+        age = None if None in ages else min(age for age in ages if age is not None)
+        if (phase, started, age) != (found.entry.phase, found.entry.started_at, found.entry.age_ms):
+            found = Member(replace(found.entry, phase=phase, started_at=started, age_ms=age), found.address)
         return found
 
     def _settle(self, name: str, changes: dict[str, Member]) -> None:
--- a/dillport/index.py
+++ b/dillport/index.py
@@ -32,7 +32,8 @@
         self.order: list[tuple[bool, float, str, Backend]] = []  # near ones first, then by rank
         self.home = 0  # how many are near
         self.size = 0  # of the window
-        self.shelves: tuple[Shelf, Shelf] = ({}, {})  # ready ones; the second are those that turn away
+        # Ready ones: those that are vouched for, those of them that turn away, those of memory alone.
+        self.shelves: tuple[Shelf, Shelf, Shelf] = ({}, {}, {})
         self.cold: list[Backend] = []
         self.away: list[tuple[float, int, Backend]] = []  # a heap; some no longer hold
         # All of it by zone or by cell, for the classes whose repeats are dropped by such a group.
@@ -101,10 +102,11 @@
         if b.inside and b.due == (back if back > now else warm) and b.due > now:
             return  # away or cold, as it was
         mark, was_cold, was_away = grade(b), False, False
+        side = int(b.full > self.choosy) if b.vouched else 2
         if b.level is not None:
             if (
                 b.inside and b.out == b.shelved and b.estimate == b.row and back <= now and warm <= now
-                and (b.full > self.choosy) == b.apart and mark == b.grade
+                and side == b.apart and mark == b.grade
             ):  # fmt: skip
                 return
             self._unshelve(b, b.level)
@@ -136,7 +138,7 @@
             self.news.append((b, api.What.WARM))
         elif was_away and b.until >= b.busy:
             self.news.append((b, api.What.TAKEN_BACK))
-        b.apart, b.grade = b.full > self.choosy, mark
+        b.apart, b.grade = side, mark
         self._shelve(b)
 
     def count(self, b: Backend) -> None:
--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -131,6 +131,7 @@
     LEFT_SUBSET = "left_subset"
     COLD = "cold"  # it started: slow start thins out what it gets
     WARM = "warm"  # slow start is over
+    DROPPED = "dropped"  # memory alone vouched for it, and it did not answer
 
 
 @dataclass(slots=True, frozen=True)
@@ -257,6 +258,22 @@
     phase: Phase
     started_at: float
     kind: str = ""
+    age_ms: float | None = None
+    """How long ago a source vouched for it, where memory alone does now; None: a source does."""
+
+
+@dataclass(slots=True)
+class Learned:
+    """What a node has learned of its site, as plain data that can outlive its process.
+
+    By class the usual time and its mean deviation, in milliseconds; the concurrency limit; by server how slow
+    it is (mean time over the usual one), where that is far from 1, and the milliseconds left of an ejection.
+    """
+
+    usual: dict[str, tuple[float, float]] = field(default_factory=dict)
+    limit: float = 0.0
+    slow: dict[str, float] = field(default_factory=dict)
+    ejected: dict[str, float] = field(default_factory=dict)
 
 
 # --- events -----------------------------------------------------------------------------------------
@@ -340,7 +357,17 @@
     content: bytes
 
 
-Event = ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | Timer | Probed | PeerMessage
+@dataclass(slots=True)
+class Remembered:
+    """What an earlier process of this node had learned, `age_ms` ago; told after the list kept with it."""
+
+    learned: Learned
+    age_ms: float
+
+
+Event = (
+    ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | Timer | Probed | PeerMessage | Remembered
+)
 
 # --- actions ----------------------------------------------------------------------------------------
 
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -51,6 +51,8 @@
 USUAL_LEAST = 0.001  # shortest time that a class is taken to need
 EWMA = 0.1  # weight of one sample in a running mean
 AWAY = (1.0, 2.0)  # usual times of its class that a refused client is told to stay away, at least and most
+STALE = 60_000.0  # age at which one of memory alone is looked beyond half of the time, for one of less age
+HALVES = (10_000.0, 60_000.0, 3_600_000.0)  # ms in which half fades of: the limit, slowness, usual times
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
 OK, FULL, TIMEOUT = api.Status.OK, api.Status.FULL, api.Status.TIMEOUT  # a plain name is looked up faster
 CANCELLED, MOOT, CONNECT_FAILED = api.Status.CANCELLED, api.Status.MOOT, api.Status.CONNECT_FAILED
@@ -60,7 +62,7 @@
 ROOMLESS, NOBODY, SHED, ONCE = (api.Why.NO_ROOM_IN_TIME, api.Why.NOBODY_ELIGIBLE, api.Why.SHED_BY_SUCCESS,
                                 api.Why.NOT_REPEATABLE)
 EJECTED, PAUSED, IDLE = api.What.EJECTED, api.What.PAUSED, api.What.IDLE_SIGN
-JOINED, LEFT = api.What.JOINED_SUBSET, api.What.LEFT_SUBSET
+JOINED, LEFT, DROPPED = api.What.JOINED_SUBSET, api.What.LEFT_SUBSET, api.What.DROPPED
 SPOILT = frozenset({api.Status.ERROR, api.Status.RESET})  # failures that say nothing of load
 
 
@@ -105,7 +107,8 @@
         self.on: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrival, api.Outcome: self._outcome, api.Probed: self._probed,
             api.Timer: self._timer, api.ListUpdate: self._list, api.ClientGone: self._gone,
-            api.StreamStarted: self._stream, api.PeerMessage: lambda event: None}
+            api.StreamStarted: self._stream, api.PeerMessage: lambda event: None,
+            api.Remembered: self._remembered}
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Decide on one event at the clock time `now` (it never goes back)."""
@@ -153,7 +156,7 @@
         levels: list[tuple[int, Level]] = []
         count, total, over = len(cold), sum(b.out for b in cold) if cold else 0, 0
         # Guards requests of high worth against backends that turn away for want of what no report shows.
-        for shelf in index.shelves[:1] if req.dense else index.shelves:
+        for shelf in index.shelves[: 1 if req.dense else 2]:
             for out, level in shelf.items():
                 if out <= crowd:
                     levels.append((out, level))
@@ -161,6 +164,14 @@
                     total += out * level.size
                 else:
                     over += level.size
+        # Memory alone vouches for some: one safe request at a time shows whether they are there and warm, and
+        # bookings go to them where nobody else is left.
+        if (kept := index.shelves[2]) and ((alone := not count) or req.cls.cfg.effect is api.Effect.SAFE):
+            for out, level in kept.items():
+                if out <= crowd and (alone or not out):
+                    levels.append((out, level))
+                    count += level.size
+                    total += out * level.size
         if not count:
             return None
         self.why, self.among, self.crowded = LOWEST, count, over
@@ -319,6 +330,17 @@
         if more > 0:
             self._eject(b, int(more))
 
+    def _dropped(self, b: Backend, status: api.Status) -> bool:
+        """One of memory alone did not answer: gone until a source lists it anew, but for half of the list.
+
+        That half guards a node whose own network is at fault.
+        """
+        if b.vouched or status is api.Status.ERROR or 2 * len(self.index.order) <= self.fleet:
+            return False
+        self.acts.append(api.Noted(b.entry.backend, DROPPED))
+        self._entry(b, replace(b.entry, phase=api.Phase.GONE), False)
+        return True
+
     def _eject(self, b: Backend, doublings: int) -> None:
         """Leave it alone for a time: exponential backoff with jitter.
 
@@ -428,6 +450,9 @@
         elif bound or far:
             pool = self._draw(req, count, *self._some(count, 0, k, far), crowd)
         elif (b := self._choose(req, crowd, m)) is not None:
+            if not b.vouched and (age := b.entry.age_ms or 0.0) > self.rng.random() * (age + STALE):
+                other = self._choose(req, crowd, m) or b
+                b = other if other.vouched or (other.entry.age_ms or 0.0) < age else b
             self._send(req, b)
             return
         pool = pool or self._draw(req, count, *self._some(count, k, 2 * k, far))
@@ -436,6 +461,7 @@
             self._send(req, b)
             return
         found = pool or self._panic(req, count, 2 * k, far, crowd)
+        found = [b for b in found if b.vouched or req.cls.cfg.effect is api.Effect.SAFE] or found
         pool = [b for b in found if b.out * len(found) <= sum(x.out for x in found)]
         if pool:
             b, self.crowded = self._pick(pool, m), len(found) - len(pool)
@@ -491,9 +517,9 @@
         if ev.status is OK:
             self.rtt += EWMA * (ev.duration - self.rtt)
             self._report(b, ev.report, True)
-            b.until = min(b.until, self.now)
+            b.until, b.vouched = min(b.until, self.now), True
             self._place(b)
-        else:
+        elif not self._dropped(b, ev.status):
             b.fails += 1
             self._eject(b, b.fails - 1)
         for req in waiting:
@@ -585,7 +611,7 @@
             gain = SPILL * (self.bad[0] - self.bad[1] - self.cfg.charges.cross_zone)
             self.spill = max(0.0, min(1.0, self.spill + gain))
         if ev.status is OK:
-            b.fails = 0
+            b.fails, b.vouched = 0, True
             if attempt.fair:
                 cls.dev += EWMA * (abs(ev.duration - cls.usual) - cls.dev)
                 # Guards against a division by nothing after thousands of answers that took no time.
@@ -593,7 +619,7 @@
         elif ev.status is FULL:
             b.busy = self.now + cls.usual * self.rng.uniform(0.5, 1.5)
             self.acts.append(api.Noted(b.entry.backend, PAUSED, 0, b.busy - self.now))
-        else:
+        elif attempt.cut or not self._dropped(b, ev.status):
             self._failed(b)
             if ev.status is CONNECT_FAILED:
                 self._eject(b, b.fails - 1)
@@ -715,7 +741,7 @@
                 self._entry(b, replace(b.entry, phase=api.Phase.GONE), first)
         for entry in ev.entries:
             if (known := self.backends.get(entry.backend)) is None and entry.phase is not api.Phase.GONE:
-                known = self.backends[entry.backend] = Backend(entry)
+                known = self.backends[entry.backend] = Backend(entry, vouched=entry.age_ms is None)
             if known is not None:
                 self._entry(known, entry, first)
         if first:
@@ -751,7 +777,7 @@
                 self.acts.append(api.Noted(entry.backend, LEFT))
                 self._subset(self.width - 1, self.width)
             b.listed = False
-        b.entry, b.near = entry, self._near(entry)
+        b.entry, b.near, b.vouched = entry, self._near(entry), b.vouched or entry.age_ms is None
         if up and not b.listed:
             if not moved or not was:
                 b.rank = self.rng.random()
@@ -842,6 +868,26 @@
         elif self.held or self.out + 2 > self.limit:
             self.ease = min(most, self.ease * (1 + rise * part))
 
+    def learned(self, now: float) -> api.Learned:
+        """What is worth keeping over a restart; `Remembered` brings it back."""
+        times = {name: (cls.usual, cls.dev) for name, cls in self.classes.items()}
+        slow = {name: b.slow for name, b in self.backends.items() if abs(b.slow - 1.0) > EWMA}
+        away = {name: b.until - now for name, b in self.backends.items() if now < b.until}
+        return api.Learned(times, self.limit, slow, away)
+
+    def _remembered(self, ev: api.Remembered) -> None:
+        """It fades towards what a first start has; ejections end when they would have. Before any answer."""
+        kept, age, most = ev.learned, max(0.0, ev.age_ms), self.longest_aim * 2**EJECT_MAX
+        fast, slowly, late = (0.5 ** min(64.0, age / half) for half in HALVES)
+        self.limit += fast * (min(self.cfg.max_open, max(LIMIT_LEAST, kept.limit)) - self.limit)
+        for cls in [self.classes[name] for name in kept.usual if name in self.classes]:
+            usual, dev = (min(cls.cfg.aim / 2, max(USUAL_LEAST, ms)) for ms in kept.usual[cls.cfg.name])
+            cls.usual, cls.dev = cls.usual + late * (usual - cls.usual), late * dev
+        for name, b in self.backends.items():
+            b.slow = 1.0 + slowly * (min(100.0, max(0.01, kept.slow.get(name, 1.0))) - 1.0)
+            b.until = self.now + min(most, max(0.0, kept.ejected.get(name, 0.0) - age))
+            self._place(b)
+
     def _ask(self, _: None) -> None:
         self.acts.append(api.Subscribe())
 
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -26,12 +26,13 @@
     waiting: list[Request] | None = None  # requests waiting for a probe of it; None: no probe is out
     listed: bool = False  # in the order
     near: bool = True  # within reach without a price
+    vouched: bool = True  # a source lists it, or it has answered here; else memory alone does
     rank: float = 0.0  # its place in this node's own order
     tally: tuple[str, int] | None = None  # its part in the sums of live weights: kind and inverse, -1: none
     # Where the index has it.
     inside: bool = False  # in the window
     level: Level | None = None  # ready
-    apart: bool = False  # on the shelf of those that turn away
+    apart: int = 0  # on the shelf of that number
     shelved: int = 0  # own attempts out, estimate and grade when it was put there
     row: int = 0
     grade: int = 0
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -663,3 +663,73 @@
     assert any("480 more" in line.text for line in rig.lines)
     assert any("279 more" in line.text for line in rig.lines)
     assert len(rig.membership.shadowed) == 299
+
+
+# --- what memory alone vouches for
+
+
+def aged(*names: str) -> Membership:
+    """Sources of which the first is remembered to list x and y at revision 7, five seconds ago."""
+    merge = Membership([Source(name) for name in names or ("a",)])
+    said = m.Listed("a", "one", whole(7, member("x"), member("y")), saved=True, age_ms=5_000.0)
+    merge.handle(0.0, said)
+    return merge
+
+
+def ages(merge: Membership) -> dict[str, float | None]:
+    return {name: held.entry.age_ms for name, held in merge.view.items()}
+
+
+BOTH, NONE = {"x": 5_000.0, "y": 5_000.0}, {"x": None, "y": None}
+
+
+def test_what_was_kept_is_in_the_view_with_its_age() -> None:
+    assert ages(aged()) == BOTH
+
+
+def test_a_source_that_shows_that_nothing_changed_vouches_for_all() -> None:
+    merge = aged()
+    (applied,) = (a for a in merge.handle(1.0, m.Heard("a")) if isinstance(a, m.Apply))
+    assert {one.id for one in applied.members} == {"x", "y"} and ages(merge) == NONE
+    assert not [a for a in merge.handle(2.0, m.Heard("a")) if isinstance(a, m.Apply)]
+
+
+def test_a_source_that_was_never_whole_vouches_for_nobody() -> None:
+    merge = aged()
+    merge.handle(1.0, m.Spoiled("a", "a line was lost"))
+    merge.handle(2.0, m.Heard("a"))
+    assert ages(merge) == BOTH
+
+
+def test_the_list_that_was_kept_again_vouches_for_all() -> None:
+    merge = aged()
+    merge.handle(1.0, m.Listed("a", "one", whole(7, member("x"), member("y"))))
+    assert ages(merge) == NONE
+
+
+def test_changes_since_vouch_for_those_that_they_do_not_name() -> None:
+    merge = aged()
+    merge.handle(1.0, m.Listed("a", "one", changes(8, removed=("y",))))
+    assert ages(merge) == {"x": None}
+
+
+def test_no_source_brings_back_what_is_older_than_what_was_kept() -> None:
+    merge = aged()
+    merge.handle(1.0, m.Listed("a", "one", whole(6, member("x")), watched=True))
+    merge.handle(2.0, m.Heard("a"))  # that it lives shows nothing: it went back
+    assert ages(merge) == BOTH and merge.sources["a"].state is State.REFUSED
+
+
+def test_another_source_vouches_for_what_it_lists_alone() -> None:
+    merge = aged("a", "b")
+    merge.handle(1.0, m.Listed("b", "two", whole(1, member("x"))))
+    assert ages(merge) == {"x": None, "y": 5_000.0}
+
+
+@pytest.mark.parametrize(
+    ("age", "taken"), [(-86_400_000.0, 0.0), (float("nan"), 0.0), (float("inf"), m.MOST_AGE_MS)]
+)
+def test_an_age_out_of_a_clock_that_was_off_is_clamped(age: float, taken: float) -> None:
+    merge = Membership([Source("a")])
+    merge.handle(0.0, m.Listed("a", "one", whole(1, member("x")), saved=True, age_ms=age))
+    assert ages(merge) == {"x": taken}
