What a node may do while it comes back, as a state machine; several kept views at one start

Nothing said how far a restarted node is back, whether it remembers, or what it may do meanwhile.

`decide/recovery.py` (pure): blank, provisional, confirmed, full, with what each may do as a table and the way between them as another; beside it the memory (none, kept, lost, older), which bars roles that rest on it until the others have said what they know, or for a stated time. A first start and a wiped disk look alike from within: the others' word alone tells them apart. A pause makes the memory old. A meter of requests' ends says when service is full (95% for 2 s and 20 requests; a small node is judged by 30 s).

In the merge a second source whose view was kept told its part as a whole list, which would have taken the first one's servers away, and removals that were kept with it were not told; found while the state machine with three sources was written.

Every pair of state and event, all stories of four events from four kinds of start (83,000), and a hypothesis machine of the merge, a store and three sources: no view older than one that was durably seen.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -365,7 +365,8 @@
             source.state = State.UNHEARD
             source.spoiled = bool(listing.faults)  # whoever was left out may be readable at the source
             self._take(source, named.values())
-            self._apply(named, ListKind.SAVED)
+            # A whole list for whoever is told: of several that are remembered the first alone can be one.
+            self._apply([*touched, *named], ListKind.CHANGES if self.view else ListKind.SAVED)
             return
         if touched:
             self._apply(touched, ListKind.CHANGES)
--- /dev/null
+++ b/tests/decide/test_recovery.py
@@ -0,0 +1,366 @@
+"""A node's way back: each pair of state and event, all short stories, and views against a plain model."""
+
+from __future__ import annotations
+
+import itertools
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from dillport.decide import membership as m
+from dillport.decide import recovery as r
+from dillport.decide.membership import Membership, Source
+from dillport.decide.recovery import End, Kind, Memory, Meter, Recovery, State
+from dillport.interface import Phase
+from dillport.members import Listing
+from tests.decide.test_membership import member, whole
+
+B, P, C, F = State.BLANK, State.PROVISIONAL, State.CONFIRMED, State.FULL
+DAY = 86_400_000.0
+KEPT = r.Kept(7, 1_000_000.0)
+
+
+def begun(kept: r.Kept | None = KEPT, wall_ms: float = 1_001_000.0, fault: str = "") -> Recovery:
+    out = Recovery(0.0)
+    out.handle(0.0, r.Started(kept, wall_ms, fault))
+    return out
+
+
+def served(recovery: Recovery, from_ms: float, for_ms: float = 2_200.0, end: End = End.SERVED) -> None:
+    """Forty requests a second."""
+    for number in range(int(for_ms / 25)):
+        recovery.handle(from_ms + 25.0 * number, r.Ended("read", end))
+
+
+def brought(state: State) -> Recovery:
+    """A node with its memory in that state at 10 s."""
+    out = begun()
+    if state is not B:
+        out.handle(1.0, r.ViewChanged(10, 0 if state is P else 10))
+    if state is F:
+        served(out, 5_000.0)
+    assert out.state is state
+    return out
+
+
+EVENTS: dict[str, tuple[r.Event, tuple[State, State, State, State]]] = {
+    # after which states come blank, provisional, confirmed, full
+    "no server is left": (r.ViewChanged(0, 0), (B, B, B, B)),
+    "all by memory": (r.ViewChanged(10, 0), (P, P, P, P)),
+    "fewer than half vouched for": (r.ViewChanged(10, 4), (P, P, P, P)),
+    "half vouched for": (r.ViewChanged(10, 5), (C, C, C, F)),
+    "more vouched for than there are": (r.ViewChanged(-1, 5), (B, B, B, B)),
+    "a source spoke": (r.SourceSpoke(), (B, P, C, F)),
+    "it stood still": (r.StoodStill(60_000.0), (B, P, P, P)),
+    "others saw an earlier life": (r.OthersKnew(7), (B, P, C, F)),
+    "others never saw it": (r.OthersKnew(0), (B, P, C, F)),
+    "others saw a later life": (r.OthersKnew(9), (B, P, P, P)),
+    "others saw this life before it was told": (r.OthersKnew(8), (B, P, P, P)),
+    "others say nonsense": (r.OthersKnew(-3), (B, P, C, F)),
+    "others reminded it": (r.Reminded(), (B, P, C, F)),
+    "a request was served": (r.Ended("read", End.SERVED), (B, P, C, F)),
+    "a request failed": (r.Ended("read", End.FAILED), (B, P, C, F)),
+    "a wait is over": (r.Due(), (B, P, C, F)),
+    "it started": (r.Started(KEPT, 1_001_000.0), (B, P, C, F)),
+}
+
+
+@pytest.mark.parametrize("name", EVENTS)
+@pytest.mark.parametrize("state", State)
+def test_each_pair_of_state_and_event(state: State, name: str) -> None:
+    event, after = EVENTS[name]
+    node = brought(state)
+    acts = node.handle(10_000.0, event)
+    assert node.state is after[list(State).index(state)]
+    became = [a for a in acts if isinstance(a, r.Became)]
+    assert bool(became) == (node.state is not state) and all(a.reason for a in became)
+    assert node.since_ms == (10_000.0 if became else node.since_ms)
+    assert set(node.status(10_000.0)) == {"state", "since", "incarnation", "memory", "waits_for", "phases"}
+
+
+def test_the_table_knows_each_pair() -> None:
+    assert set(r.NEXT) == set(State) and all(set(row) == set(Kind) for row in r.NEXT.values())
+    assert set(r.ALLOWED) == set(State) and not r.ALLOWED[B].roles and not r.ALLOWED[P].roles
+
+
+@pytest.mark.parametrize(
+    ("kept", "wall_ms", "fault", "memory", "life", "barred"),
+    [
+        (None, 1e12, "", Memory.NONE, 1, True),
+        (None, 1e12, "a checksum is wrong", Memory.LOST, 1, True),
+        (KEPT, 1_001_000.0, "", Memory.KEPT, 8, False),
+        (KEPT, 1_000_000.0 + 2 * DAY, "", Memory.OLDER, 8, True),  # a clock a day ahead, or a backup
+        (KEPT, 1_000_000.0 - DAY, "", Memory.OLDER, 8, True),  # a day back
+        (KEPT, 1_000_000.0 - 500.0, "", Memory.KEPT, 8, False),  # as clocks are set
+        (KEPT, math.nan, "", Memory.OLDER, 8, True),
+        (r.Kept(-4, 1.0), 2.0, "", Memory.LOST, 1, True),
+        (r.Kept(1 << 60, 1.0), 2.0, "", Memory.LOST, 1, True),
+    ],
+)
+def test_three_kinds_of_start(
+    kept: r.Kept | None, wall_ms: float, fault: str, memory: Memory, life: int, barred: bool
+) -> None:
+    node = begun(kept, wall_ms, fault)
+    node.handle(1.0, r.ViewChanged(3, 3))
+    assert (node.memory, node.incarnation, node.may_take_roles(2.0)) == (memory, life, not barred)
+    assert 0.0 <= node.memory_age_ms <= DAY and node.may_take_roles(r.BAR_MS)
+    assert any("roles" in text for text in node.waits_for(2.0)) == barred
+
+
+def test_one_that_was_wiped_takes_its_life_up_where_the_others_saw_it() -> None:
+    node = begun(None)
+    node.handle(1.0, r.ViewChanged(3, 3))
+    assert r.Raise(6) in node.handle(20_000.0, r.OthersKnew(5)) and node.memory is Memory.LOST
+    node.handle(20_001.0, r.ViewChanged(3, 3))
+    assert not node.may_take_roles(r.BAR_MS + 1) and node.may_take_roles(20_000.0 + r.BAR_MS)
+    node.handle(20_002.0, r.Reminded())
+    assert node.may_take_roles(20_003.0)
+
+
+def test_a_first_start_may_act_once_the_others_never_saw_it() -> None:
+    node = begun(None)
+    node.handle(1.0, r.ViewChanged(3, 3))
+    node.handle(2.0, r.OthersKnew(0))
+    assert node.may_take_roles(3.0) and node.memory is Memory.NONE
+
+
+def test_an_echo_of_its_own_word_says_nothing() -> None:
+    node = brought(C)
+    node.told()
+    assert node.handle(10_000.0, r.OthersKnew(8)) == [] and node.incarnation == 8
+
+
+def test_one_that_stood_still_waits_for_a_source_and_for_its_roles() -> None:
+    node = brought(F)
+    assert node.may_take_roles(9_000.0)
+    node.handle(70_000.0, r.StoodStill(60_000.0))
+    node.handle(70_001.0, r.ViewChanged(10, 10))  # the same list as before it stood: it says nothing
+    assert node.state is P and node.memory is Memory.OLDER
+    node.handle(70_002.0, r.SourceSpoke())
+    assert node.state is C and not node.may_take_roles(80_000.0) and node.may_take_roles(100_000.0)
+
+
+def test_a_clock_that_goes_back_stands_still() -> None:
+    node = brought(C)
+    node.handle(10_000.0, r.ViewChanged(0, 0))
+    node.handle(5_000.0, r.ViewChanged(9, 9))
+    assert node.since_ms == 10_000.0
+
+
+# --- how long it took
+
+
+def meter(ends: Iterator[tuple[float, End]]) -> dict[str, float]:
+    out = Meter(0.0)
+    for at_ms, end in ends:
+        out.ended(at_ms, "read", end)
+    return out.phases
+
+
+def steady(every_ms: float, until_ms: float, end: Callable[[float], End]) -> Iterator[tuple[float, End]]:
+    return ((every_ms * n, end(every_ms * n)) for n in range(1, int(until_ms / every_ms)))
+
+
+@pytest.mark.parametrize("every_ms", [1.0, 10.0, 90.0])
+def test_full_service_begins_where_its_two_seconds_do(every_ms: float) -> None:
+    phases = meter(steady(every_ms, 10_000.0, lambda at: End.FAILED if at < 3_000 else End.SERVED))
+    assert 2_800.0 <= phases["full"] <= 3_100.0 and phases["half"] < phases["full"]
+    assert 3_000.0 <= phases["first answer"] == phases["first answer: read"] < 3_100.0
+
+
+def test_what_servers_turned_away_is_not_asked_of_this_node() -> None:
+    ends = [(10.0 * n, End.TURNED_AWAY if n % 3 else End.SERVED) for n in range(1, 1_000)]
+    assert "full" in meter(iter(ends))
+    assert "full" not in meter((at, End.FAILED if end is End.TURNED_AWAY else end) for at, end in ends)
+
+
+def test_ten_in_a_hundred_that_fail_are_no_full_service() -> None:
+    assert "full" not in meter(steady(10.0, 60_000.0, lambda at: End.FAILED if at % 100 == 0 else End.SERVED))
+
+
+def test_a_node_that_sees_few_is_judged_by_a_longer_stretch() -> None:
+    slow = meter(steady(5_000.0, 29_000.0, lambda at: End.SERVED))
+    assert "full" not in slow and "first answer" in slow
+    assert meter(steady(5_000.0, 40_000.0, lambda at: End.SERVED))["full"] <= 5_000.0
+    one_of_six = meter(steady(5_000.0, 40_000.0, lambda at: End.FAILED if at == 25_000 else End.SERVED))
+    assert "full" not in one_of_six
+    assert meter(iter(())) == {}
+
+
+def test_parts_of_the_start_come_first() -> None:
+    node = Recovery(0.0)
+    node.handle(0.0, r.Started(None, 0.0, parts={"imports": 90.0, "files": math.nan, "first list": -1.0}))
+    node.handle(1.0, r.ViewChanged(1, 1))
+    served(node, 10.0)
+    names = [row["name"] for row in node.status(5_000.0)["phases"]]
+    assert names[0] == "imports" and "full" in names and "files" not in names and node.state is F
+
+
+# --- all stories of four events, of each kind of start
+
+STARTS = [(None, ""), (None, "torn"), (KEPT, ""), (r.Kept(7, -9 * DAY), "")]
+STORY: list[r.Event] = [
+    r.ViewChanged(0, 0), r.ViewChanged(4, 0), r.ViewChanged(4, 4), r.SourceSpoke(), r.StoodStill(5_000.0),
+    r.OthersKnew(0), r.OthersKnew(7), r.OthersKnew(8), r.OthersKnew(20), r.Reminded(), r.Due(),
+    r.Ended("read", End.SERVED),
+]  # fmt: skip
+
+
+def test_no_story_of_four_events_breaks_what_must_always_hold() -> None:
+    for kept, fault in STARTS:
+        for story in itertools.product(STORY, repeat=4):
+            node = Recovery(0.0)
+            node.handle(0.0, r.Started(kept, 1_000_500.0, fault))
+            up, seen, sure, quiet, now = 0, 0, kept is KEPT, False, 0.0
+            for event in story:
+                now += 1_000.0
+                life, known = node.incarnation, node.incarnation
+                node.handle(now, event)
+                match event:
+                    case r.ViewChanged():
+                        up = event.up
+                    case r.StoodStill():
+                        sure, quiet = False, True
+                    case r.SourceSpoke():
+                        quiet = False
+                    case r.Reminded():
+                        sure = True
+                    case r.OthersKnew():
+                        seen = max(seen, event.incarnation)
+                        sure = event.incarnation < known
+                assert node.incarnation >= life and node.incarnation > seen, story
+                assert not node.may_take_roles(now) or (sure and up), story
+                assert (node.state is B) == (not up), story
+                assert not quiet or node.state in (B, P), story
+                assert node.state is not F, "nobody serves as usual after four requests"
+
+
+# --- views
+
+
+@dataclass
+class Truth:
+    """A source as it is: what it lists now, and whether it can be heard."""
+
+    cluster: str = "1"
+    revision: int = 1
+    names: set[str] = field(default_factory=set)
+    past: list[tuple[int, frozenset[str]]] = field(default_factory=list)
+
+
+NAMES = [f"s{n}" for n in range(5)]
+SOURCES = "abc"
+
+
+class ComingBack(RuleBasedStateMachine):
+    """A node that crashes and restarts from what its store had synced, with three sources that go back."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.truth = {name: Truth() for name in SOURCES}
+        self.synced: dict[str, tuple[str, Listing]] = {}
+        self.written: dict[str, tuple[str, Listing]] = {}
+        self.life, self.now = 0, 0.0
+        self.start()
+
+    def start(self) -> None:
+        """What the store has comes first; its revisions count as seen."""
+        self.merge = Membership([Source(name) for name in SOURCES])
+        self.node = Recovery(self.now)
+        kept = r.Kept(self.life, self.now) if self.life else None
+        acts = self.node.handle(self.now, r.Started(kept, self.now + 5.0))
+        self.life = next(a.incarnation for a in acts if isinstance(a, r.Raise))
+        self.written = dict(self.synced)
+        for name, (cluster, listing) in self.synced.items():
+            self.hand(m.Listed(name, cluster, listing, saved=True, age_ms=5.0))
+
+    def hand(self, event: m.Event) -> None:
+        self.now += 1.0
+        work = [event]
+        while work:
+            for act in self.merge.handle(self.now, work.pop()):
+                if isinstance(act, m.Continue):
+                    work.append(m.Continued())
+        up = [held.entry for held in self.merge.view.values() if held.entry.phase is Phase.UP]
+        self.node.handle(self.now, r.ViewChanged(len(up), sum(e.age_ms is None for e in up)))
+
+    @rule(name=st.sampled_from(SOURCES), change=st.sampled_from(NAMES))
+    def a_source_changes(self, name: str, change: str) -> None:
+        one = self.truth[name]
+        one.past.append((one.revision, frozenset(one.names)))
+        one.names ^= {change}
+        one.revision += 1
+
+    @rule(name=st.sampled_from(SOURCES))
+    def a_source_is_heard(self, name: str) -> None:
+        one = self.truth[name]
+        self.hand(m.Listed(name, one.cluster, whole(one.revision, *map(member, sorted(one.names)))))
+
+    @rule(name=st.sampled_from(SOURCES), back=st.integers(0, 3), watched=st.booleans())
+    def a_source_tells_of_the_past(self, name: str, back: int, watched: bool) -> None:
+        one = self.truth[name]
+        if len(one.past) > back:
+            revision, names = one.past[-1 - back]
+            listing = whole(revision, *map(member, sorted(names)))
+            self.hand(m.Listed(name, one.cluster, listing, watched=watched))
+
+    @rule(name=st.sampled_from(SOURCES))
+    def a_source_shows_that_it_lives(self, name: str) -> None:
+        if (seen := self.merge.sources[name].revision) == self.truth[name].revision and seen is not None:
+            self.hand(m.Heard(name))
+
+    @rule(name=st.sampled_from(SOURCES))
+    def a_source_is_set_up_anew(self, name: str) -> None:
+        one = self.truth[name]
+        self.truth[name] = Truth(str(int(one.cluster) + 1), 1, {NAMES[0]})
+
+    @rule()
+    def the_view_is_written(self) -> None:
+        for name, source in self.merge.sources.items():
+            if source.identity is not None and source.revision is not None:
+                listing = Listing(
+                    source.revision, True, tuple(source.members.values()), tuple(sorted(source.removed))
+                )
+                self.written[name] = source.identity, listing
+
+    @rule()
+    def what_was_written_is_synced(self) -> None:
+        self.synced = dict(self.written)
+
+    @rule()
+    def it_crashes(self) -> None:
+        before = self.life
+        self.start()
+        assert self.life > before and self.node.memory is Memory.KEPT
+
+    @invariant()
+    def no_view_is_older_than_what_was_durably_seen(self) -> None:
+        for name, (cluster, listing) in self.synced.items():
+            source = self.merge.sources[name]
+            if source.identity == cluster:
+                assert source.revision is not None and source.revision >= listing.revision
+                if source.revision == listing.revision:
+                    assert set(source.members) == {one.id for one in listing.members}
+
+    @invariant()
+    def the_view_is_what_the_sources_said_last(self) -> None:
+        sources = self.merge.sources.values()
+        listed = set().union(*(source.members for source in sources))
+        removed = set().union(*(source.removed for source in sources))
+        assert set(self.merge.view) == listed - removed
+        assert (self.node.state is B) == (not self.merge.view)
+
+    @invariant()
+    def whoever_is_vouched_for_is_so_by_a_source_that_spoke(self) -> None:
+        for name, held in self.merge.view.items():
+            ages = [s.members[name].entry.age_ms for s in self.merge.sources.values() if name in s.members]
+            assert (held.entry.age_ms is None) == (None in ages)
+
+
+ComingBack.TestCase.settings = settings(max_examples=150, stateful_step_count=30, deadline=None)
+TestComingBack = ComingBack.TestCase
