--- /dev/null
+++ b/benchmarks/coming_back.py
@@ -0,0 +1,443 @@
+"""Most of a fleet restarted at once, in virtual time: today's rules beside those on what is remembered.
+
+    python -m benchmarks.coming_back [--seeds N] [--nodes N] [--servers N] [--part NAME] [--case NAME]
+
+- `fleet`: `PART` of the nodes are killed in one instant at half load and start again 0.2 to 0.3 s later, with
+  the list that they had. Each row: a case, and whether what is remembered counts as such (`new`) or for the
+  truth (`before`, to the letter what the module did). The meter is that of `decide/recovery`, over all
+  restarted nodes.
+- `lists`: what a central discovery that bears 50 whole lists a second is asked for, blank start of all nodes.
+- `first`: one request a node right after a common blank start: the paper's rule on one common order, as it is
+  written, and the module's own order.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field, replace
+from functools import partial
+from statistics import median
+
+from benchmarks.herd import Clock, crowd
+from dillport import interface as api
+from dillport.decide import platform_follow as pf
+from dillport.decide.recovery import End, Meter
+from dillport.decide.spread import Turns
+from dillport.lab.fleet import Scenario, World
+from dillport.lab.fleet.policies import make
+from dillport.lab.fleet.scenario import SITE
+from dillport.lab.fleet.servers import Ask, Server, Try
+from dillport.lab.fleet.world import Node
+from dillport.policy import Balancer
+
+PART = 0.8  # of the nodes that are killed
+KILL_MS, AFTER_MS = 6_000.0, 10_000.0
+START_MS = (200.0, 300.0)
+IDLE_MS = 7_000.0  # after which a node closes an idle connection
+BEARS = 50.0  # whole lists a second
+PATIENCE_MS = 2_000.0  # that a call waits in discovery's line before it is refused
+
+
+@dataclass(frozen=True)
+class Case:
+    """`silent_ms`: from a node's start to the list that vouches. Parts of what is remembered are `gone` (they
+    refuse), `mute` (they say nothing) or `wrong` (something else answers 404 there); `cold`: this part of the
+    servers restarted in the instant of the kill. `kept`: what was learned comes back, too.
+    """
+
+    name: str
+    silent_ms: float = 0.0
+    gone: float = 0.0
+    mute: float = 0.0
+    wrong: float = 0.0
+    cold: float = 0.0
+    kept: bool = False
+    age_ms: float = 0.0
+    load: float = 0.5
+
+
+CASES = (
+    Case("discovery there"),
+    Case("silent 8 s, known right", 8_000.0),
+    Case("silent 8 s, kept on disk", 8_000.0, kept=True, age_ms=300.0),
+    Case("silent 8 s, known right, load 0.8", 8_000.0, load=0.8),
+    Case("silent 8 s, known right, load 1.2", 8_000.0, load=1.2),
+    Case("silent 8 s, known 45% wrong", 8_000.0, gone=0.3, mute=0.1, wrong=0.05),
+    Case("half of the servers cold, silent 8 s", 8_000.0, cold=0.5),
+)
+
+
+@dataclass
+class Told:
+    """What came of a run. Peaks are of one server: connects in one second, first requests in 100 ms."""
+
+    first_ms: list[float] = field(default_factory=list)  # by restarted node
+    full_ms: float = float("inf")
+    lost: float = 0.0  # of the worth that was asked for in the 10 s after the kill
+    connects: tuple[int, float, int] = (0, 0.0, 0)  # most, mean, most in the steady fleet before
+    firsts: int = 0
+    back: float = 0.0  # clients that were turned away and ask again, in 100 ms: the most over the mean
+    pushed: int = 0  # cold servers that got more than their budget
+
+
+class Returning(World):
+    """A fleet of which most nodes restart."""
+
+    def __init__(self, scenario: Scenario, case: Case, new: bool) -> None:
+        super().__init__(scenario)
+        self.case, self.new, self.out = case, new, Told()
+        self.dead: set[int] = set()  # by id() of a node's earlier life
+        self.again: set[int] = set()  # numbers of those that restarted
+        self.idle: dict[tuple[int, str], list[float]] = defaultdict(list)
+        self.met: set[tuple[int, str]] = set()
+        self.opened: dict[str, list[float]] = defaultdict(list)
+        self.first: dict[str, list[float]] = defaultdict(list)
+        self.answered: dict[int, float] = {}
+        self.worths = [0.0, 0.0]
+        self.retries: list[float] = []
+        self.meter: Meter | None = None
+        self.ghosts: dict[str, str] = {}
+        count = len(self.places)
+        for kind, part in (("gone", case.gone), ("mute", case.mute), ("wrong", case.wrong)):
+            for number in range(round(part * count)):
+                self._ghost(f"{kind}{number}", kind)
+        self.at(KILL_MS, self._kill, None)
+
+    def _ghost(self, name: str, kind: str) -> None:
+        zones = self.site.zones
+        ghost = Server(name, 0, zones[len(self.ghosts) % len(zones)], 1, 1.0, 0, self.site.rules, 250.0, 0.0)
+        ghost.up, self.servers[name], self.ghosts[name] = False, ghost, kind
+
+    def run(self) -> Told:
+        """Play it."""
+        self.play()
+        out = self.out
+        out.first_ms = [at - KILL_MS for number, at in self.answered.items() if number in self.again]
+        if self.meter is not None:
+            out.full_ms = self.meter.phases.get("full", float("inf"))
+        out.lost = 1 - self.worths[1] / max(1.0, self.worths[0])
+        after = [[at for at in times if at >= KILL_MS] for times in self.opened.values()]
+        before = [[at for at in times if KILL_MS / 2 <= at < KILL_MS] for times in self.opened.values()]
+        mean = sum(map(len, after)) / len(self.places) / (AFTER_MS / 1000)
+        out.connects = max(map(crowd, after)), mean, max(map(crowd, before))
+        out.firsts = max((crowd(times, 100.0) for times in self.first.values()), default=0)
+        if self.retries:
+            spell = max(100.0, self.retries[-1] - self.retries[0])
+            out.back = crowd(self.retries, 100.0) * spell / 100.0 / len(self.retries)
+        out.pushed = self.rules.counts[3]
+        return out
+
+    # --- the kill
+
+    def _kill(self, _: None) -> None:
+        rng = random.Random(f"{self.scenario.seed}/kill")
+        listed = [server.entry for server in self.servers.values()]
+        self.again = set(rng.sample(range(len(self.nodes)), round(PART * len(self.nodes))))
+        learned = {}
+        for number in sorted(self.again):
+            node = self.nodes[number]
+            self.dead.add(id(node))
+            assert isinstance(node.policy, Balancer)
+            learned[number] = node.policy.learned(self.now)
+        for ask in [ask for ask in self.open.values() if ask.node in self.again]:
+            for one in ask.tries:
+                one.over = True
+            self._answer(ask, "failed")
+        for key in [key for key in self.idle if key[0] in self.again]:
+            del self.idle[key]
+        self.met = {key for key in self.met if key[0] not in self.again}
+        for name in rng.sample(self.places, round(self.case.cold * len(self.places))):
+            server = self.servers[name]
+            self._stop(server)
+            server.start(self.now)
+            for node in self.nodes:
+                if id(node) not in self.dead:
+                    node.starts[name] = server.started_ms
+                    self._handle(node, api.ListUpdate(api.ListKind.CHANGES, [server.entry]))
+        for number in sorted(self.again):
+            self.at(self.now + rng.uniform(*START_MS), self._start_node, (number, listed, learned[number]))
+        self.at(self.now + START_MS[1], self._measure, None)
+
+    def _measure(self, _: None) -> None:
+        self.meter = Meter(self.now)
+
+    def _start_node(self, what: tuple[int, list[api.Entry], api.Learned]) -> None:
+        number, listed, learned = what
+        old, seed = self.nodes[number], random.Random(f"{self.scenario.seed}/{number}").getrandbits(31)
+        node = self.nodes[number] = Node(number, old.zone, make("module", self._settings(number), seed))
+        age = self.case.age_ms if self.new else None
+        entries = [replace(e, age_ms=age) for e in listed]
+        self._handle(node, api.ListUpdate(api.ListKind.SAVED, entries))
+        if self.case.kept and self.new:
+            self._handle(node, api.Remembered(learned, self.case.age_ms))
+        self.at(self.now + self.case.silent_ms + 1.0, self._vouch, node)
+
+    def _vouch(self, node: Node) -> None:
+        """The list is there, and vouches for whoever is."""
+        there = [self.servers[name].entry for name in self.places]
+        node.starts = {e.backend: e.started_at for e in there if e.started_at}
+        gone = [replace(self.servers[name].entry, phase=api.Phase.GONE) for name in self.ghosts]
+        self._handle(node, api.ListUpdate(api.ListKind.CHANGES, [*gone, *there]))
+
+    # --- what goes on
+
+    def _handle(self, node: Node, event: api.Event) -> None:
+        if id(node) not in self.dead:
+            super()._handle(node, event)
+
+    def _ask(self, ask: Ask) -> None:
+        while id(self.nodes[ask.node]) in self.dead:  # the front has noticed
+            ask.node = self.chance.randrange(len(self.nodes))
+        if self.now >= KILL_MS and not ask.retry:
+            self.worths[0] += ask.want.cls.worth
+        if self.now >= KILL_MS and ask.retry:
+            self.retries.append(self.now)
+        super()._ask(ask)
+
+    def _answer(self, ask: Ask, kind: str, wait_ms: float = 0.0) -> None:
+        first, took = not ask.answers, self.now - ask.want.at_ms
+        super()._answer(ask, kind, wait_ms)
+        if not first or self.now < KILL_MS:
+            return
+        good = kind == "served" and took <= ask.want.cls.aim_ms
+        self.worths[1] += ask.want.cls.worth * (good and ask.want.at_ms >= KILL_MS)
+        if ask.node in self.again and self.meter is not None:
+            self.meter.ended(self.now, ask.want.cls.name, End.SERVED if good else End.FAILED)
+            if kind == "served":
+                self.answered.setdefault(ask.node, self.now)
+
+    def _send(self, node: Node, action: api.Send) -> None:
+        key, kept = (node.number, action.backend), self.idle[node.number, action.backend]
+        while kept and kept[-1] < self.now - IDLE_MS:
+            kept.clear()
+        if kept:
+            kept.pop()
+        else:
+            self.opened[action.backend].append(self.now)
+        if key not in self.met:
+            self.met.add(key)
+            if self.now >= KILL_MS:
+                self.first[action.backend].append(self.now)
+        super()._send(node, action)
+
+    def _trip(self, node: Node, server: Server) -> float | None:
+        return None if self.ghosts.get(server.name) == "mute" else super()._trip(node, server)
+
+    def _reaches(self, one: Try) -> None:
+        if self.ghosts.get(one.server.name) == "wrong":
+            self._back(one, api.Status.ERROR)
+        else:
+            super()._reaches(one)
+
+    def _outcome(self, what: tuple[Try, api.Status]) -> None:
+        one, status = what
+        if not one.over and status in (api.Status.OK, api.Status.FULL, api.Status.ERROR):
+            self.idle[one.ask.node, one.server.name].append(self.now)
+        super()._outcome(what)
+
+
+def fleet(nodes: int, servers: int, seeds: int, cases: Iterable[Case]) -> Iterator[tuple[str, ...]]:
+    """The rows of the first part."""
+    yield ("case", "rules", "first answer of a node, ms: median (worst)", "full service, s: median (worst)",
+           "worth lost", "connects a second at one server: most, mean, most before",
+           "first requests in 100 ms", "clients back in 100 ms: most over mean", "cold pushed")  # fmt: skip
+    for case in cases:
+        for new in (False, True):
+            runs = []
+            for seed in range(1, seeds + 1):
+                seconds = (KILL_MS + AFTER_MS) / 1000
+                scenario = Scenario(servers, nodes, seconds, case.load, seed=seed)
+                runs.append(Returning(scenario, case, new).run())
+            first = [ms for run in runs for ms in run.first_ms]
+            full = [run.full_ms / 1000 for run in runs]
+            most, mean, steady = (max(r.connects[0] for r in runs), median(r.connects[1] for r in runs),
+                                  max(r.connects[2] for r in runs))  # fmt: skip
+            yield (case.name, "new" if new else "before", f"{median(first):.0f} ({max(first):.0f})",
+                   f"{median(full):.1f} ({max(full):.1f})", f"{median(r.lost for r in runs):.1%}",
+                   f"{most}, {mean:.1f}, {steady}", str(max(r.firsts for r in runs)),
+                   f"{max(r.back for r in runs):.1f}x",
+                   str(sum(r.pushed for r in runs)))  # fmt: skip
+
+
+# --- discovery
+
+
+class Lister:
+    """A central discovery that works through calls in turn; one that would wait too long is refused."""
+
+    def __init__(self, clock: Clock, away_ms: float) -> None:
+        self.clock, self.away_ms, self.free_ms = clock, away_ms, 0.0
+        self.asked: list[float] = []
+        self.refused = 0
+
+    def call(self, done: Callable[[str], None]) -> None:
+        """`done` is told how it ended."""
+        now = self.clock.now_ms
+        self.asked.append(now)
+        begin = max(now, self.free_ms)
+        if now < self.away_ms:
+            self.clock.at(now + 1.0, lambda: done("away"))
+        elif begin - now > PATIENCE_MS:
+            self.refused += 1
+            self.clock.at(now + 1.0, lambda: done("refused"))
+        else:
+            self.free_ms = begin + 1000.0 / BEARS
+            self.clock.at(self.free_ms, lambda: done("listed"))
+
+
+class Asker:
+    """A node that starts blank, by one of RULES."""
+
+    def __init__(self, clock: Clock, lister: Lister, me: int, nodes: int, rule: str) -> None:
+        self.clock, self.lister, self.listed_ms = clock, lister, float("inf")
+        self.turns = Turns(me, nodes, BEARS) if rule == "turns" else None
+        self.asks = Balancer(api.Settings(tuple(SITE_CLASSES), must_ask=True), me) if rule == "asks" else None
+        self.follow = pf.PlatformFollow(random.Random(me), False)
+
+    def start(self) -> None:
+        """The process is up."""
+        if self.asks is not None:
+            self.tell(api.ListUpdate(api.ListKind.SAVED, []))
+        elif self.turns is None:
+            self.hand(pf.Wanted(True))
+        else:
+            self.clock.at(self.clock.now_ms + self.turns.first_ms(), self.ask)
+
+    def ask(self) -> None:
+        """One call."""
+        self.lister.call(self.done)
+
+    def done(self, how: str) -> None:
+        """It ended."""
+        now = self.clock.now_ms
+        if how == "listed":
+            self.listed_ms = now
+        elif self.asks is not None:
+            self.tell(api.ListUpdate(api.ListKind.FAILED, []))
+        elif self.turns is None:
+            self.hand(pf.Ended(False))
+        else:
+            self.clock.at(now + self.turns.again_ms(how == "refused"), self.ask)
+
+    def tell(self, event: api.Event) -> None:
+        """To the module, which says when to ask where it has to."""
+        assert self.asks is not None
+        for action in self.asks.handle(self.clock.now_ms, event):
+            if isinstance(action, api.Subscribe):
+                self.ask()
+            elif isinstance(action, api.SetTimer):
+                self.clock.at(action.when, partial(self.tell, api.Timer(action.token)))
+
+    def hand(self, event: pf.Event) -> None:
+        """To the decider of a watch."""
+        for action in self.follow.handle(self.clock.now_ms, event, None):
+            if isinstance(action, pf.AskWhole):
+                self.ask()
+            elif isinstance(action, pf.Wait):
+                self.clock.at(action.until_ms, lambda: self.hand(pf.Due()))
+
+
+RULES = {"watches": "before: a watch", "asks": "before: asked for (must_ask)", "turns": "new: turns"}
+
+
+def lists(nodes: int, seeds: int) -> Iterator[tuple[str, ...]]:
+    """The rows of the second part."""
+    yield ("discovery away for", "rules", "calls a node", "refused a node",
+           "most calls in 100 ms once it is there, over what it bears",
+           "last node listed, s: median (worst)")  # fmt: skip
+    for away_ms in (0.0, 5_000.0, 60_000.0):
+        for rule, words in RULES.items():
+            calls, refused, most, last = [], [], [], []
+            for seed in range(1, seeds + 1):
+                clock, rng = Clock(), random.Random(seed)
+                lister = Lister(clock, away_ms)
+                fleet = [Asker(clock, lister, n, nodes, rule) for n in range(nodes)]
+                for node in fleet:
+                    clock.at(rng.uniform(*START_MS), node.start)
+                clock.run(600_000.0)
+                back = [at for at in lister.asked if at >= away_ms]
+                calls.append(len(lister.asked) / nodes)
+                refused.append(lister.refused / nodes)
+                most.append(crowd(back, 100.0) / (BEARS / 10))
+                last.append((max(node.listed_ms for node in fleet) - away_ms) / 1000)
+            yield (f"{away_ms / 1000:.0f} s", words, f"{median(calls):.1f}", f"{median(refused):.1f}",
+                   f"{max(most):.0f}x",
+                   f"{median(last):.0f} ({max(last):.0f})")  # fmt: skip
+
+
+# --- first requests
+
+
+def first(nodes: int, servers: int, seeds: int) -> Iterator[tuple[str, ...]]:
+    """The rows of the third part: the most first requests at one server, one a node, over the mean."""
+    yield ("rule", "most at one server", "over the mean", "servers that got none")
+    names = [f"s{n}" for n in range(servers)]
+
+    def lowest(_: int, __: int) -> str:
+        return names[0]  # all counts are zero, ties by place
+
+    def chance(seed: int, me: int) -> str:
+        return random.Random(f"{seed}/{me}").choice(names)
+
+    def module(seed: int, me: int) -> str:
+        settings = api.Settings(tuple(SITE_CLASSES), me=me, group_size=nodes)
+        node = Balancer(settings, seed * nodes + me)
+        rows = [api.Entry(name, "", 0, 1.0, api.Phase.UP, 0.0) for name in names]
+        node.handle(0.0, api.ListUpdate(api.ListKind.FULL, rows))
+        acts = node.handle(0.0, api.Arrival("r", SITE_CLASSES[0].name, 1_000.0))
+        return next(a.backend for a in acts if isinstance(a, api.Send))
+
+    rules: dict[str, Callable[[int, int], str]] = {
+        "lowest count, ties by place": lowest, "the paper's: ties at random": chance,
+        "the module: own order by number, ties at random": module,
+    }  # fmt: skip
+    for name, rule in rules.items():
+        most, none = [], []
+        for seed in range(1, seeds + 1):
+            counts = Counter(rule(seed, me) for me in range(nodes))
+            most.append(max(counts.values()))
+            none.append(servers - len(counts))
+        yield name, f"{max(most)}", f"{max(most) * servers / nodes:.1f}x", f"{median(none):.0f} of {servers}"
+
+
+SITE_CLASSES = [
+    api.RequestClass(c.name, c.effect, c.aim_ms, c.give_up_ms, c.worth)
+    for c in SITE.classes
+]
+
+
+def show(title: str, rows: Iterable[tuple[str, ...]]) -> None:
+    """Print a table in Markdown, row by row."""
+    print(f"### {title}\n", flush=True)
+    for number, row in enumerate(rows):
+        print(f"| {' | '.join(row)} |", flush=True)
+        if not number:
+            print("| " + " | ".join("---" for _ in row) + " |")
+    print(flush=True)
+
+
+def main() -> None:
+    """Print the tables."""
+    words = argparse.ArgumentParser(description="Most of a fleet restarted at once, in virtual time.")
+    words.add_argument("--part", choices=("fleet", "lists", "first"), action="append")
+    words.add_argument("--case", choices=[case.name for case in CASES], action="append")
+    words.add_argument("--seeds", type=int, default=30)
+    words.add_argument("--nodes", type=int, default=1_000)
+    words.add_argument("--servers", type=int, default=200)
+    args = words.parse_args()
+    for part in args.part or ("first", "lists", "fleet"):
+        match part:
+            case "first":
+                show("First requests", first(args.nodes, args.servers, min(3, args.seeds)))
+            case "lists":
+                show("Whole lists asked for", lists(args.nodes, args.seeds))
+            case _:
+                chosen = [case for case in CASES if not args.case or case.name in args.case]
+                show("A fleet that comes back", fleet(args.nodes, args.servers, args.seeds, chosen))
+
+
+if __name__ == "__main__":
+    main()
--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -191,7 +191,8 @@
 
 def vouched(member: Member) -> Member:
     """The same, by a source's word and not by memory."""
-    return Member(replace(member.entry, age_ms=None), member.address)
+    entry = member.entry
+    return member if entry.age_ms is None else Member(replace(entry, age_ms=None), member.address)
 
 
 def _by_name(sources: Sequence[Source]) -> dict[str, Source]:
@@ -321,10 +322,7 @@
     def _confirm(self, source: Source) -> None:
         """Nothing has changed since: the source vouches for all that only memory did, in slices."""
         if source.remembered:
-            source.remembered = False
-            for name, last in source.members.items():
-                if last.entry.age_ms is not None:
-                    source.pending.setdefault(name, vouched(last))
+            source.remembered, source.pending = False, source.members | source.pending
             self._continue()
 
     def _lost(self, source: Source, state: State, reason: str) -> None:
@@ -384,7 +382,7 @@
             if not source.pending:
                 continue
             names = list(islice(source.pending, SLICE))
-            self._take(source, [source.pending.pop(name) for name in names])
+            self._take(source, [vouched(source.pending.pop(name)) for name in names])
             for name in names:
                 self._settle(name, self._fresh)
             self._share(self._fresh)
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -8,11 +8,13 @@
 
 import pytest
 
+from benchmarks.coming_back import CASES, RULES, Returning, lists
 from benchmarks.decide import Subject
 from benchmarks.herd import crowd, herd
 from benchmarks.proxies import FLOOR, Client, Figure, Line, Relay, servers
 from benchmarks.proxies import table as proxies_table
 from benchmarks.report import Row, cores, part_of, spread, table
+from dillport.lab.fleet import Scenario
 
 
 def test_the_most_within_any_one_second_is_counted() -> None:
@@ -112,3 +114,17 @@
 
     with servers(2) as addresses:
         asyncio.run(ask())
+
+
+def test_a_fleet_that_starts_together_asks_for_its_list_in_turn() -> None:
+    rows = [row for row in lists(200, 1) if row[0] == "0 s"]
+    calls = {rule: float(row[2]) for rule, row in zip(RULES, rows, strict=True)}
+    assert calls["turns"] == 1.0 < calls["watches"], rows
+
+
+def test_nodes_with_a_list_half_wrong_come_back_without_a_breach() -> None:
+    wrong = next(case for case in CASES if case.wrong)
+    runs = {new: Returning(Scenario(24, 12, 16.0, 0.5, seed=3), wrong, new) for new in (False, True)}
+    told = {new: run.run() for new, run in runs.items()}
+    assert not any(any(run.rules.counts) for run in runs.values()), [run.rules.told for run in runs.values()]
+    assert told[True].lost < told[False].lost and len(told[True].first_ms) >= 8
