--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -32,6 +32,7 @@
 from dillport.members import Address, Fault, Listing, Member
 
 SLICE = 500  # entries of a whole list that are looked at in one go
+NEWS = 125  # the same, where each is a change
 MAX_REMOVED = 20_000  # removals remembered a source beside those of whom another source lists
 MAX_SAID = 20  # lines on entries left out, of one listing or slice: the log is bounded, others need it too
 MAX_FAULTS = 1000  # unreadable entries shown a source; further ones are counted
@@ -173,6 +174,7 @@
     state: State = State.UNHEARD
     spoiled: bool = False  # a line was lost: only a whole list will do
     remembered: bool = False  # memory alone vouches for some of what it lists
+    confirms: bool = False  # what waits in `pending` is news to whoever is told, all of it
     behind: bool = False  # it went back: that it lives does not show that its last word is current
     heard_ms: float | None = None
     reason: str = ""  # why it is silent or refused
@@ -322,7 +324,8 @@
     def _confirm(self, source: Source) -> None:
         """Nothing has changed since: the source vouches for all that only memory did, in slices."""
         if source.remembered:
-            source.remembered, source.pending = False, source.members | source.pending
+            source.remembered, source.confirms = False, True
+            source.pending = source.members | source.pending
             self._continue()
 
     def _lost(self, source: Source, state: State, reason: str) -> None:
@@ -340,7 +343,7 @@
         if saved:
             age_ms = min(max(0.0, age_ms), MOST_AGE_MS)
             named = {name: Member(replace(m.entry, age_ms=age_ms), m.address) for name, m in named.items()}
-        source.remembered = saved
+        source.confirms, source.remembered = source.remembered, saved
         unread = {fault.key for fault in listing.faults}
         listed = source.members | source.pending
         gone = [name for name in listed if name not in named and name not in unread]
@@ -381,7 +384,7 @@
         for source in self.sources.values():
             if not source.pending:
                 continue
-            names = list(islice(source.pending, SLICE))
+            names = list(islice(source.pending, NEWS if source.confirms else SLICE))
             self._take(source, [vouched(source.pending.pop(name)) for name in names])
             for name in names:
                 self._settle(name, self._fresh)
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -871,7 +871,7 @@
     def learned(self, now: float) -> api.Learned:
         """What is worth keeping over a restart; `Remembered` brings it back."""
         times = {name: (cls.usual, cls.dev) for name, cls in self.classes.items()}
-        slow = {name: b.slow for name, b in self.backends.items() if abs(b.slow - 1.0) > EWMA}
+        slow = {name: b.slow for name, b in self.backends.items() if not 1 - EWMA < b.slow < 1 + EWMA}
         away = {name: b.until - now for name, b in self.backends.items() if now < b.until}
         return api.Learned(times, self.limit, slow, away)
 
@@ -883,7 +883,7 @@
         for cls in [self.classes[name] for name in kept.usual if name in self.classes]:
             usual, dev = (min(cls.cfg.aim / 2, max(USUAL_LEAST, ms)) for ms in kept.usual[cls.cfg.name])
             cls.usual, cls.dev = cls.usual + late * (usual - cls.usual), late * dev
-        for name, b in self.backends.items():
+        for name, b in [(n, b) for n, b in self.backends.items() if n in kept.slow or n in kept.ejected]:
             b.slow = 1.0 + slowly * (min(100.0, max(0.01, kept.slow.get(name, 1.0))) - 1.0)
             b.until = self.now + min(most, max(0.0, kept.ejected.get(name, 0.0) - age))
             self._place(b)
