Tests of kept views that fail without their defences, checked one by one

45 defences were taken out in turn; five survived: bookings to those nobody vouches for went through the panic path unseen, the state machine met an older list too rarely and did not follow what is told, a retry at once looked as even as one in turn.

--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -733,3 +733,24 @@
     merge = Membership([Source("a")])
     merge.handle(0.0, m.Listed("a", "one", whole(1, member("x")), saved=True, age_ms=age))
     assert ages(merge) == {"x": taken}
+
+
+def test_what_was_kept_of_several_sources_is_one_view() -> None:
+    merge = aged("a", "b")
+    said = m.Listed("b", "two", whole(3, member("z"), removed=("x",)), saved=True, age_ms=9.0)
+    (applied,) = (a for a in merge.handle(1.0, said) if isinstance(a, m.Apply))
+    assert applied.kind is ListKind.CHANGES, "a whole list would take away what the first one listed"
+    assert [one.id for one in applied.removed] == ["x"] and ages(merge) == {"y": 5_000.0, "z": 9.0}
+
+
+def test_a_long_list_that_was_kept_is_vouched_for_in_slices() -> None:
+    """Guards against a turn of the loop in which the module takes thousands of changes."""
+    merge, names = Membership([Source("a")]), [f"s{n}" for n in range(1_000)]
+    said = whole(7, *(member(name, port=1 + n) for n, name in enumerate(names)))
+    merge.handle(0.0, m.Listed("a", "one", said, saved=True))
+    sizes, acts = [], merge.handle(1.0, m.Heard("a"))
+    while acts:
+        sizes += [len(one.members) for one in acts if isinstance(one, m.Apply)]
+        more = any(isinstance(one, m.Continue) for one in acts)
+        acts = merge.handle(1.0, m.Continued()) if more else []
+    assert sum(sizes) == 1_000 and max(sizes) <= m.NEWS and set(ages(merge).values()) == {None}
--- a/tests/decide/test_recovery.py
+++ b/tests/decide/test_recovery.py
@@ -16,8 +16,8 @@
 from dillport.decide import recovery as r
 from dillport.decide.membership import Membership, Source
 from dillport.decide.recovery import End, Kind, Memory, Meter, Recovery, State
-from dillport.interface import Phase
-from dillport.members import Listing
+from dillport.interface import ListKind, Phase
+from dillport.members import Listing, Member
 from tests.decide.test_membership import member, whole
 
 B, P, C, F = State.BLANK, State.PROVISIONAL, State.CONFIRMED, State.FULL
@@ -275,7 +275,7 @@
         kept = r.Kept(self.life, self.now) if self.life else None
         acts = self.node.handle(self.now, r.Started(kept, self.now + 5.0))
         self.life = next(a.incarnation for a in acts if isinstance(a, r.Raise))
-        self.written = dict(self.synced)
+        self.written, self.told = dict(self.synced), dict[str, Member]()
         for name, (cluster, listing) in self.synced.items():
             self.hand(m.Listed(name, cluster, listing, saved=True, age_ms=5.0))
 
@@ -286,6 +286,12 @@
             for act in self.merge.handle(self.now, work.pop()):
                 if isinstance(act, m.Continue):
                     work.append(m.Continued())
+                elif isinstance(act, m.Apply):  # as the module takes it
+                    if act.kind is not ListKind.CHANGES:
+                        self.told = {}
+                    self.told |= {one.id: one for one in act.members}
+                    for one in act.removed:
+                        self.told.pop(one.id, None)
         up = [held.entry for held in self.merge.view.values() if held.entry.phase is Phase.UP]
         self.node.handle(self.now, r.ViewChanged(len(up), sum(e.age_ms is None for e in up)))
 
@@ -319,18 +325,16 @@
         one = self.truth[name]
         self.truth[name] = Truth(str(int(one.cluster) + 1), 1, {NAMES[0]})
 
-    @rule()
-    def the_view_is_written(self) -> None:
+    @rule(synced=st.booleans())
+    def the_view_is_written(self, synced: bool) -> None:
         for name, source in self.merge.sources.items():
             if source.identity is not None and source.revision is not None:
                 listing = Listing(
                     source.revision, True, tuple(source.members.values()), tuple(sorted(source.removed))
                 )
                 self.written[name] = source.identity, listing
-
-    @rule()
-    def what_was_written_is_synced(self) -> None:
-        self.synced = dict(self.written)
+        if synced:
+            self.synced = dict(self.written)
 
     @rule()
     def it_crashes(self) -> None:
@@ -352,7 +356,7 @@
         sources = self.merge.sources.values()
         listed = set().union(*(source.members for source in sources))
         removed = set().union(*(source.removed for source in sources))
-        assert set(self.merge.view) == listed - removed
+        assert set(self.merge.view) == listed - removed and self.told == self.merge.view
         assert (self.node.state is B) == (not self.merge.view)
 
     @invariant()
@@ -362,5 +366,5 @@
             assert (held.entry.age_ms is None) == (None in ages)
 
 
-ComingBack.TestCase.settings = settings(max_examples=150, stateful_step_count=30, deadline=None)
+ComingBack.TestCase.settings = settings(max_examples=400, stateful_step_count=40, deadline=None)
 TestComingBack = ComingBack.TestCase
--- a/tests/decide/test_spread.py
+++ b/tests/decide/test_spread.py
@@ -29,7 +29,7 @@
     calls = [one.first_ms() for one in fleet]
     for advice in (0.0, 40_000.0):
         waits = [one.again_ms(False, advice) for one in fleet]
-        assert min(waits) >= advice
+        assert min(waits) >= max(advice, 0.999 * fleet[0].stretch_ms)  # one call a node in a stretch
         calls = [at + wait for at, wait in zip(calls, waits, strict=True)]
         assert most(calls, 1_000.0) <= 1.6 * 40 + 2
 
--- a/tests/policy/test_remembered.py
+++ b/tests/policy/test_remembered.py
@@ -62,7 +62,9 @@
 def test_a_booking_is_not_refused_where_nobody_has_answered() -> None:
     node = remembers()
     node.limit = 1e9
-    assert len({ask(node, f"r{n}", "once") for n in range(6)}) == 6
+    acts = [a for n in range(6) for a in node.handle(1_000.0, api.Arrival(f"r{n}", "once", 2_000.0))]
+    assert {a.backend for a in sends(acts)} == set(NAMES)
+    assert api.Why.PANIC not in {a.why for a in sends(acts)}
 
 
 def test_one_safe_request_at_a_time_tries_one_of_memory_alone() -> None:
