--- a/dillport/decide/departure.py
+++ b/dillport/decide/departure.py
@@ -75,7 +75,7 @@
     SILENCE = "silence"
     STALE_REPORT = "stale_report"
     FLAPPING = "flapping"
-    RECOVERY = "recovery"  # no departure: the node itself is another state back (`decide/recovery`)
+    RECOVERY = "recovery"  # of the node itself, with `Step.BECAME`
 
 
 class Scope(Enum):
@@ -96,6 +96,7 @@
     BEGAN = "departure_began"
     CHANGED = "departure_changed"
     ENDED = "departure_ended"
+    BECAME = "recovery"  # no departure: the node itself is another state back (`decide/recovery`)
 
 
 @dataclass(slots=True)
--- a/dillport/net/recovery.py
+++ b/dillport/net/recovery.py
@@ -171,9 +171,9 @@
             if isinstance(action, r.Say):
                 log.log(logging.WARNING if action.loud else logging.INFO, "recovery: %s", action.text)
             elif isinstance(action, r.Became):
-                self._count += 1
+                self._count += 1  # below 0: the departures' own numbers begin at 1
                 about = {"why": action.reason, "memory": self.recovery.memory.value}
                 self._told.append(
-                    Told(Step.CHANGED, self._count, now, now, Scope.NODE, action.state.value, Signal.RECOVERY,
+                    Told(Step.BECAME, -self._count, now, now, Scope.NODE, action.state.value, Signal.RECOVERY,
                          dict[str, object](about))
                 )  # fmt: skip
--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -100,6 +100,7 @@
                 self.memory.set(settings.state)
             return
         if was is not settings.state:
+            self.trouble = "being opened" if self._wanted is not None else ""
             before, self._moving = self._moving, self.loop.create_task(self._move(self._moving))
             if before is not None:
                 before.cancel()  # it may wait for a disk that says nothing
@@ -135,20 +136,21 @@
         if before is not None:
             await asyncio.gather(before, return_exceptions=True)
         await self._let_go()
-        wanted, said, self.trouble = self._wanted, "", ""
+        wanted, said = self._wanted, ""
         while wanted is not None:
             memory = Memory(self.running, wanted, self.files)
             try:
-                self.trouble = "being opened"
                 await memory.open(self._first)
             except StoreFault as fault:
                 self.trouble = str(fault)
+                foreign = fault.trouble is Trouble.FOREIGN  # another node's: it is not touched again
                 if said != self.trouble:
-                    log.error("state: %s; the node serves without memory, it is tried again", fault)
+                    then = "" if foreign else f", it is tried again every {AGAIN:g} s"
+                    log.error("state: %s; the node serves without memory%s", fault, then)
                 said = self.trouble
                 self._without(self.trouble)
-                if fault.trouble is Trouble.FOREIGN:
-                    return  # another node's: it is not touched again
+                if foreign:
+                    return
                 await asyncio.sleep(AGAIN)
                 continue
             except Exception as err:  # guards the node against a fault of this program's
--- a/dillport/observe/page.py
+++ b/dillport/observe/page.py
@@ -50,7 +50,7 @@
     for event in events:
         one = out.setdefault(event["id"], {**event, "until": None})
         one["evidence"] = event["evidence"]
-        if event["event"] == "departure_ended":
+        if event["event"] in ("departure_ended", "recovery"):  # the latter is of one moment
             one["until"] = event["at"]
     return sorted(out.values(), key=lambda event: event["since"])
 
--- a/tests/observe/test_metrics.py
+++ b/tests/observe/test_metrics.py
@@ -6,6 +6,7 @@
 from prometheus_client.openmetrics.parser import text_string_to_metric_families
 
 from dillport import interface as api
+from dillport.decide.recovery import End, Ended, Kept, Recovery, Started, ViewChanged
 from dillport.interface import Status, Why
 from dillport.observe.metrics import SERVERS, Metrics
 from dillport.timeline.watch import Watch
@@ -33,6 +34,20 @@
     return {family.name: family for family in families}
 
 
+def test_how_far_the_node_is_back_is_among_them() -> None:
+    meter = Recovery(NOW)
+    meter.handle(NOW, Started(Kept(4, NOW - 5_000), NOW, parts={"imports": 20.0}))
+    meter.handle(NOW + 100, ViewChanged(2, 0))
+    meter.handle(NOW + 500, Ended("read", End.SERVED))
+    got = read(Metrics(Watch(BASE, 8.0), meter))
+    states = {s.labels["dillport_recovery_state"]: s.value for s in got["dillport_recovery_state"].samples}
+    assert states == {"blank": 0, "provisional": 1, "confirmed": 0, "full": 0}
+    assert value(got["dillport_recovery_incarnation"], "") == 5
+    assert value(got["dillport_recovery_phase_seconds"], "", phase="imports") == 0.02
+    assert value(got["dillport_recovery_phase_seconds"], "", phase="first answer: read") == 0.5
+    assert "dillport_recovery_state" not in read(Metrics(Watch(BASE, 8.0)))
+
+
 def value(family: Metric, suffix: str, **labels: str) -> float:
     found = (s for s in family.samples if s.name.endswith(suffix))
     return sum(s.value for s in found if labels.items() <= s.labels.items())
