Hold the memory's order: whoever leaves first, a revision behind all that it brought

Taking each defence out showed four that no test held; the tests now see the order in which changes are told, a source that moved while the directory was opened, and which part of the start is a source's word. Two conditions that nothing could reach are gone.

--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -332,7 +332,7 @@
     def _confirm(self, name: str, source: membership.Source) -> None:
         """It is current, and all that it said is handed over."""
         if source.state is membership.State.IN_SYNC and not source.behind and self._settled(source):
-            self._tell(k.Confirmed(name, *self._order(name, True), _wall()))
+            self._tell(k.Confirmed(name, *self._order(name), _wall()))
 
     def _work(self) -> None:
         """Look at some names, those that leave first; the rest in the loop's next turns."""
@@ -360,8 +360,7 @@
             self._rows[name] = _plain(row)
             by.setdefault(source, ([], []))[0].append((name, row))
         for source, (servers, gone) in by.items():
-            order = self._order(source, not rest)
-            self._tell(k.Changed(source, *order, wall, tuple(servers), tuple(gone)))
+            self._tell(k.Changed(source, *self._order(source), wall, tuple(servers), tuple(gone)))
         if rest:
             self._working = True
             self.loop.call_soon(self._work)
@@ -387,18 +386,18 @@
         )  # fmt: skip
 
     def _settled(self, source: membership.Source) -> bool:
-        """Whether its word is in the view as a whole, and not by memory."""
-        waits = source.pending or source.remembered or self._first or self._queue
+        """Whether its word is in the view as a whole, and all of it was looked at."""
+        waits = source.pending or self._first or self._queue
         return source.revision is not None and not waits and not source.spoiled
 
-    def _order(self, name: str, last: bool) -> tuple[str, int]:
+    def _order(self, name: str) -> tuple[str, int]:
         """How far a source is told: never further than what is handed over with it.
 
         A source some of whose servers are not kept (odd names, or another source has taken them away) has no
         order to go on from: the next start needs its whole list.
         """
         source = self.fleet.membership.sources.get(name)
-        if source is not None and last and self._settled(source):
+        if source is not None and self._settled(source):
             known = self._rows.keys() >= source.members.keys()
             revision = source.revision if source.revision is not None else -1
             self._whole[name] = (source.identity or "", revision) if known else ("", -1)
--- a/tests/net/test_fleet.py
+++ b/tests/net/test_fleet.py
@@ -10,7 +10,7 @@
 import pytest
 
 from dillport.decide.etcd_follow import EtcdConfig
-from dillport.decide.membership import Apply, Source
+from dillport.decide.membership import Apply, Heard, Source
 from dillport.members import Member
 from dillport.net.etcd import ETCD, EtcdPart
 from dillport.net.fleet import Fleet
@@ -112,3 +112,18 @@
         gateway.stop()
 
     run(test)
+
+
+def test_a_listener_that_fails_costs_the_list_and_others_nothing(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        sink, heard = Sink(), list[object]()
+        fleet = Fleet(sink, [Source("platform")])
+
+        def fails(event: object, actions: object) -> None:
+            raise KeyError
+
+        fleet.listeners += [fails, lambda event, actions: heard.append(event)]
+        fleet.hand(Heard("platform"))
+        assert heard == [Heard("platform")] and "a listener failed on Heard" in caplog.text
+
+    run(test)
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -12,7 +12,7 @@
 
 from dillport.net.control import Control
 from dillport.net.operators import KINDS, Kind, Parts
-from dillport.net.part import Running
+from dillport.net.part import Observers, Running
 from dillport.operators import ControlSettings, MetricsSettings, Operators, TimelineSettings
 
 ON = Operators(control=ControlSettings())
@@ -143,3 +143,26 @@
     with caplog.at_level(logging.INFO):
         asyncio.run(test())
     assert caplog.text.count("metrics at http://127.0.0.1:") == 2
+
+
+def test_of_several_observers_the_one_that_fails_is_taken_off_alone(caplog: pytest.LogCaptureFixture) -> None:
+    class Eye:
+        def __init__(self, fails: bool = False) -> None:
+            self.fails, self.seen = fails, 0
+
+        def saw(self, now_ms: float, event: Any, actions: Any) -> None:
+            self.seen += 1
+            if self.fails:
+                raise ZeroDivisionError
+
+    node: Any = type("Node", (), {"observer": None})()
+    observers, eyes = Observers(node), [Eye(), Eye(True), Eye()]
+    for eye in eyes:
+        observers.add(eye)
+    for _ in range(2):
+        node.observer.saw(0.0, None, [])
+    assert [eye.seen for eye in eyes] == [2, 1, 2] and "is taken off" in caplog.text
+    observers.remove(eyes[0])
+    assert node.observer is eyes[2], "one alone is called with nothing in between"
+    observers.remove(eyes[2])
+    assert node.observer is None
--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -15,8 +15,9 @@
 import pytest
 
 from dillport import interface as api
+from dillport.decide import keeping as k
 from dillport.decide import kept
-from dillport.decide.membership import Heard, Listed, Source
+from dillport.decide.membership import Heard, Listed, Source, State
 from dillport.lab.disk_port import Broken, Disk, SimFiles
 from dillport.members import Listing, Member
 from dillport.net import state
@@ -109,6 +110,20 @@
             files.close()
 
 
+def changes(memory: state.Memory) -> list[k.Changed]:
+    """All that its decider is told of the view from now on."""
+    out: list[k.Changed] = []
+    tell = memory._tell
+
+    def noted(event: k.Event) -> None:
+        if isinstance(event, k.Changed):
+            out.append(event)
+        tell(event)
+
+    memory._tell = noted  # type: ignore[method-assign]
+    return out
+
+
 def rows(disk: Disk, table: str, directory: str = "/d") -> dict[str, bytes]:
     """What is durable in a directory that nobody holds."""
     files = SimFiles(disk.copy())
@@ -146,6 +161,7 @@
             await one.opened()
             told = one.recovery.report()
             assert (told["memory"], told["incarnation"], told["state"]) == ("kept", 2, "provisional"), told
+            assert "first list" not in {phase["name"] for phase in told["phases"]}, "no source has spoken"
             assert told["store"]["open"] and told["phases"][0] == {"name": "imports", "ms": 20.0}
             assert set(one.view) == {"s1", "s3"}
             assert one.view["s1"].entry.age_ms is not None and one.view["s1"].address == member("s1").address
@@ -190,7 +206,8 @@
         async with rig(tmp_path, disk) as one:
             begun = asyncio.get_running_loop().time()
             one.part.apply(ON)
-            one.fleet.hand(listed(9, "s1", "s3"))
+            moved = Listing(3, True, (member("s1"), member("s3")))
+            one.fleet.hand(Listed("platform", "there", moved))
             await until(lambda: set(one.view) == {"s1", "s3"})
             assert one.node.ready and one.part.memory is None
             assert asyncio.get_running_loop().time() - begun < 0.25, "it serves before the disk is there"
@@ -199,6 +216,7 @@
             assert "what was kept to be read" in told["waits_for"]
             await until(lambda: one.part.memory)
             assert set(one.view) == {"s1", "s3"}, "the source's word is the later one"
+            assert one.fleet.membership.sources["platform"].state is State.IN_SYNC
             disk.sync_s = 0.0
             await one.kept()
         assert set(rows(disk, "view")) == {"s1", "s3"} and "s2" in rows(disk, "ends")
@@ -317,27 +335,30 @@
     async def test() -> None:
         async with rig(tmp_path, disk) as one:
             await one.opened()
-            one.fleet.hand(listed(5, "s1"))
+            one.fleet.hand(listed(5, "s0", "s1"))
             await one.kept()
-            written: list[tuple[str, str, int]] = []
-            handed = one.memory.store.write
-
-            def noted(changes: Any, done: Any = None) -> None:
-                for change in changes:
-                    kind = {"sources": kept.Source}.get(change.table)
-                    value = msgspec.msgpack.decode(change.value, type=kind).revision if kind else 0
-                    written.append((change.table, change.key, value))
-                handed(changes, done)
-
-            one.memory.store.write = noted  # type: ignore[method-assign]
+            told = changes(one.memory)
             one.fleet.hand(listed(6, *names))
+            assert told and "s0" in told[0].gone, "whoever leaves is written first, and at once"
             await until(lambda: len(one.view) == len(names))
             await one.kept()
-            at = [n for n, row in enumerate(written) if row[0] == "sources" and row[2] == 6]
-            last = max(n for n, row in enumerate(written) if row[0] == "view")
-            assert at and at[0] > last and sum(row[0] == "view" for row in written) == len(names) - 1
+            assert sum(len(event.servers) for event in told) == len(names) - 1
+            assert all(event.revision < 6 for event in told[:-1]), "a crash here would lose the rest"
+            assert all(len(event.servers) <= state.SLICE for event in told)
+            await until(lambda: one.memory._whole["platform"] == ("here", 6))
+
+    async def both() -> None:
+        await test()
+        await life(tmp_path, disk, listed(8, "s1", "s0"))
+        async with rig(tmp_path, disk) as one:  # remembered: the source's word comes in smaller slices
+            await one.opened()
+            told = changes(one.memory)
+            one.fleet.hand(listed(9, *names))
+            await until(lambda: len(one.view) == len(names))
+            await one.kept()
+            assert len(told) > 8 and all(event.revision < 9 for event in told[:-1])
 
-    run(test)
+    run(both)
 
 
 def test_a_source_some_of_whose_servers_cannot_be_kept_has_no_order_to_go_on_from(tmp_path: Path) -> None:
