--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -361,8 +361,9 @@
                 source.removed.pop(name, None)
                 touched.append(name)
         self._mass(source, len(gone), before)
-        self._current(source)
-        if saved:
+        if not saved:
+            self._current(source)
+        else:
             source.state = State.UNHEARD
             source.spoiled = bool(listing.faults)  # whoever was left out may be readable at the source
             self._take(source, named.values())
--- a/dillport/decide/recovery.py
+++ b/dillport/decide/recovery.py
@@ -313,7 +313,8 @@
             self.reach("half", start)
         if served >= SERVES * asked:
             self.judged_by = asked
-            self.reach("full", start)
+            # A bucket begins up to 0.1 s before the first answer in it.
+            self.reach("full", max(start, self.began_ms + self.phases.get("first answer", 0.0)))
 
 
 class Recovery:
