--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -190,6 +190,7 @@
         self._first: dict[str, str] = {}  # those of them that leave
         self._last = NOBODY
         self._whole: dict[str, tuple[str, int]] = {}  # how far each source is told, changes and all
+        self._checked: dict[str, float] = {}  # when that is looked at next
         self._odd = self._closed = False
         self._working = False
         self._timer: asyncio.TimerHandle | None = None
@@ -394,10 +395,12 @@
         """How far a source is told: never further than what is handed over with it.
 
         A source some of whose servers are not kept (odd names, or another source has taken them away) has no
-        order to go on from: the next start needs its whole list.
+        order to go on from: the next start needs its whole list. That is looked at once in 0.1 ms a server:
+        guards the loop against a look at 10,000 at each change; what is told meanwhile is an older revision.
         """
-        source = self.fleet.membership.sources.get(name)
-        if source is not None and self._settled(source):
+        source, now = self.fleet.membership.sources.get(name), self.node.now()
+        if source is not None and self._settled(source) and now >= self._checked.get(name, 0.0):
+            self._checked[name] = now + len(source.members) / 10
             known = self._rows.keys() >= source.members.keys()
             revision = source.revision if source.revision is not None else -1
             self._whole[name] = (source.identity or "", revision) if known else ("", -1)
