--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -17,7 +17,7 @@
 from dillport import interface as api
 from dillport.decide import keeping as k
 from dillport.decide import kept
-from dillport.decide.membership import Heard, Listed, Source, State
+from dillport.decide.membership import Configured, Heard, Listed, Source, State
 from dillport.lab.disk_port import Broken, Disk, SimFiles
 from dillport.members import Listing, Member
 from dillport.net import state
@@ -196,6 +196,32 @@
     run(test)
 
 
+def test_what_another_source_took_away_stays_away(tmp_path: Path) -> None:
+    """The platform lists it still: only the memory of the other source's removal keeps it off."""
+    disk = Disk()
+    sources = (Source("platform"), Source("etcd"))
+
+    async def test() -> None:
+        async with rig(tmp_path, disk) as one:
+            await one.opened()
+            one.fleet.hand(Configured(sources))
+            one.fleet.hand(listed(5, "s1", "s2"))
+            for listing in (Listing(3, True, (member("s2"),)), Listing(4, False, (), ("s2",))):
+                one.fleet.hand(Listed("etcd", "cluster", listing))
+            await until(lambda: set(one.view) == {"s1"})
+            await one.kept()
+        async with rig(tmp_path, disk) as one:
+            one.fleet.hand(Configured((Source("platform"), Source("etcd"))))
+            await one.opened()
+            one.fleet.hand(listed(6, "s1", "s2"))
+            await until(lambda: one.view["s1"].entry.age_ms is None)
+            assert set(one.view) == {"s1"}, "etcd has not listed it anew"
+            one.fleet.hand(Listed("etcd", "cluster", Listing(9, True, (member("s2"),))))
+            await until(lambda: set(one.view) == {"s1", "s2"})
+
+    run(test)
+
+
 def test_a_disk_that_says_nothing_holds_up_nobody(tmp_path: Path) -> None:
     """Opening takes its time; what changes meanwhile is kept, and goes before what was kept."""
     disk = Disk()
