--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -43,6 +43,7 @@
 LOOK = 1.0  # s between two looks at how the store does
 NOBODY = "?"  # the source of an end that no source told
 LONGEST = 256  # characters of a name
+OFTEN = 1_000  # servers of a source that may be looked at with each change: 0.1 ms
 MOST = 1 << 61  # of a cell's number
 
 
@@ -395,12 +396,12 @@
         """How far a source is told: never further than what is handed over with it.
 
         A source some of whose servers are not kept (odd names, or another source has taken them away) has no
-        order to go on from: the next start needs its whole list. That is looked at once in 0.1 ms a server:
-        guards the loop against a look at 10,000 at each change; what is told meanwhile is an older revision.
+        order to go on from: the next start needs its whole list. Of over OFTEN servers that is looked
+        at once in 0.1 ms a server: guards the loop against a look at 10,000 at each change; what is told meanwhile is an older revision.
         """
         source, now = self.fleet.membership.sources.get(name), self.node.now()
         if source is not None and self._settled(source) and now >= self._checked.get(name, 0.0):
-            self._checked[name] = now + len(source.members) / 10
+            self._checked[name] = now + (len(source.members) / 10 if len(source.members) > OFTEN else 0)
             known = self._rows.keys() >= source.members.keys()
             revision = source.revision if source.revision is not None else -1
             self._whole[name] = (source.identity or "", revision) if known else ("", -1)
