--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -397,7 +397,8 @@
 
         A source some of whose servers are not kept (odd names, or another source has taken them away) has no
         order to go on from: the next start needs its whole list. Of over OFTEN servers that is looked
-        at once in 0.1 ms a server: guards the loop against a look at 10,000 at each change; what is told meanwhile is an older revision.
+        at once in 0.1 ms a server: guards the loop against a look at 10,000 at each
+        change; what is told meanwhile is an older revision.
         """
         source, now = self.fleet.membership.sources.get(name), self.node.now()
         if source is not None and self._settled(source) and now >= self._checked.get(name, 0.0):
