--- a/dillport/lab/records.py
+++ b/dillport/lab/records.py
@@ -217,10 +217,11 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeStarted:
-    """A node's process starts, from nothing."""
+    """A node's process starts: from nothing, or with all on its disk that it was told until `kept_ms`."""
 
     node: str
     at_ms: float
+    kept_ms: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -89,7 +89,8 @@
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._pause = Pause(self.now())
-        self._held: list[api.Event] = []  # while it is in doubt
+        self._held: list[api.Event] = []  # while it is in doubt, or what it had kept is being read
+        self._waits = False
         self._beat()
         self._drained: Callable[[], None] = lambda: None
 
@@ -112,14 +113,23 @@
     def _settled(self, hold: int) -> None:
         self._turned()
         if self._pause.settled(hold):
-            held, self._held = self._held, []
-            for event in held:
-                self.event(event)
+            self._go_on()
+
+    def wait(self, on: bool) -> None:
+        """Hear of the list alone and of what was remembered, until it is told to go on."""
+        self._waits = on
+        if not on and not self._pause.hold:
+            self._go_on()
+
+    def _go_on(self) -> None:
+        held, self._held = self._held, []
+        for event in held:
+            self.event(event)
 
     def event(self, event: api.Event) -> None:
         """Hand an event to the module and do what it says. Events made meanwhile wait for their turn."""
         self._turned()
-        if self._pause.hold and not isinstance(event, api.ListUpdate):
+        if (self._pause.hold or self._waits) and not isinstance(event, (api.ListUpdate, api.Remembered)):
             self._held.append(event)
             return
         self._events.append(event)
--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -1,7 +1,8 @@
 """A node's memory over restarts: what `[state]` switches on, off and over while the node runs.
 
 - `StatePart` follows the settings: one `Memory` for the directory that is wanted, tried again where it cannot
-  be had. The directory is opened and read off the loop: `/up` never waits for a disk.
+  be had. The directory is opened and read off the loop: `/up` never waits for a disk. Requests do, HELD s at
+  most at the start: the configuration's list may name servers that this node had seen the end of.
 - `Memory` hands what was kept to the merge and to the decision module, then writes what changes: names whose
   row may differ wait in a queue and are looked at SLICE in one turn, removals and drains first.
 
@@ -39,6 +40,7 @@
 SLICE = 250  # servers in one turn of the loop
 AGAIN = 5.0  # s until a directory that could not be had is tried again
 LEARN_MS = 1_000.0  # from the start on, within which what was learned still goes before what is
+HELD = 0.5  # s at most that requests wait at the start for what was kept to be read
 CLOSE = 2.0  # s that the end of a node waits for its disk
 LOOK = 1.0  # s between two looks at how the store does
 NOBODY = "?"  # the source of an end that no source told
@@ -91,6 +93,9 @@
         self.loop = asyncio.get_running_loop()
         if running.recovery is not None:
             running.recovery.store = self.report
+            if not running.recovery.began:  # the configuration's list may name whom this node saw the end of
+                running.node.wait(True)
+                self.loop.call_later(HELD, running.node.wait, False)
 
     def apply(self, settings: Operators) -> None:
         """Move to another directory, or to none, in the loop's next turns."""
@@ -142,6 +147,7 @@
             try:
                 await memory.open(self._first)
             except StoreFault as fault:
+                self.running.node.wait(False)
                 self.trouble = str(fault)
                 foreign = fault.trouble is Trouble.FOREIGN  # another node's: it is not touched again
                 if said != self.trouble:
@@ -154,6 +160,7 @@
                 await asyncio.sleep(AGAIN)
                 continue
             except Exception as err:  # guards the node against a fault of this program's
+                self.running.node.wait(False)
                 log.exception("state: failed; the node serves without memory")
                 self.trouble = repr(err)
                 self._without(self.trouble)
@@ -161,6 +168,7 @@
             if said:
                 log.warning("state: %s is had now", wanted.directory)
             self.memory, self.trouble, self._first = memory, "", False
+            self.running.node.wait(False)
             if self._wanted is not None:
                 memory.set(self._wanted)  # other figures may be wanted by now
             return
--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -381,6 +381,19 @@
     assert verdict(told("gone", "s0", 1_000, 5), NodeStarted("n0", 3_000), request).ok
 
 
+def test_what_a_node_had_on_its_disk_holds_after_its_start() -> None:
+    request = served("r1", "read", 5_000)
+    gone, again = told("gone", "s0", 1_000, 5), NodeStarted("n0", 3_000, 1_500)
+    one(verdict(gone, again, request), 3, "r1", "gone")
+    older = told("up", "s0", 3_010, 4)  # the list of its configuration
+    one(verdict(gone, again, older, request), 3, "r1", "gone")
+    assert verdict(gone, NodeStarted("n0", 3_000, 900), request).ok, "it came later than what is on the disk"
+    assert verdict(gone, again, told("up", "s0", 3_010, 6), request).ok
+    # What was told and lost does not count either: the list of the configuration is news again.
+    lost = told("up", "s1", 2_000, 9)
+    assert verdict(told("gone", "s0", 1_000, 5), lost, again, told("up", "s0", 3_010, 7), request).ok
+
+
 # --- rule 4
 
 
--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -7,7 +7,8 @@
 import errno
 import json
 import logging
-from collections.abc import AsyncIterator, Callable, Coroutine
+import threading
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -401,3 +402,45 @@
             await until(lambda: one.node.observer is part)
 
     run(test)
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_no_request_is_decided_before_what_was_kept_is_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answers: bool
+) -> None:
+    """The configuration may name whom the node saw the end of. A disk that hangs holds it up shortly."""
+    disk, go, load_it = Disk(), threading.Event(), state.Memory._load
+    decided: list[set[str]] = []  # whom the node knew
+
+    def slow(memory: state.Memory) -> Any:
+        go.wait(LIMIT_S)
+        return load_it(memory)
+
+    async def test() -> None:
+        await life(tmp_path, disk, listed(50, "s1", "s2"), listed(51, complete=False, removed=("s2",)))
+        monkeypatch.setattr(state.Memory, "_load", slow)
+        monkeypatch.setattr(state, "HELD", LIMIT_S if answers else 0.2)
+        async with rig(tmp_path, disk, known="s1 s2") as one:  # of revision 41
+            saw = one.recovery.saw
+
+            def sees(now: float, event: api.Event, actions: Sequence[api.Action]) -> None:
+                if isinstance(event, api.Arrival):
+                    decided.append(set(one.view))
+                saw(now, event, actions)
+
+            monkeypatch.setattr(one.recovery, "saw", sees)
+            one.part.apply(ON)
+            one.node.event(api.Arrival("r", "read", one.node.now() + 10_000))
+            await asyncio.sleep(0.05)
+            assert not decided
+            if answers:
+                go.set()
+            await until(lambda: decided)
+            assert decided == [{"s1"} if answers else {"s1", "s2"}]
+            go.set()
+            await until(lambda: one.part.memory)
+
+    try:
+        run(test)
+    finally:
+        go.set()
