--- a/benchmarks/coming_back.py
+++ b/benchmarks/coming_back.py
@@ -1,4 +1,4 @@
-"""Most of a fleet restarted at once, in virtual time and as processes: today's rules beside those on what is remembered.
+"""Most of a fleet restarted at once, in virtual time: today's rules beside those on what is remembered.
 
     python -m benchmarks.coming_back [--seeds N] [--nodes N] [--servers N] [--part NAME] [--case NAME]
 
--- a/benchmarks/returns.py
+++ b/benchmarks/returns.py
@@ -22,10 +22,12 @@
 import msgspec
 
 from dillport.lab import script as sc
+from dillport.lab.clients import Habits
 from dillport.lab.records import Answered, Asked, HeldUp, NodeEnded, NodeStarted
 from dillport.lab.world import ROOT, World
 
 AT_S, AWAY_S, SECONDS = 4.0, 5.0, 14.0
+USES = 4  # requests on a client's connection: who is back is found by new ones alone
 LOOK_S = 0.25  # between two looks at how many connections servers took
 FULL_MS, SERVES, ENOUGH = 2_000.0, 0.95, 8  # full service of one node, as `decide/recovery` has it
 
@@ -174,7 +176,10 @@
 def _row(case: str, name: str, played: sc.Script, seed: int, program: Path) -> tuple[str, ...]:
     watch = Watch()
     with tempfile.TemporaryDirectory(prefix="dillport-back-") as directory:
-        got = asyncio.run(sc.play(played, seed, Path(directory), program=program, watch=watch))
+        play = sc.play(
+            played, seed, Path(directory), program=program, watch=watch, habits=Habits(uses=USES)
+        )
+        got = asyncio.run(play)
     first, full = watch.back()
     steady, all_of, one_of = watch.connects()
     kinds = Counter(told["memory"] for told in got.returns.values())
--- a/dillport/lab/clients.py
+++ b/dillport/lab/clients.py
@@ -40,6 +40,7 @@
     wait_ms: tuple[float, float] = (12.0, 100.0)  # before a retry, where no advice is honoured
     honours: float = 0.9  # part that waits as long as `Retry-After` says
     leaves: float = 0.0  # part that leaves early
+    uses: int = 0  # requests on one connection, after which its client closes it; 0: any number
     tenants: tuple[str, ...] = ("north", "south")
     bursts: tuple[tuple[float, float, float], ...] = ()
 
@@ -348,6 +349,9 @@
 
     def release(self, connection: Connection) -> None:
         """It can be asked on again."""
+        if self.habits.uses and connection.used >= self.habits.uses and connection.transport is not None:
+            connection.transport.close()
+            return
         self.idle.append(connection)
 
     def forget(self, connection: Connection) -> None:
--- a/dillport/lab/script.py
+++ b/dillport/lab/script.py
@@ -398,7 +398,7 @@
 async def play(
     script: Script, seed: int, directory: Path, strikes: Sequence[Strike] | None = None,
     tell: Callable[[float, str], None] | None = None, program: Path = ROOT,
-    watch: Callable[[World], object] | None = None,
+    watch: Callable[[World], object] | None = None, habits: Habits | None = None,
 ) -> Played:  # fmt: skip
     """Play a script on a world of its own, or some of its strikes alone.
 
@@ -418,8 +418,8 @@
     site = Site(zones=script.zones)
     world = World(
         directory, site=site, seed=seed, nodes=script.nodes, servers=script.servers, notice_s=script.notice_s,
-        machine=Machine(cores=script.cores, speed=script.speed), habits=Habits(), wired=sorted(wired),
-        program=program, memory=script.state, known_stays=script.known == "first",
+        machine=Machine(cores=script.cores, speed=script.speed), habits=habits or Habits(),
+        wired=sorted(wired), program=program, memory=script.state, known_stays=script.known == "first",
     )  # fmt: skip
     returns: dict[str, dict[str, Any]] = {}
     async with world:
