--- a/benchmarks/returns.py
+++ b/benchmarks/returns.py
@@ -54,7 +54,7 @@
     struck = every[: round(float(words.get("part") or 1) * nodes)]
     wiped = struck[: round(float(words.get("wipe") or 0) * nodes)]
     if wiped:
-        rows.append(sc.Row(AT_S, "wipe", names=wiped))
+        rows.append(sc.Row(AT_S, "disk wiped", names=wiped))
     if left := struck[len(wiped) :]:
         rows.append(sc.Row(AT_S, "kill", names=left))
     return sc.Script(name, SECONDS, rate, nodes, servers, state=True, known="first", fault=tuple(rows))
@@ -62,7 +62,8 @@
 
 def older(now: sc.Script) -> sc.Script:
     """The same for a program that keeps nothing."""
-    rows = tuple(msgspec.structs.replace(r, kind="kill" if r.kind == "wipe" else r.kind) for r in now.fault)
+    kinds = {"disk wiped": "kill"}
+    rows = tuple(msgspec.structs.replace(row, kind=kinds.get(row.kind, row.kind)) for row in now.fault)
     return msgspec.structs.replace(now, state=False, fault=rows)
 
 
--- a/dillport/lab/script.py
+++ b/dillport/lab/script.py
@@ -2,7 +2,8 @@
 
 A script is TOML: `name`, `seconds`, `rate` (requests a second), `nodes`, `servers`, more with defaults (see
 `Script`), then a table `[[fault]]` each: `at_s`, `kind` (of `KINDS`), whom it strikes, `for_s`, `value`.
-Whom: `names = [...]`, `count = 3`, `part = 0.7` or `zone = "a"`, of a path `nodes = [...]` too; all without.
+Whom: `names = [...]`, `count = 3`, `part = 0.7` or `zone = "a"`; all without. Of a path `nodes = [...]` too,
+and the `way`: "there" is what these nodes send, "back" what they are sent, "both" without it.
 What is left to chance is drawn on a seed: the same seed strikes the same, and `draw` gives names, so that
 a script that fails can be cut down fault by fault (`shrink`).
 
@@ -19,25 +20,36 @@
 import random
 import tomllib
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
 import msgspec
 
-from dillport.lab import link
+from dillport.lab import disk, link
 from dillport.lab.clients import Habits
+from dillport.lab.fleet_world import SOURCE, FleetWorld
 from dillport.lab.judge import Verdict
-from dillport.lab.records import Answered, Asked, NodeEnded, NodeStarted, Received, Record, Told, Wanted
+from dillport.lab.records import (
+    Answered,
+    Asked,
+    NodeEnded,
+    NodeStarted,
+    Received,
+    Record,
+    Told,
+    Wanted,
+    now_ms,
+)
 from dillport.lab.servers import Machine
-from dillport.lab.site import Site
-from dillport.lab.world import ROOT, Step, World
+from dillport.lab.site import Rules, Site
+from dillport.lab.world import DISCOVERY, ROOT, Node, Step, World
 from dillport.net import control
+from dillport.net.clock import TEST_CLOCK
 
 WINDOW_MS = 1_000.0  # over which service is compared with what it was
 SHORT = 0.05  # of the requests in time, by which it may fall short of that
-SETTLE_S = 2.0  # after a planned end's SIGTERM until the process starts again at the earliest
 
 Positive = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1000)]
@@ -53,17 +65,23 @@
     part: Annotated[float, msgspec.Meta(gt=0, le=1)] | None = None
     zone: str | None = None
     nodes: list[str] | None = None
+    way: Literal["there", "back", "both"] | None = None
+    wipe: bool = False
     for_s: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 0.0
-    value: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
+    value: Annotated[float, msgspec.Meta(ge=-1e6, le=1e6)] = 0.0
     spread_s: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 0.0
 
 
 class Script(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The file. `least` is the worth in time, of all asked for, below which the script fails.
 
-    `notice_s` is how long clients go on coming to a node that is dead. With `state` each node keeps a memory
-    over its restarts. `known` is the list that a node's configuration has at a restart: that of now, or of
-    its first start.
+    It fails too above `spent`, the share of all attempts that came to servers while these were to `fail`,
+    `vanish` or `slow`, above `failed`, the share of requests answered by a failure (no refusal), and above
+    `pushed`, the most that a cold server was sent of what it may be sent. `notice_s` is how long clients go
+    on coming to a node that is dead. With `etcd` servers are in its stand-in too, of which each node has two
+    endpoints. A server that has just started does the part `cold` of what it does once warm. With `state`
+    each node keeps a memory over its restarts. `known` is the list that a node's configuration has at a
+    restart: that of now, or of its first start.
     """
 
     name: str
@@ -74,8 +92,13 @@
     zones: tuple[str, ...] = ("a", "b")
     cores: Count = 2
     speed: Positive = 0.5
+    cold: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.3
     notice_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
     least: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    spent: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    failed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    pushed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    etcd: bool = False
     state: bool = False
     known: Literal["now", "first"] = "now"
     fault: tuple[Row, ...] = ()
@@ -87,7 +110,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Strike:
-    """One thing that happens to one process, or to all paths between some nodes and servers."""
+    """One thing that happens to one process, or to all paths between some nodes and others."""
 
     at_s: float
     kind: str
@@ -95,6 +118,8 @@
     nodes: tuple[str, ...] = ()
     for_s: float = 0.0
     value: float = 0.0
+    way: str = "both"
+    wipe: bool = False
 
     def __str__(self) -> str:
         """For people."""
@@ -102,57 +127,131 @@
         via = f" at {' '.join(self.nodes[:6])}" if self.nodes else ""
         span = f" for {self.for_s:g} s" if self.for_s else ""
         value = f" ({self.value:g})" if self.value else ""
-        return f"{self.at_s:6.2f} s  {self.kind} {shown}{via}{span}{value}"
+        way = "" if self.way == "both" else f", {self.way}"
+        wiped = ", wiped" if self.wipe else ""
+        return f"{self.at_s:6.2f} s  {self.kind} {shown}{via}{span}{value}{way}{wiped}"
 
 
 # --- what each kind does
 
 
-def _node(act: Callable[[Any], object]) -> Callable[[World, Strike], object]:
-    def done(world: World, strike: Strike) -> None:
-        for node in world.nodes:
-            if node.name in strike.names:
-                act(node)
+Act = Callable[[Node], object]
+Between = Callable[[World, Strike, list[Node]], object]  # something done while all of them are down
+
+
+def _nodes(world: World, strike: Strike) -> list[Node]:
+    return [node for node in world.nodes if node.name in strike.names]
+
+
+def _node(on: Act, off: Act | None = None) -> Callable[[World, Strike], Awaitable[None]]:
+    """Something about nodes, taken back after `for_s` where that is given."""
+
+    async def done(world: World, strike: Strike) -> None:
+        for node in _nodes(world, strike):
+            on(node)
+        if off is not None:
+            await asyncio.sleep(strike.for_s)
+            for node in _nodes(world, strike):
+                off(node)
 
     return done
 
 
-async def _ended(world: World, strike: Strike, how: str, then: str | None = None) -> None:
-    """Nodes end, and start again after `for_s`, something done to their memory between the two."""
+async def _ended(
+    world: World, strike: Strike, how: Act = Node.kill, between: Between | None = None, slow: bool = False
+) -> None:
+    """Nodes end, and start again after `for_s`, or at once where it is the start that is slow.
+
+    Each starts when it may, or once all are down where something is done `between`.
+    """
 
-    async def one(node: Any) -> None:
-        if node.process.returncode is not None:
-            return  # it is down already, and whoever did that starts it again
-        getattr(node, how)()
+    async def end(node: Node) -> None:
+        how(node)
         await node.ended()
-        if then is not None:
-            getattr(node, then)()
-        await asyncio.sleep(strike.for_s)
-        await node.start()
+        if strike.wipe:
+            disk.wiped(node.state)
+            node.kept_ms = None
+
+    async def start(node: Node) -> None:
+        await asyncio.sleep(0.0 if slow else strike.for_s)
+        await node.start(strike.for_s if slow else 0.0)
+
+    async def both(node: Node) -> None:
+        await end(node)
+        await start(node)
+
+    # One that is down already is started by whoever did that.
+    nodes = [node for node in _nodes(world, strike) if node.process and node.process.returncode is None]
+    if between is None:
+        await asyncio.gather(*map(both, nodes))
+        return
+    await asyncio.gather(*map(end, nodes))
+    between(world, strike, nodes)
+    await asyncio.gather(*map(start, nodes))
 
-    async with asyncio.TaskGroup() as tasks:
-        for node in world.nodes:
-            if node.name in strike.names:
-                tasks.create_task(one(node))
 
+def _clock(world: World, strike: Strike, nodes: list[Node]) -> None:
+    """From this start on; the program only looks beside an operators' file."""
+    for node in nodes:
+        node.env[TEST_CLOCK] = str(round(strike.value * 1000))
+        if "--settings" not in node.args:
+            empty = node.path.with_suffix(".toml")
+            empty.touch()
+            node.args += ["--settings", str(empty)]
 
-async def _stand(world: World, strike: Strike) -> None:
-    _node(lambda node: node.stand())(world, strike)
-    await asyncio.sleep(strike.for_s)
-    _node(lambda node: node.go_on())(world, strike)
+
+def _broken(act: Callable[[Path, random.Random], None]) -> Between:
+    """Something about each one's directory, drawn on the seed."""
+
+    def done(world: World, strike: Strike, nodes: list[Node]) -> None:
+        for node in nodes:
+            act(node.state, random.Random(f"{world.seed}:{strike.at_s}:{node.name}"))
+            node.kept_ms = node.copied_ms if strike.kind == "disk restored" else None
+
+    return done
+
+
+def _limited(size: Callable[[Strike], int | None]) -> Callable[[World, Strike], None]:
+    def done(world: World, strike: Strike) -> None:
+        for node in _nodes(world, strike):
+            if node.process is not None and node.process.returncode is None:
+                disk.full(node.process.pid, size(strike))
+                node.full_ms = node.full_ms or now_ms()  # and on: nobody says when it has caught up
+
+    return done
 
 
 async def _full(world: World, strike: Strike) -> None:
-    _node(lambda node: node.disk_full(True))(world, strike)
+    _limited(lambda s: int(s.value))(world, strike)
     await asyncio.sleep(strike.for_s)
-    _node(lambda node: node.disk_full(False))(world, strike)
+    _limited(lambda s: None)(world, strike)
+
+
+def _swapped(world: World, strike: Strike, nodes: list[Node]) -> None:
+    disk.swapped([node.state for node in nodes])
+    for node in nodes:
+        node.kept_ms = None
+
+
+def _away(node: Node) -> None:
+    disk.away(node.state, True)
+    node.full_ms = node.full_ms or now_ms()
+
+
+def _copied(node: Node) -> None:
+    """All of it at one instant, as after a power cut."""
+    node.stand()
+    disk.copied(node.state)
+    node.copied_ms = node.durable_ms()
+    node.go_on()
 
 
 async def _move(world: World, strike: Strike) -> None:
-    for node in world.nodes:
-        if node.name in strike.names:
-            await node.agent.move()
-            node.reload()
+    for node in _nodes(world, strike):
+        await node.agent.move()
+        if (node.name, DISCOVERY) in world.paths:
+            await world.wire(node.name, DISCOVERY)
+        node.reload()
 
 
 def _servers(on: Callable[[Any], object], off: Callable[[Any], object] | None = None) -> Any:
@@ -188,9 +287,9 @@
 
 
 async def _silent(world: World, strike: Strike) -> None:
-    """A machine vanishes: connections stay open and say nothing. It is back cold, its old ones reset."""
+    """Machines vanish: connections stay open, say nothing and do not come up; back cold, old ones reset."""
     for name in strike.names:
-        world.fleet[name].hang()
+        world.fleet[name].vanish()
     await asyncio.sleep(strike.for_s)
     for name in strike.names:
         world.fleet[name].die()
@@ -202,78 +301,131 @@
         await world.replace(name, f"{name}-{number}new")
 
 
-def _path(on: Sequence[link.Fault], off: bool = True) -> Callable[[World, Strike], Awaitable[None]]:
+WAYS = {"there": (link.Way.UP,), "back": (link.Way.DOWN,), "both": link.BOTH}
+
+
+def _path(
+    on: Callable[[Strike], Sequence[link.Fault]], off: bool = True
+) -> Callable[[World, Strike], Awaitable[None]]:
+    """Faults of TCP. What is told to a node while its answers are kept from it counts once they are not."""
+
     async def done(world: World, strike: Strike) -> None:
-        found = [world.paths[n, s] for n in strike.nodes for s in strike.names]
-        for one in found:
-            for fault in on:
-                made = link.Delay(strike.value) if isinstance(fault, link.Delay) else fault
-                one.apply(made)
+        faults = on(strike)
+        pairs = [(n, s) for n in strike.nodes for s in strike.names]
+        kept = any(link.Way.DOWN in getattr(fault, "ways", link.BOTH) for fault in faults)
+        for pair in pairs:
+            if kept and off:
+                world.strays(*pair, on=True)
+            for one in world.paths[pair]:
+                for fault in faults:
+                    one.apply(fault)
+            if any(isinstance(fault, link.Reset) for fault in faults):
+                world.lost(*pair)
         if off:
             await asyncio.sleep(strike.for_s)
-            for one in found:
-                one.heal()
+            for pair in pairs:
+                for one in world.paths[pair]:
+                    one.heal()
+                world.strays(*pair, on=False)
 
     return done
 
 
 async def _late_lists(world: World, strike: Strike) -> None:
-    agents = [node.agent for node in world.nodes if node.name in strike.names]
-    for agent in agents:
-        agent.late_ms = strike.value
+    for node in _nodes(world, strike):
+        node.agent.late_ms = strike.value
     await asyncio.sleep(strike.for_s)
-    for agent in agents:
-        agent.late_ms = 0.0
+    for node in _nodes(world, strike):
+        node.agent.late_ms = 0.0
 
 
-async def _silent_lists(world: World, strike: Strike) -> None:
-    agents = [node.agent for node in world.nodes if node.name in strike.names]
-    for agent in agents:
-        agent.silence(True)
-    await asyncio.sleep(strike.for_s)
-    for agent in agents:
-        agent.silence(False)
+def _silenced(strike: Strike) -> Sequence[link.Fault]:
+    return [link.Stall(WAYS[strike.way])] + ([link.Blackhole()] if strike.way == "both" else [])
+
+
+def _peers(key: str = "", value: float | None = None) -> Callable[[World, Strike], Awaitable[None]]:
+    """A fault of datagrams between nodes, by its name in `Weather`; a cut without."""
+
+    async def done(world: World, strike: Strike) -> None:
+        struck = list[tuple[Any, tuple[link.Way, ...]]]()
+        for node, other in [(n, o) for n in strike.nodes for o in strike.names if n != o]:
+            # What a node sends goes by its own path, or comes back on the other's as an answer.
+            mine, theirs = world.peers[node, other], world.peers[other, node]
+            if strike.way != "back":
+                struck += [(mine, (link.Way.UP,)), (theirs, (link.Way.DOWN,))]
+            if strike.way != "there":
+                struck += [(theirs, (link.Way.UP,)), (mine, (link.Way.DOWN,))]
+        for path, ways in struck:
+            if key:
+                path.set(ways, **{key: strike.value if value is None else value})
+            elif link.Way.UP in ways:
+                path.cut()
+        await asyncio.sleep(strike.for_s)
+        for path, ways in struck:
+            path.heal(ways)
+
+    return done
 
 
 @dataclass(slots=True, frozen=True)
 class Kind:
-    """A kind of fault: whom it strikes (`node`, `server` or `path`), what it does, which keys it needs.
-
-    `state`: only nodes that keep a memory can be struck so.
+    """A kind of fault: whom it strikes (`node`, `server`, `path` by TCP, `peer` by UDP), what it does, which
+    keys it needs, and which it may have beside those of all.
     """
 
     whom: str
     act: Callable[[World, Strike], object]
     needs: tuple[str, ...] = ()
-    state: bool = False
+    may: tuple[str, ...] = ()
 
 
 KINDS: dict[str, Kind] = {
-    "kill": Kind("node", partial(_ended, how="kill")),
-    "terminate": Kind("node", partial(_ended, how="terminate")),
-    "wipe": Kind("node", partial(_ended, how="kill", then="wipe"), state=True),
-    "back up": Kind("node", _node(lambda node: node.back_up()), state=True),
-    "restore": Kind("node", partial(_ended, how="kill", then="restore"), state=True),
-    "disk full": Kind("node", _full, ("for_s",), state=True),
-    "stand": Kind("node", _stand, ("for_s",)),
+    "kill": Kind("node", _ended, may=("wipe",)),
+    "terminate": Kind("node", partial(_ended, how=Node.terminate), may=("wipe",)),
+    "stand": Kind("node", _node(Node.stand, Node.go_on), ("for_s",)),
+    "slow start": Kind("node", partial(_ended, slow=True), ("for_s",)),
+    "clock off": Kind("node", partial(_ended, between=_clock), ("value",)),
     "discovery moves": Kind("node", _move),
     "lists late": Kind("node", _late_lists, ("for_s", "value")),
-    "lists silent": Kind("node", _silent_lists, ("for_s",)),
+    "lists silent": Kind(
+        "node", _node(lambda n: n.agent.silence(True), lambda n: n.agent.silence(False)), ("for_s",)
+    ),
+    "disk torn": Kind("node", partial(_ended, between=_broken(disk.torn))),
+    "disk flipped": Kind("node", partial(_ended, between=_broken(disk.flipped))),
+    "disk blocked": Kind("node", partial(_ended, between=_broken(lambda d, rng: disk.blocked(d)))),
+    "disk wiped": Kind("node", partial(_ended, between=_broken(lambda d, rng: disk.wiped(d)))),
+    "disk swapped": Kind("node", partial(_ended, between=_swapped)),
+    "disk copied": Kind("node", _node(_copied)),
+    "disk restored": Kind("node", partial(_ended, between=_broken(lambda d, rng: disk.restored(d)))),
+    "disk full": Kind("node", _full, ("for_s",)),
+    "disk away": Kind("node", _node(_away, lambda n: disk.away(n.state, False)), ("for_s",)),
     "die": Kind("server", _dies),
     "drain": Kind("server", lambda w, s: w.drain(*s.names)),
     "remove": Kind("server", lambda w, s: w.remove(*s.names)),
+    "delist": Kind("server", lambda w, s: w.enter(*s.names, phase="terminated")),
     "replace": Kind("server", _replaced),
     "vanish": Kind("server", _silent, ("for_s",)),
     "fail": Kind("server", _fails, ("value",)),
     "slow": Kind("server", _slow, ("value",)),
-    "reset": Kind("path", _path([link.Reset()], off=False)),
-    "cut": Kind("path", _path([link.Reset(), link.Refuse()]), ("for_s",)),
-    "silent": Kind("path", _path([link.Stall(), link.Blackhole()]), ("for_s",)),
-    "answers lost": Kind("path", _path([link.Stall((link.Way.DOWN,))]), ("for_s",)),
-    "requests lost": Kind("path", _path([link.Stall((link.Way.UP,))]), ("for_s",)),
-    "late": Kind("path", _path([link.Delay(0.0)]), ("for_s", "value")),
-    "trickle": Kind("path", _path([link.Trickle()]), ("for_s",)),
+    "reset": Kind("path", _path(lambda s: [link.Reset()], off=False)),
+    "cut": Kind("path", _path(lambda s: [link.Reset(), link.Refuse()]), ("for_s",)),
+    "silent": Kind("path", _path(_silenced), ("for_s",), ("way",)),
+    "answers lost": Kind("path", _path(lambda s: [link.Stall(WAYS["back"])]), ("for_s",)),
+    "requests lost": Kind("path", _path(lambda s: [link.Stall(WAYS["there"])]), ("for_s",)),
+    "late": Kind(
+        "path", _path(lambda s: [link.Delay(s.value, ways=WAYS[s.way])]), ("for_s", "value"), ("way",)
+    ),
+    "trickle": Kind("path", _path(lambda s: [link.Trickle(ways=WAYS[s.way])]), ("for_s",), ("way",)),
+    "peers cut": Kind("peer", _peers(), ("for_s",), ("way",)),
+    "peers silent": Kind("peer", _peers("lost", 1.0), ("for_s",), ("way",)),
+    "peers lossy": Kind("peer", _peers("lost"), ("for_s", "value"), ("way",)),
+    "peers doubled": Kind("peer", _peers("doubled"), ("for_s", "value"), ("way",)),
+    "peers overtaken": Kind("peer", _peers("swapped"), ("for_s", "value"), ("way",)),
+    "peers late": Kind("peer", _peers("delay_ms"), ("for_s", "value"), ("way",)),
+    "peers mixed": Kind("peer", _peers("jitter_ms"), ("for_s", "value"), ("way",)),
+    "peers slow": Kind("peer", _peers("bytes_s"), ("for_s", "value"), ("way",)),
 }
+PATHS = ("path", "peer")
 
 
 # --- reading and drawing
@@ -301,6 +453,8 @@
             continue
         wrong += [f"fault[{number}]: {text}" for text in _senseless(made, script)]
         found.append(made)
+    if script is not None and script.state and script.etcd:
+        wrong.append("state: found it beside etcd; allowed: one of them")
     if wrong or script is None:
         raise ScriptError("\n".join(wrong))
     return msgspec.structs.replace(script, fault=tuple(found))
@@ -313,18 +467,25 @@
     for key in kind.needs:
         if not getattr(row, key):
             yield f"{key}: found nothing; a {row.kind!r} needs it"
-    if row.nodes is not None and kind.whom != "path":
+    if row.nodes is not None and kind.whom not in PATHS:
         yield f"nodes: found them beside {row.kind!r}, which strikes no path; allowed: names"
+    for key in ("way", "wipe"):
+        if getattr(row, key) and key not in kind.may:
+            others = ", ".join(name for name, one in KINDS.items() if key in one.may)
+            yield f"{key}: found it beside {row.kind!r}; allowed: {others}"
+    if row.value < 0 and row.kind != "clock off":
+        yield f"value: found {row.value:g} beside {row.kind!r}; allowed: 0 and more"
     if (given := sum(v is not None for v in (row.names, row.count, row.part, row.zone))) > 1:
         yield f"found {given} of names, count, part, zone; allowed: one of them, or none for all"
     if script is None:
         return
-    if kind.state and not script.state:
-        yield f"kind: found {row.kind!r}, which strikes a memory; the script needs: state = true"
-    there = _there(script, kind.whom)
+    there, more = _there(script, kind.whom), _services(script) if kind.whom == "path" else []
     for name in row.names or ():
-        if name not in there:
-            yield f"names: found {name!r:.60}; allowed: {there[0]} to {there[-1]}"
+        if name not in there and name not in more:
+            yield f"names: found {name!r:.60}; allowed: {', '.join([f'{there[0]} to {there[-1]}', *more])}"
+    struck = len(row.names or ()) or row.count or round((row.part or 1.0) * len(there))
+    if row.kind == "disk swapped" and struck < 2:
+        yield "found one node; allowed: two or more, which swap"
     for name in row.nodes or ():
         if name not in _there(script, "node"):
             yield f"nodes: found {name!r:.60}; allowed: n0 to n{script.nodes - 1}"
@@ -332,8 +493,13 @@
         yield f"zone: found {row.zone!r:.60}; allowed: {', '.join(script.zones)}"
 
 
+def _services(script: Script) -> list[str]:
+    """What a path may lead to beside servers."""
+    return [DISCOVERY, SOURCE] if script.etcd else [DISCOVERY]
+
+
 def _there(script: Script, whom: str) -> list[str]:
-    if whom == "node":
+    if whom in ("node", "peer"):
         return [f"n{n}" for n in range(script.nodes)]
     return [f"s{n}" for n in range(1, script.servers + 1)]
 
@@ -349,15 +515,17 @@
             there = [name for at, name in enumerate(there) if at % len(script.zones) == place]
         most = row.count or (max(1, round(row.part * len(there))) if row.part else len(there))
         names = tuple(row.names or sorted(rng.sample(there, min(most, len(there))), key=lambda n: int(n[1:])))
-        nodes = tuple(row.nodes or _there(script, "node")) if kind.whom == "path" else ()
+        nodes = tuple(row.nodes or _there(script, "node")) if kind.whom in PATHS else ()
+        groups, step = [names], 0.0
         if row.spread_s and len(names) > 1:
-            step = row.spread_s / (len(names) - 1)
-            out += [
-                Strike(row.at_s + at * step, row.kind, (name,), nodes, row.for_s, row.value)
-                for at, name in enumerate(names)
-            ]
-        else:
-            out.append(Strike(row.at_s, row.kind, names, nodes, row.for_s, row.value))
+            groups, step = [(name,) for name in names], row.spread_s / (len(names) - 1)
+        out += [
+            Strike(
+                row.at_s + at * step, row.kind, group, nodes, row.for_s, row.value, row.way or "both",
+                row.wipe,
+            )
+            for at, group in enumerate(groups)
+        ]
     return sorted(out, key=lambda strike: strike.at_s)
 
 
@@ -373,7 +541,6 @@
 
     `full_ms` is the time to full service after each moment of faults, None: never. `rows` are quarters of a
     second: when, how many were asked for, in time, refused or failed, and how many nodes lived throughout.
-    `returns` is what `dillport recovery` says of each node at the end, where nodes keep a memory.
     """
 
     seed: int
@@ -384,7 +551,9 @@
     full_ms: tuple[tuple[float, float | None], ...]
     rows: tuple[Quarter, ...]
     beliefs: tuple[str, ...]
-    returns: dict[str, dict[str, Any]]
+    spent: tuple[int, int] = (0, 0)  # attempts that came to servers made to fail, and all
+    over: tuple[str, ...] = ()  # what is over the script's own bounds
+    returns: dict[str, dict[str, Any]] = field(default_factory=dict)  # what nodes with a memory say of theirs
 
     def wrong(self, least: float) -> list[str]:
         """Everything that must not be."""
@@ -392,7 +561,7 @@
         out += [*self.beliefs, *self.crashes]
         if self.worth < least:
             out.append(f"worth in time {self.worth:.1%}, {least:.1%} is the least")
-        return out
+        return [*out, *self.over]
 
 
 async def play(
@@ -406,7 +575,8 @@
     after.
     """
     struck = draw(script, seed) if strikes is None else list(strikes)
-    wired = {(n, s) for one in struck for n in one.nodes for s in one.names}
+    wired = {(n, s) for one in struck for n in one.nodes for s in one.names if n != s}
+    wired |= {(s, n) for one in struck if KINDS[one.kind].whom == "peer" for n, s in wired}
     running: set[asyncio.Task[Any]] = set()
 
     def begin(one: Strike, world: World) -> None:
@@ -415,12 +585,14 @@
         if asyncio.iscoroutine(done):
             running.add(asyncio.ensure_future(done))
 
-    site = Site(zones=script.zones)
-    world = World(
+    site = Site(zones=script.zones, rules=Rules(cold_share=script.cold))
+    make: Callable[..., World] = FleetWorld if script.etcd else World
+    world = make(
         directory, site=site, seed=seed, nodes=script.nodes, servers=script.servers, notice_s=script.notice_s,
         machine=Machine(cores=script.cores, speed=script.speed), habits=habits or Habits(),
-        wired=sorted(wired), program=program, memory=script.state, known_stays=script.known == "first",
+        wired=sorted(wired), program=program,
     )  # fmt: skip
+    world.memory, world.known_stays = script.state, script.known == "first"
     returns: dict[str, dict[str, Any]] = {}
     async with world:
         if watch is not None:
@@ -441,8 +613,32 @@
     held = [line for breach in verdict.breaches[:1] for line in beliefs(records, breach.evidence)]
     total = verdict.classes["all"]
     rows = tuple(_rows(records, at0))
-    return Played(seed, tuple(struck), verdict, tuple(crashes), total.worth, full, rows, tuple(held),
-                  returns)  # fmt: skip
+    lost = spent(records, struck, at0)
+    return Played(
+        seed, tuple(struck), verdict, tuple(crashes), total.worth, full, rows, tuple(held), lost,
+        tuple(_over(script, records, lost, verdict.pushed)), returns,
+    )  # fmt: skip
+
+
+def _over(script: Script, records: Iterable[Record], lost: tuple[int, int], pushed: float) -> Iterable[str]:
+    ends = [r.status for r in records if isinstance(r, Answered)]
+    failed = sum(status not in (200, 429, 503) for status in ends)
+    if lost[0] > script.spent * lost[1]:
+        at = f"{lost[0]} of {lost[1]} attempts"
+        yield f"{at} came to servers that were made to fail, {script.spent:.1%} is the most"
+    if failed > script.failed * len(ends):
+        yield f"{failed} of {len(ends)} answers were failures, {script.failed:.1%} is the most"
+    if pushed > script.pushed:
+        yield f"a cold server was sent {pushed:.2f} of what it may be sent, {script.pushed:.2f} is the most"
+
+
+def spent(records: Iterable[Record], strikes: Iterable[Strike], at0: float) -> tuple[int, int]:
+    """Attempts that came to servers while a strike made these fail, vanish or slow, and all attempts."""
+    bad = [(set(one.names), at0 + one.at_s * 1000, at0 + (one.at_s + (one.for_s or 1e6)) * 1000)
+           for one in strikes if one.kind in ("fail", "vanish", "slow")]  # fmt: skip
+    got = [r for r in records if isinstance(r, Received)]
+    lost = sum(any(r.server in names and a <= r.first_byte_at_ms < b for names, a, b in bad) for r in got)
+    return lost, len(got)
 
 
 def _ends(records: Iterable[Record]) -> list[tuple[float, bool, bool]]:
--- a/tests/lab/test_script.py
+++ b/tests/lab/test_script.py
@@ -34,7 +34,8 @@
     for part in ("rate", "[0]: kind: found 'explode'; allowed: kill", "[1]: for_s", "[1]: found 2 of names",
                  "[2]:", "[3]: Object contains unknown field `node`"):  # fmt: skip
         assert any(part in line for line in lines), (part, lines)
-    for raw, part in ((b"\xff", "not TOML"), (b"x = [", "not TOML"), (HEAD + b"[fault]\n", "[[fault]]")):
+    both = HEAD + b"state = true\netcd = true\n"
+    for raw, part in ((b"\xff", "not TOML"), (both, "beside etcd"), (b"x = [", "not TOML"), (HEAD + b"[fault]\n", "[[fault]]")):
         with pytest.raises(sc.ScriptError, match=part.replace("[", r"\[")):
             sc.parse(raw)
 
@@ -45,13 +46,22 @@
         b'[[fault]]\nat_s = 1\nkind = "reset"\nnodes = ["s1"]\n'
         b'[[fault]]\nat_s = 1\nkind = "die"\nzone = "q"\n'
         b'[[fault]]\nat_s = 1\nkind = "die"\nnodes = ["n1"]\n'
-        b'[[fault]]\nat_s = 1\nkind = "wipe"\n'
+        b'[[fault]]\nat_s = 1\nkind = "cut"\nfor_s = 1\nnames = ["discovery", "etcd"]\n'
+        b'[[fault]]\nat_s = 1\nkind = "reset"\nway = "back"\n'
+        b'[[fault]]\nat_s = 1\nkind = "stand"\nfor_s = 1\nwipe = true\nvalue = -1\n'
+        b'[[fault]]\nat_s = 1\nkind = "disk swapped"\ncount = 1\n'
+        b'[[fault]]\nat_s = 1\nkind = "peers cut"\nfor_s = 1\nnames = ["s1"]\n'
     )
     with pytest.raises(sc.ScriptError) as caught:
         sc.parse(text)
     lines = str(caught.value).splitlines()
-    assert len(lines) == 5 and "state = true" in lines[4]
-    assert "n0 to n3" in lines[0] and "n0 to n3" in lines[1] and "a, b" in lines[2]
+    for line, part in zip(lines[4:], (
+        "names: found 'etcd'; allowed: s1 to s6, discovery", "way: found it beside 'reset'; allowed: silent",
+        "wipe: found it beside 'stand'; allowed: kill, terminate", "value: found -1 beside 'stand'",
+        "found one node", "names: found 's1'; allowed: n0 to n3",
+    ), strict=True):  # fmt: skip
+        assert part in line, line
+    assert len(lines) == 10 and "n0 to n3" in lines[0] and "n0 to n3" in lines[1] and "a, b" in lines[2]
     assert "strikes no path" in lines[3]
 
 
@@ -114,3 +124,23 @@
 
     left = asyncio.run(sc.shrink(strikes, fails))
     assert [one.names for one in left] == [("n3",), ("n8",)] and played < 40
+
+
+def test_what_is_over_a_scripts_own_bounds_is_said() -> None:
+    def got(server: str, at: float) -> Received:
+        return Received(server, 1, 1, "a", "r", "", "", 1.0, at, at)
+
+    strikes = [sc.Strike(1.0, "fail", ("s1",), for_s=1.0), sc.Strike(3.0, "vanish", ("s2",)),
+               sc.Strike(0.0, "drain", ("s3",))]  # fmt: skip
+    times = (("s1", 1_900.0), ("s1", 2_000.0), ("s1", 2_999.0), ("s2", 3_999.0), ("s2", 4_000.0), ("s3", 5.0))
+    records: list[Record] = [got(server, at) for server, at in times]
+    assert sc.spent(records, strikes, 1_000.0) == (3, 6)
+    records += [Answered(f"r{n}", 1.0, status, True) for n, status in enumerate((200, 429, 503, 500))]
+    script = sc.parse(HEAD + b"spent = 0.5\nfailed = 0.25\npushed = 0.4\n")
+    assert not list(sc._over(script, records, (3, 6), 0.4))
+    lines = list(sc._over(script, [*records, Answered("r", 1.0, 0, False)], (4, 6), 0.41))
+    assert lines == [
+        "4 of 6 attempts came to servers that were made to fail, 50.0% is the most",
+        "2 of 5 answers were failures, 25.0% is the most",
+        "a cold server was sent 0.41 of what it may be sent, 0.40 is the most",
+    ]
