--- a/benchmarks/coming_back.py
+++ b/benchmarks/coming_back.py
@@ -79,7 +79,7 @@
     lost: float = 0.0  # of the worth that was asked for in the 10 s after the kill
     connects: tuple[int, float, int] = (0, 0.0, 0)  # most, mean, most in the steady fleet before
     firsts: int = 0
-    back: float = 0.0  # clients that were turned away and ask again, in 100 ms: the most over the mean
+    back: float = 0.0  # clients that were turned away and ask again, the most in 100 ms, over arrivals
     pushed: int = 0  # cold servers that got more than their budget
 
 
@@ -124,9 +124,7 @@
         mean = sum(map(len, after)) / len(self.places) / (AFTER_MS / 1000)
         out.connects = max(map(crowd, after)), mean, max(map(crowd, before))
         out.firsts = max((crowd(times, 100.0) for times in self.first.values()), default=0)
-        if self.retries:
-            spell = max(100.0, self.retries[-1] - self.retries[0])
-            out.back = crowd(self.retries, 100.0) * spell / 100.0 / len(self.retries)
+        out.back = crowd(self.retries, 100.0) / (100.0 * self.scenario.rate)
         out.pushed = self.rules.counts[3]
         return out
 
@@ -243,7 +241,7 @@
     """The rows of the first part."""
     yield ("case", "rules", "first answer of a node, ms: median (worst)", "full service, s: median (worst)",
            "worth lost", "connects a second at one server: most, mean, most before",
-           "first requests in 100 ms", "clients back in 100 ms: most over mean", "cold pushed")  # fmt: skip
+           "first requests in 100 ms", "clients back in 100 ms, over arrivals", "cold pushed")  # fmt: skip
     for case in cases:
         for new in (False, True):
             runs = []
@@ -258,7 +256,7 @@
             yield (case.name, "new" if new else "before", f"{median(first):.0f} ({max(first):.0f})",
                    f"{median(full):.1f} ({max(full):.1f})", f"{median(r.lost for r in runs):.1%}",
                    f"{most}, {mean:.1f}, {steady}", str(max(r.firsts for r in runs)),
-                   f"{max(r.back for r in runs):.1f}x",
+                   f"{max(r.back for r in runs):.2f}x",
                    str(sum(r.pushed for r in runs)))  # fmt: skip
 
 
