--- a/tests/lab/test_script.py
+++ b/tests/lab/test_script.py
@@ -35,7 +35,10 @@
                  "[2]:", "[3]: Object contains unknown field `node`"):  # fmt: skip
         assert any(part in line for line in lines), (part, lines)
     both = HEAD + b"state = true\netcd = true\n"
-    for raw, part in ((b"\xff", "not TOML"), (both, "beside etcd"), (b"x = [", "not TOML"), (HEAD + b"[fault]\n", "[[fault]]")):
+    table = HEAD + b"[fault]\n"
+    for raw, part in (
+        (b"\xff", "not TOML"), (both, "beside etcd"), (b"x = [", "not TOML"), (table, "[[fault]]")
+    ):  # fmt: skip
         with pytest.raises(sc.ScriptError, match=part.replace("[", r"\[")):
             sc.parse(raw)
 
