--- a/benchmarks/coming_back.py
+++ b/benchmarks/coming_back.py
@@ -7,6 +7,7 @@
   truth (`before`, to the letter what the module did). The meter is that of `decide/recovery`, over all
   restarted nodes.
 - `lists`: what a central discovery that bears 50 whole lists a second is asked for, blank start of all nodes.
+- `processes`, only when asked for: real ones (`benchmarks/returns.py`), an older text beside that of now.
 - `first`: one request a node right after a common blank start: the paper's rule on one common order, as it is
   written, and the module's own order.
 """
@@ -22,6 +23,8 @@
 from statistics import median
 
 from benchmarks.herd import Clock, crowd
+from benchmarks.returns import CASES as PROCESSES
+from benchmarks.returns import processes
 from dillport import interface as api
 from dillport.decide import platform_follow as pf
 from dillport.decide.recovery import End, Meter
@@ -79,7 +82,7 @@
     lost: float = 0.0  # of the worth that was asked for in the 10 s after the kill
     connects: tuple[int, float, int] = (0, 0.0, 0)  # most, mean, most in the steady fleet before
     firsts: int = 0
-    back: float = 0.0  # clients that were turned away and ask again, in 100 ms: the most over the mean
+    back: float = 0.0  # clients that were turned away and ask again, the most in 100 ms, over arrivals
     pushed: int = 0  # cold servers that got more than their budget
 
 
@@ -124,9 +127,7 @@
         mean = sum(map(len, after)) / len(self.places) / (AFTER_MS / 1000)
         out.connects = max(map(crowd, after)), mean, max(map(crowd, before))
         out.firsts = max((crowd(times, 100.0) for times in self.first.values()), default=0)
-        if self.retries:
-            spell = max(100.0, self.retries[-1] - self.retries[0])
-            out.back = crowd(self.retries, 100.0) * spell / 100.0 / len(self.retries)
+        out.back = crowd(self.retries, 100.0) / (100.0 * self.scenario.rate)
         out.pushed = self.rules.counts[3]
         return out
 
@@ -243,7 +244,7 @@
     """The rows of the first part."""
     yield ("case", "rules", "first answer of a node, ms: median (worst)", "full service, s: median (worst)",
            "worth lost", "connects a second at one server: most, mean, most before",
-           "first requests in 100 ms", "clients back in 100 ms: most over mean", "cold pushed")  # fmt: skip
+           "first requests in 100 ms", "clients back in 100 ms, over arrivals", "cold pushed")  # fmt: skip
     for case in cases:
         for new in (False, True):
             runs = []
@@ -258,7 +259,7 @@
             yield (case.name, "new" if new else "before", f"{median(first):.0f} ({max(first):.0f})",
                    f"{median(full):.1f} ({max(full):.1f})", f"{median(r.lost for r in runs):.1%}",
                    f"{most}, {mean:.1f}, {steady}", str(max(r.firsts for r in runs)),
-                   f"{max(r.back for r in runs):.1f}x",
+                   f"{max(r.back for r in runs):.2f}x",
                    str(sum(r.pushed for r in runs)))  # fmt: skip
 
 
@@ -422,21 +423,29 @@
 def main() -> None:
     """Print the tables."""
     words = argparse.ArgumentParser(description="Most of a fleet restarted at once, in virtual time.")
-    words.add_argument("--part", choices=("fleet", "lists", "first"), action="append")
-    words.add_argument("--case", choices=[case.name for case in CASES], action="append")
+    words.add_argument("--part", choices=("fleet", "lists", "first", "processes"), action="append")
+    words.add_argument("--case", choices=[case.name for case in CASES] + list(PROCESSES), action="append")
     words.add_argument("--seeds", type=int, default=30)
-    words.add_argument("--nodes", type=int, default=1_000)
-    words.add_argument("--servers", type=int, default=200)
+    words.add_argument("--nodes", type=int, help="1,000, of processes 50")
+    words.add_argument("--servers", type=int, help="200, beside processes 40")
+    words.add_argument("--rate", type=float, default=250.0, help="requests a second of all processes (250)")
+    words.add_argument("--before", metavar="REV", help="a git revision whose processes are played, too")
     args = words.parse_args()
+    nodes, servers = args.nodes or 1_000, args.servers or 200
     for part in args.part or ("first", "lists", "fleet"):
         match part:
             case "first":
-                show("First requests", first(args.nodes, args.servers, min(3, args.seeds)))
+                show("First requests", first(nodes, servers, min(3, args.seeds)))
             case "lists":
-                show("Whole lists asked for", lists(args.nodes, args.seeds))
+                show("Whole lists asked for", lists(nodes, args.seeds))
+            case "processes":
+                cases = [name for name in PROCESSES if not args.case or name in args.case]
+                nodes, servers = args.nodes or 50, args.servers or 40
+                title = f"{nodes} processes, {servers} servers, {args.rate:.0f} requests a second"
+                show(title, processes(cases, nodes, servers, args.rate, 1, args.before))
             case _:
                 chosen = [case for case in CASES if not args.case or case.name in args.case]
-                show("A fleet that comes back", fleet(args.nodes, args.servers, args.seeds, chosen))
+                show("A fleet that comes back", fleet(nodes, servers, args.seeds, chosen))
 
 
 if __name__ == "__main__":
--- a/dillport/lab/script.py
+++ b/dillport/lab/script.py
@@ -16,10 +16,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import tomllib
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -30,10 +31,21 @@
 from dillport.lab.clients import Habits
 from dillport.lab.fleet_world import SOURCE, FleetWorld
 from dillport.lab.judge import Verdict
-from dillport.lab.records import Answered, Asked, NodeEnded, NodeStarted, Received, Record, Told, Wanted
+from dillport.lab.records import (
+    Answered,
+    Asked,
+    NodeEnded,
+    NodeStarted,
+    Received,
+    Record,
+    Told,
+    Wanted,
+    now_ms,
+)
 from dillport.lab.servers import Machine
 from dillport.lab.site import Rules, Site
 from dillport.lab.world import DISCOVERY, ROOT, Node, Step, World
+from dillport.net import control
 from dillport.net.clock import TEST_CLOCK
 
 WINDOW_MS = 1_000.0  # over which service is compared with what it was
@@ -67,7 +79,9 @@
     `vanish` or `slow`, above `failed`, the share of requests answered by a failure (no refusal), and above
     `pushed`, the most that a cold server was sent of what it may be sent. `notice_s` is how long clients go
     on coming to a node that is dead. With `etcd` servers are in its stand-in too, of which each node has two
-    endpoints. A server that has just started does the part `cold` of what it does once warm.
+    endpoints. A server that has just started does the part `cold` of what it does once warm. With `state`
+    each node keeps a memory over its restarts. `known` is the list that a node's configuration has at a
+    restart: that of now, or of its first start.
     """
 
     name: str
@@ -85,6 +99,8 @@
     failed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
     pushed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
     etcd: bool = False
+    state: bool = False
+    known: Literal["now", "first"] = "now"
     fault: tuple[Row, ...] = ()
 
 
@@ -154,6 +170,7 @@
         await node.ended()
         if strike.wipe:
             disk.wiped(node.state)
+            node.kept_ms = None
 
     async def start(node: Node) -> None:
         await asyncio.sleep(0.0 if slow else strike.for_s)
@@ -163,7 +180,8 @@
         await end(node)
         await start(node)
 
-    nodes = _nodes(world, strike)
+    # One that is down already is started by whoever did that.
+    nodes = [node for node in _nodes(world, strike) if node.process and node.process.returncode is None]
     if between is None:
         await asyncio.gather(*map(both, nodes))
         return
@@ -188,6 +206,7 @@
     def done(world: World, strike: Strike, nodes: list[Node]) -> None:
         for node in nodes:
             act(node.state, random.Random(f"{world.seed}:{strike.at_s}:{node.name}"))
+            node.kept_ms = node.copied_ms if strike.kind == "disk restored" else None
 
     return done
 
@@ -197,6 +216,7 @@
         for node in _nodes(world, strike):
             if node.process is not None and node.process.returncode is None:
                 disk.full(node.process.pid, size(strike))
+                node.full_ms = node.full_ms or now_ms()  # and on: nobody says when it has caught up
 
     return done
 
@@ -207,6 +227,25 @@
     _limited(lambda s: None)(world, strike)
 
 
+def _swapped(world: World, strike: Strike, nodes: list[Node]) -> None:
+    disk.swapped([node.state for node in nodes])
+    for node in nodes:
+        node.kept_ms = None
+
+
+def _away(node: Node) -> None:
+    disk.away(node.state, True)
+    node.full_ms = node.full_ms or now_ms()
+
+
+def _copied(node: Node) -> None:
+    """All of it at one instant, as after a power cut."""
+    node.stand()
+    disk.copied(node.state)
+    node.copied_ms = node.durable_ms()
+    node.go_on()
+
+
 async def _move(world: World, strike: Strike) -> None:
     for node in _nodes(world, strike):
         await node.agent.move()
@@ -355,15 +394,11 @@
     "disk flipped": Kind("node", partial(_ended, between=_broken(disk.flipped))),
     "disk blocked": Kind("node", partial(_ended, between=_broken(lambda d, rng: disk.blocked(d)))),
     "disk wiped": Kind("node", partial(_ended, between=_broken(lambda d, rng: disk.wiped(d)))),
-    "disk swapped": Kind(
-        "node", partial(_ended, between=lambda w, s, nodes: disk.swapped([n.state for n in nodes]))
-    ),
-    "disk copied": Kind("node", _node(lambda n: disk.copied(n.state))),
+    "disk swapped": Kind("node", partial(_ended, between=_swapped)),
+    "disk copied": Kind("node", _node(_copied)),
     "disk restored": Kind("node", partial(_ended, between=_broken(lambda d, rng: disk.restored(d)))),
     "disk full": Kind("node", _full, ("for_s",)),
-    "disk away": Kind(
-        "node", _node(lambda n: disk.away(n.state, True), lambda n: disk.away(n.state, False)), ("for_s",)
-    ),
+    "disk away": Kind("node", _node(_away, lambda n: disk.away(n.state, False)), ("for_s",)),
     "die": Kind("server", _dies),
     "drain": Kind("server", lambda w, s: w.drain(*s.names)),
     "remove": Kind("server", lambda w, s: w.remove(*s.names)),
@@ -418,6 +453,8 @@
             continue
         wrong += [f"fault[{number}]: {text}" for text in _senseless(made, script)]
         found.append(made)
+    if script is not None and script.state and script.etcd:
+        wrong.append("state: found it beside etcd; allowed: one of them")
     if wrong or script is None:
         raise ScriptError("\n".join(wrong))
     return msgspec.structs.replace(script, fault=tuple(found))
@@ -516,6 +553,7 @@
     beliefs: tuple[str, ...]
     spent: tuple[int, int] = (0, 0)  # attempts that came to servers made to fail, and all
     over: tuple[str, ...] = ()  # what is over the script's own bounds
+    returns: dict[str, dict[str, Any]] = field(default_factory=dict)  # what nodes with a memory say of theirs
 
     def wrong(self, least: float) -> list[str]:
         """Everything that must not be."""
@@ -529,7 +567,7 @@
 async def play(
     script: Script, seed: int, directory: Path, strikes: Sequence[Strike] | None = None,
     tell: Callable[[float, str], None] | None = None, program: Path = ROOT,
-    watch: Callable[[World], object] | None = None,
+    watch: Callable[[World], object] | None = None, habits: Habits | None = None,
 ) -> Played:  # fmt: skip
     """Play a script on a world of its own, or some of its strikes alone.
 
@@ -551,15 +589,20 @@
     make: Callable[..., World] = FleetWorld if script.etcd else World
     world = make(
         directory, site=site, seed=seed, nodes=script.nodes, servers=script.servers, notice_s=script.notice_s,
-        machine=Machine(cores=script.cores, speed=script.speed), habits=Habits(), wired=sorted(wired),
-        program=program,
+        machine=Machine(cores=script.cores, speed=script.speed), habits=habits or Habits(),
+        wired=sorted(wired), program=program,
     )  # fmt: skip
+    world.memory, world.known_stays = script.state, script.known == "first"
+    returns: dict[str, dict[str, Any]] = {}
     async with world:
         if watch is not None:
             watch(world)
         steps = [Step(one.at_s, str(one), partial(begin, one)) for one in struck]
         await world.play(script.rate, script.seconds, steps, tell)
         await asyncio.gather(*running)
+        for node in world.nodes if script.state else ():
+            with contextlib.suppress(control.ControlError):
+                returns[node.name] = await asyncio.to_thread(control.ask, Path(node.socket), "recovery")
         if watch is not None:
             watch(world)
         records, verdict = list(world.journal), world.verdict()
@@ -573,7 +616,7 @@
     lost = spent(records, struck, at0)
     return Played(
         seed, tuple(struck), verdict, tuple(crashes), total.worth, full, rows, tuple(held), lost,
-        tuple(_over(script, records, lost, verdict.pushed)),
+        tuple(_over(script, records, lost, verdict.pushed)), returns,
     )  # fmt: skip
 
 
--- a/dillport/lab/world.py
+++ b/dillport/lab/world.py
@@ -20,6 +20,7 @@
 import re
 import signal
 import sys
+import tempfile
 from collections import deque
 from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass
@@ -52,6 +53,8 @@
 PEER_PORT = 7420  # for datagrams of other nodes; each node has a host of its own
 DISCOVERY = "discovery"  # the end of a path, beside servers' names
 TICK_MS, LATE_MS = 10.0, 5.0  # how often the loop is looked at, and the lateness worth a record
+NO_HANGUP = 'trap "" HUP; exec "$@"'  # as in deploy/balancer.toml; a preexec_fn would copy this process
+DURABLE_MS = 1_000.0  # after which what a node was told is taken to be on its disk
 
 
 class Registry(Protocol):
@@ -83,6 +86,10 @@
         self.state.mkdir(exist_ok=True)
         self.process: asyncio.subprocess.Process | None = None
         self.log: deque[str] = deque(maxlen=LOG_LINES)
+        self.known: dict[str, Any] = {}  # the list in its configuration
+        self.kept_ms: float | None = None  # what it was told until then is on its disk
+        self.copied_ms: float | None = None  # and in the copy of that
+        self.full_ms: float | None = None  # since when nothing new gets there, in this life
         self._waited = (0, 0.0)
         self._tasks: set[asyncio.Task[None]] = set()
         self._serves = asyncio.Event()
@@ -95,11 +102,13 @@
     def configure(self) -> None:
         """Write its configuration file, with the list as its agent has it."""
         world = self.world
+        if not (self.known and world.known_stays):
+            self.known = self.agent.known()
         table = {
             "name": self.name, "listen": f"{self.host}:{self.port}", "discovery": self.agent.identity,
             "seed": f"{world.rng.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": self.agent.known(),
+            "known": self.known,
             "settings": world.site.settings(self.number, world.node_count),
         }  # fmt: skip
         self.path.write_text(json.dumps(table), encoding="utf-8")
@@ -107,20 +116,22 @@
     async def start(self, slow_s: float = 0.0) -> None:
         """Start the process, behind the same address as before, and wait until clients may come.
 
-        A slow start is stopped (SIGSTOP) as soon as the process is there, and goes on after that time.
+        A slow start is stopped (SIGSTOP) as soon as the process is there, and goes on after that time. It may
+        be killed meanwhile: then whoever did that starts it again.
         """
         world = self.world
         self._serves.clear()
-        world.journal.add(NodeStarted(self.name, now_ms()))
+        if world.memory:
+            self._remember()
+        world.journal.add(NodeStarted(self.name, now_ms(), self.kept_ms))
         self.configure()
-        self.agent.tell_known()
+        self.agent.tell_known(self.known)
         env = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "DILLPORT_"))}
         env |= {"PROXY_CONFIG": str(self.path), **self.env}
         self.process = process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "dillport", *self.args, cwd=world.program, env=env,
-            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
+            "/bin/sh", "-c", NO_HANGUP, "sh", sys.executable, "-B", "-m", "dillport", *self.args,
+            cwd=world.program, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE, limit=1 << 20,
-            preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_IGN),  # as in deploy/balancer.toml
         )  # fmt: skip
         self._keep(self._read(process))
         self._keep(self._watch(process))
@@ -130,12 +141,38 @@
             self.go_on()
         async with asyncio.timeout(READY_S):
             await self._serves.wait()
-            if not self.port:
-                raise RuntimeError(f"{self.name} ended at its start: {list(self.log)[-3:]}")
-            while not await self._up():
+            while self.process is process and not (self.port and await self._up()):
+                if process.returncode == -signal.SIGKILL:
+                    return
+                if process.returncode is not None:
+                    raise RuntimeError(f"{self.name} ended at its start: {list(self.log)[-3:]}")
                 await asyncio.sleep(0.02)
         world.front.nodes[self.name] = (self.host, self.port)
 
+    # --- its memory
+
+    def _remember(self) -> None:
+        """Have it keep one, from its first start on."""
+        if "--settings" not in self.args:
+            file = self.path.with_suffix(".toml")
+            lines = ["[control]", f"socket = {json.dumps(self.socket)}"]
+            lines += ["[state]", f"directory = {json.dumps(str(self.state))}", "every = 1"]
+            file.write_text("\n".join(lines) + "\n", encoding="utf-8")
+            self.args += ["--settings", str(file)]
+
+    @property
+    def socket(self) -> str:
+        """Where it answers questions, if it has a memory."""
+        return f"{self.world.short.name}/{self.name}"
+
+    def durable_ms(self) -> float | None:
+        """What it was told until then is on its disk by now: not what came last, nor since that was full."""
+        if not self.world.memory:
+            return None
+        return min(now_ms(), self.full_ms or now_ms()) - DURABLE_MS
+
+    # --- its process
+
     def _keep(self, work: Any) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -158,7 +195,10 @@
             self.world.front.nodes.pop(self.name, None)
 
     async def _up(self) -> bool:
-        reader, writer = await asyncio.open_connection(self.host, self.port)
+        try:
+            reader, writer = await asyncio.open_connection(self.host, self.port)
+        except ConnectionError:
+            return False
         try:
             writer.write(b"GET /up HTTP/1.1\r\nHost: up\r\nConnection: close\r\n\r\n")
             return (await reader.readline()).split(b" ")[1:2] == [b"200"]
@@ -189,6 +229,8 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to its process."""
         if self.process is not None and self.process.returncode is None:
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self.kept_ms, self.full_ms = self.durable_ms(), None
             self.world.journal.add(NodeSignalled(self.name, now_ms(), number.name))
             self.process.send_signal(number)
 
@@ -234,8 +276,9 @@
     that a node has died; `prepare` sees each node once, before its first start, and may add to its `args`
     and `env`. `program` is the checkout whose nodes run, another version of them for a comparison. `wired`
     names the pairs between which there is a path that can be made faulty: of a node and a server,
-    "discovery" or (`FleetWorld`) "etcd" by TCP, of two nodes by UDP. On leaving, every process that the
-    world started is gone.
+    "discovery" or (`FleetWorld`) "etcd" by TCP, of two nodes by UDP. Where `memory` is
+    set before the start each node keeps one over its restarts, where `known_stays` is its configuration's
+    list is that of its first start, however old. On leaving, every process that the world started is gone.
     """
 
     def __init__(
@@ -245,6 +288,8 @@
         wired: Collection[tuple[str, str]] = (), program: Path = ROOT,
     ) -> None:  # fmt: skip
         self.program = program
+        self.memory = self.known_stays = False
+        self.short = tempfile.TemporaryDirectory(prefix="dp-")  # a Unix socket's name may not be long
         self.wired, self.paths = wired, dict[tuple[str, str], list[Link]]()
         self.peers: dict[tuple[str, str], Datagrams] = {}
         self.directory, self.site, self.seed = directory, site or Site(), seed
@@ -315,6 +360,7 @@
         for peer in self.peers.values():
             await peer.__aexit__()
         self.fleet.stop()
+        self.short.cleanup()
 
     def _tick(self, due_ms: float) -> None:
         """Look whether the loop is late: what is recorded meanwhile has a time that is too late as well."""
--- a/tests/lab/test_lab_discovery.py
+++ b/tests/lab/test_lab_discovery.py
@@ -278,7 +278,7 @@
         async with rig(entry("a")) as world:
             assert world.agent.known() == {"revision": 41, "complete": True, "members": [entry("a")]}
             assert world.told() == []
-            world.agent.tell_known()
+            world.agent.tell_known(world.agent.known())
             assert world.told() == [(41, "a", "up")]
 
     run(test)
@@ -309,7 +309,7 @@
             r.publish(entry("b", "terminating"))
             await watch.line()
             r.journal.add(NodeStarted("n0", now_ms()))  # it was on its way to the process before
-            r.agent.tell_known()  # which a file tells, past the path
+            r.agent.tell_known(r.agent.known())  # which a file tells, past the path
             now = of(r.journal, Told)[before + len(told) :]
             assert [(t.server, t.phase) for t in now] == [
                 ("c", "up"), ("a", "draining"), ("b", "draining")
--- a/tests/lab/test_script.py
+++ b/tests/lab/test_script.py
@@ -34,7 +34,11 @@
     for part in ("rate", "[0]: kind: found 'explode'; allowed: kill", "[1]: for_s", "[1]: found 2 of names",
                  "[2]:", "[3]: Object contains unknown field `node`"):  # fmt: skip
         assert any(part in line for line in lines), (part, lines)
-    for raw, part in ((b"\xff", "not TOML"), (b"x = [", "not TOML"), (HEAD + b"[fault]\n", "[[fault]]")):
+    both = HEAD + b"state = true\netcd = true\n"
+    table = HEAD + b"[fault]\n"
+    for raw, part in (
+        (b"\xff", "not TOML"), (both, "beside etcd"), (b"x = [", "not TOML"), (table, "[[fault]]")
+    ):  # fmt: skip
         with pytest.raises(sc.ScriptError, match=part.replace("[", r"\[")):
             sc.parse(raw)
 
