Keep a removal with its own revision among thousands of servers, too

Where a source lists over 1,000 servers, how far it is told was looked at once in 0.1 ms a server alone: a node killed within that time of a removal would have come back with the removal's server gone but with an older revision, and have believed an older list that has it. It is looked at now with every removal.

--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -370,7 +370,8 @@
             self._rows[name] = _plain(row)
             by.setdefault(source, ([], []))[0].append((name, row))
         for source, (servers, gone) in by.items():
-            self._tell(k.Changed(source, *self._order(source), wall, tuple(servers), tuple(gone)))
+            order = self._order(source, bool(gone))
+            self._tell(k.Changed(source, *order, wall, tuple(servers), tuple(gone)))
         if rest:
             self._working = True
             self.loop.call_soon(self._work)
@@ -400,16 +401,17 @@
         waits = source.pending or self._first or self._queue
         return source.revision is not None and not waits and not source.spoiled
 
-    def _order(self, name: str) -> tuple[str, int]:
+    def _order(self, name: str, leaves: bool = False) -> tuple[str, int]:
         """How far a source is told: never further than what is handed over with it.
 
         A source some of whose servers are not kept (odd names, or another source has taken them away) has no
-        order to go on from: the next start needs its whole list. Of over OFTEN servers that is looked
-        at once in 0.1 ms a server: guards the loop against a look at 10,000 at each
-        change; what is told meanwhile is an older revision.
+        order to go on from: the next start needs its whole list. Of over OFTEN servers that is looked at once
+        in 0.1 ms a server: guards the loop against a look at 10,000 at each change; what is told meanwhile is
+        an older revision. Where somebody leaves it is looked at always: a start that took an older one as
+        seen would believe an older list that has them.
         """
         source, now = self.fleet.membership.sources.get(name), self.node.now()
-        if source is not None and self._settled(source) and now >= self._checked.get(name, 0.0):
+        if source is not None and self._settled(source) and (leaves or now >= self._checked.get(name, 0.0)):
             self._checked[name] = now + (len(source.members) / 10 if len(source.members) > OFTEN else 0)
             known = self._rows.keys() >= source.members.keys()
             revision = source.revision if source.revision is not None else -1
--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -390,6 +390,28 @@
     run(both)
 
 
+def test_a_removal_is_kept_with_its_own_revision_among_many(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards a node that is killed right after it against an older list in which that server is up."""
+    monkeypatch.setattr(state, "OFTEN", 0)
+    disk, names = Disk(), [f"s{n}" for n in range(200)]
+
+    async def test() -> None:
+        async with rig(tmp_path, disk) as one:
+            await one.opened()
+            one.fleet.hand(listed(5, *names))
+            await until(lambda: len(one.view) == len(names))
+            await one.kept()
+            told = changes(one.memory)
+            for revision, gone in ((6, "s1"), (7, "s2"), (8, "s3")):
+                one.fleet.hand(listed(revision, complete=False, removed=(gone,)))
+            await until(lambda: sum(len(event.gone) for event in told) == 3)
+            assert [event.revision for event in told if "s3" in event.gone] == [8]
+
+    run(test)
+
+
 def test_a_source_some_of_whose_servers_cannot_be_kept_has_no_order_to_go_on_from(tmp_path: Path) -> None:
     disk = Disk()
     odd = Member(member("s2").entry, ("127.0.0.9", 9))
