--- a/dillport/decide/recovery.py
+++ b/dillport/decide/recovery.py
@@ -79,20 +79,19 @@
 
 @dataclass(slots=True, frozen=True)
 class Allowed:
-    """What a state may do. `connects` is the part of a node's usual rate at which connections open."""
+    """What a state may do."""
 
     safe: To
     bookings: To
-    connects: float
     tells: Tells
     roles: bool  # those that rest on memory, unless they are barred beside
 
 
 ALLOWED = {
-    State.BLANK: Allowed(To.NOBODY, To.NOBODY, 0.0, Tells.PRESENCE, False),
-    State.PROVISIONAL: Allowed(To.ONE_EACH, To.VOUCHED_FIRST, 0.5, Tells.AGED, False),
-    State.CONFIRMED: Allowed(To.ALL, To.ALL, 1.0, Tells.ALL, True),
-    State.FULL: Allowed(To.ALL, To.ALL, 1.0, Tells.ALL, True),
+    State.BLANK: Allowed(To.NOBODY, To.NOBODY, Tells.PRESENCE, False),
+    State.PROVISIONAL: Allowed(To.ONE_EACH, To.VOUCHED_FIRST, Tells.AGED, False),
+    State.CONFIRMED: Allowed(To.ALL, To.ALL, Tells.ALL, True),
+    State.FULL: Allowed(To.ALL, To.ALL, Tells.ALL, True),
 }
 """The policy keeps the rules on servers one by one (`Entry.age_ms`); these are the node's as a whole."""
 
