--- a/dillport/decide/__init__.py
+++ b/dillport/decide/__init__.py
@@ -3,6 +3,7 @@
 - `admission`: what clients can make the node hold, and who goes where it is too much.
 - `membership`: several sources of the list of backends, one view that never goes back.
 - `backoff`: when to try again.
+- `peers`: which other nodes are there; SWIM with what Lifeguard adds, where it gained.
 - `platform_follow`: what to ask of the platform's discovery next.
 - `etcd_follow`: which endpoint of an etcd cluster to ask for what, and when to leave it.
 """
