--- a/dillport/decide/peers.py
+++ b/dillport/decide/peers.py
@@ -31,9 +31,10 @@
 PERIOD_MS = 200.0  # between two probes
 TIMEOUT_MS = 65.0  # for a direct answer; helpers have the rest of the period
 HELPERS = 3  # asked for an indirect probe
-ALPHA, BETA = 4.0, 4.0  # least suspicion: ALPHA log10(n) periods; longest: BETA times that
+ALPHA, BETA = 3.0, 3.0  # least suspicion: ALPHA log10(n) periods; longest: BETA times that
 SHARERS = 3  # other accusers with whom a suspicion is at its shortest
 HEALTH_MAX = 2  # local health: periods and waits are at most so many times longer, and one
+NEWS_TO, NEWS_MAX = 3, 9  # peers told at once of a suspicion or failure; such datagrams a period
 TELL = 4.0  # times log10(n + 1): how often a change is told by each node
 NEAR_MS = 3 * PERIOD_MS  # heard so lately: a failure told by others is only a suspicion
 ASK_MS, ALONE_MS = 600.0, 3_000.0  # for answers on the own past: after the first, and where there is none
@@ -65,6 +66,7 @@
     NACK = 4  # the helper is well, its target has not answered
     ASK = 5
     TOLD = 6
+    NEWS = 7  # words alone, at once
 
 
 class Word(NamedTuple):
@@ -162,6 +164,7 @@
     dogpile: bool = True
     buddy: bool = True
     fill: bool = True
+    news: bool = True
 
 
 def greater(held: Word | None, told: Word) -> Word:
@@ -269,7 +272,7 @@
         self._contests: list[float] = []
         self._stale_ms = self._stood_ms = self._walked_ms = float("-inf")
         self._page: tuple[str, int] | None = None  # asked for, not answered yet
-        self._tries = 0
+        self._tries = self._news = 0
         self._out: list[Action] = []
         self._full = False
         self._accuser = accuser(name)
@@ -340,7 +343,7 @@
         self._later(now_ms + PERIOD_MS * (self.health + 1), "period")
         if self._probe is not None:
             self._probed(now_ms, self._probe)
-        self._probe = None
+        self._probe, self._news = None, 0
         while self._fallen and next(iter(self._fallen.values())) + FALLEN_MS < now_ms:
             self._forget(next(iter(self._fallen)))
         if self.asking and (now_ms - self._answered_ms >= ASK_MS or now_ms - self._began_ms >= ALONE_MS):
@@ -561,6 +564,18 @@
             if held.state <= State.SUSPECT:
                 self._fall(now_ms, word.name, peer)
             self._out.append(Tell("failed" if word.state == State.FAILED else "left", word.name, why))
+        if word.state in (State.SUSPECT, State.FAILED):
+            self._spread(word)
+
+    def _spread(self, word: Word) -> None:
+        """Told at once to a few, and to the one that is suspect: it refutes before the suspicion ends."""
+        some = self._random.sample(self._ring, min(NEWS_TO, len(self._ring)))
+        if word.state == State.SUSPECT:
+            some = [word.name, *(name for name in some if name != word.name)]
+        for name in some if self._options.news and not (self.asking or self.yielded) else ():
+            if self._news < NEWS_MAX:
+                self._news += 1
+                self._send(self.peers[name].word.address, Kind.NEWS, 0, "")
 
     def _accused(self, now_ms: float, peer: Peer, word: Word) -> None:
         """Another accuser shortens a suspicion, and is told on while there are few (Lifeguard, IV-B)."""
--- a/tests/proto/test_gossip.py
+++ b/tests/proto/test_gossip.py
@@ -70,6 +70,12 @@
     reader.read(0, "a", spoilt + NEW.code(spoilt))
 
 
+def test_one_cut_by_a_node_with_the_key_is_garbled() -> None:
+    whole = Writer("a", [NEW]).write(1, PING)[: -gossip.CODE]
+    for length in range(14, len(whole)):
+        assert why(Reader([NEW]).read(0, "a", whole[:length] + NEW.code(whole[:length]))) == "garbled"
+
+
 def test_later_versions_are_read_where_they_say_so() -> None:
     """A word has more behind it, a section comes behind the words: both are skipped. `least` refuses."""
     data = Writer("a", [NEW]).write(1, PING)[: -gossip.CODE]
