--- a/dillport/decide/peers.py
+++ b/dillport/decide/peers.py
@@ -450,6 +450,8 @@
                 if peer.ring >= 0 and peer.word.address == event.source:
                     self._at_address[event.source] = sender
         for told in message.words:
+            if (held := self.peers.get(told[0])) is not None and held.word == told:
+                continue  # as most are
             word = Word(*told)
             if not word.name or not 0 < word.incarnation < INCARNATION_MAX or not 0 <= word.state <= 3:
                 continue
--- a/dillport/proto/gossip.py
+++ b/dillport/proto/gossip.py
@@ -23,6 +23,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from functools import lru_cache
 from hashlib import blake2s
 from hmac import compare_digest
 from struct import Struct
@@ -117,6 +118,7 @@
     return tuple(keys.values())
 
 
+@lru_cache(SENDERS)
 def _text(text: str) -> bytes:
     data = text.encode()
     if len(data) > TEXT:
@@ -124,6 +126,7 @@
     return bytes((len(data),)) + data
 
 
+@lru_cache(SENDERS)
 def _address(text: str) -> bytes:
     host, _, port = text.rpartition(":")
     parts = host.split(".")
@@ -136,7 +139,7 @@
 
 def cost(word: Word) -> int:
     """Bytes that a word takes in a datagram."""
-    return 9 + len(word[0].encode()) + len(_address(word[3]))
+    return 8 + len(_text(word[0])) + len(_address(word[3]))
 
 
 def room(name: str, message: tuple[int, int, str, str, Sequence[Word]]) -> int:
