--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -42,6 +42,7 @@
         self.stalled: dict[str, tuple[float, float]] = {}  # address -> since, until
         self.cut: Callable[[str, str], bool] = lambda one, other: False
         self.sent = self.bytes = self.largest = 0
+        self.firsts: dict[tuple[str, str, int], str] = {}  # what, of whom, its incarnation -> by whom first
         self.told: list[tuple[float, str, pr.Tell]] = []
         names = [f"n{number}" for number in range(count)]
         for name in names:
@@ -86,6 +87,9 @@
                     self.push(action.at_ms, address, action.at_ms)
             elif isinstance(action, pr.Tell):
                 self.told.append((self.now, node.name, action))
+                if action.what in _BAD:
+                    its = node.peers[action.name].word.incarnation
+                    self.firsts.setdefault((action.what, action.name, its), node.name)
 
     def send(self, source: str, action: pr.Send, node: pr.Peers) -> None:
         words = sum(map(gossip.cost, action.message.words))
@@ -198,12 +202,7 @@
                     net.stall(address, net.random.uniform(500, 5_000))
             net.run(net.now + 500)
         hours = seconds / 3_600
-        firsts: dict[tuple[str, str, str], str] = {}
-        for _, by, tell in net.told:
-            # One false failure is one, however many then hear of it: by name and incarnation.
-            if tell.what in ("suspected", "failed"):
-                of = net.nodes[net.address(tell.name)].incarnation
-                firsts.setdefault((tell.what, tell.name, str(of)), by)
+        firsts = net.firsts  # one false failure is one, however many then hear of it
         kinds = Counter((what, of in bad) for what, of, _ in firsts)
         blamed = sum(by in bad and of not in bad for (what, of, _), by in firsts.items() if what == "failed")
         _line([name, size, seconds / 60, loss, stalling, kinds["suspected", False] / hours,
