--- a/dillport/decide/__init__.py
+++ b/dillport/decide/__init__.py
@@ -5,6 +5,7 @@
 - `recovery`: what a node may do while it comes back, and how far it has come.
 - `spread`: when a node's turn is among all that do the same at once.
 - `backoff`: when to try again.
+- `peers`: which other nodes are there; SWIM with what Lifeguard adds, where it gained.
 - `platform_follow`: what to ask of the platform's discovery next.
 - `etcd_follow`: which endpoint of an etcd cluster to ask for what, and when to leave it.
 """
