--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -10,7 +10,7 @@
 import threading
 from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -25,7 +25,7 @@
 from dillport.net.config import load
 from dillport.net.control import Control
 from dillport.net.fleet import Fleet
-from dillport.net.node import Node
+from dillport.net.node import Client, Node
 from dillport.net.part import Running
 from dillport.net.recovery import RecoveryPart
 from dillport.net.state import StatePart
@@ -517,3 +517,39 @@
         run(test)
     finally:
         go.set()
+
+
+def test_a_request_whose_time_is_up_while_it_waits_is_answered_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    go, ends, load_it = threading.Event(), list[str](), state.Memory._load
+
+    def slow(memory: state.Memory) -> Any:
+        go.wait(LIMIT_S)
+        return load_it(memory)
+
+    class Caller:
+        def failed(self) -> None:
+            ends.append("failed")
+
+        def refused(self, retry_after: float) -> None:
+            ends.append("refused")
+
+    async def test() -> None:
+        monkeypatch.setattr(state.Memory, "_load", slow)
+        monkeypatch.setattr(state, "HELD", LIMIT_S)
+        async with rig(tmp_path, Disk(), known="s1 s2") as one:
+            one.part.apply(ON)
+            arrival = api.Arrival("r", "read", one.node.now() + 150)
+            one.node.arrival(arrival, cast(Client, Caller()), lambda wait: b"")
+            await until(lambda: ends)
+            assert one.node.now() < arrival.deadline + 100 and not one.part.memory
+            go.set()
+            await until(lambda: one.part.memory)
+            await asyncio.sleep(0.02)
+            assert ends == ["failed"] and not one.node.open
+
+    try:
+        run(test)
+    finally:
+        go.set()
