--- a/tests/policy/test_crowd.py
+++ b/tests/policy/test_crowd.py
@@ -80,6 +80,16 @@
     assert told(SPARE[1] + 1.0, "dear", count=3) == 1.0
 
 
+def test_a_repeat_that_is_bound_to_its_zone_spares_a_crowd_too() -> None:
+    """Such a repeat is drawn among few and not by the index: no way to a crowded server is left open."""
+    b = node(LIVE, NAMES)
+    (first,) = sends(b.handle(1001.0, api.Arrival("r", "pay", 2001.0, key="k")))
+    b.handle(1002.0, api.ListUpdate(api.ListKind.CHANGES, [entry(x, weight=0.2) for x in NAMES]))
+    out = b.handle(1003.0, api.Outcome("r", 0, first.backend, api.Status.ERROR, 2.0, False))
+    assert not sends(out)
+    assert [a.why for a in out if isinstance(a, api.Fail)] == [api.Why.SERVER_CROWDED]
+
+
 def test_old_news_spare_nobody() -> None:
     """Guards against refusing for as long as discovery is silent, as it did in a burst."""
     longest = max(c.aim for c in LIVE.classes)
--- a/tests/policy/test_mechanism.py
+++ b/tests/policy/test_mechanism.py
@@ -127,6 +127,16 @@
     assert isinstance(marked[0], api.Refuse)
 
 
+def test_marked_retries_do_not_say_what_first_tries_are_allowed() -> None:
+    """Guards against many retries that outvote the first tries, and then pass as such."""
+    b = node(replace(BASE, retries_marked=True), NAMES)
+    for i in range(5):
+        b.handle(1000.0, api.Arrival(f"a{i}", "read", 1700.0))
+    for i in range(20):
+        marked = answers(b.handle(1001.0, api.Arrival(f"b{i}", "read", 1501.0, is_retry=True)))
+        assert isinstance(marked[0], api.Refuse)
+
+
 def test_what_cannot_meet_its_aim_is_shed_early() -> None:
     b = node(replace(BASE, worth_by_work=True), NAMES)
     act = b.handle(1000.0, api.Arrival("huge", "read", 2000.0, work_hint=5000.0))
