Load the view's report for operators, and ports that are types alone, only when asked for

Need: tests/test_start.py bounds what a platform node loads (28 modules, 5,500 lines), and 5,495 were loaded: the mends of rare faults need room, and the bound stays.

Change: Membership.report is decide/membership_report, loaded when somebody asks; net/node names the observer as a type alone.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -26,7 +26,6 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from itertools import islice
-from typing import Any
 
 from dillport.interface import ListKind, Phase
 from dillport.members import Address, Fault, Listing, Member
@@ -217,12 +216,12 @@
         self._contested: dict[Address, None] = {}  # where that changed, and others are or were up
         self._fresh: dict[str, Member] = {}  # changes of a whole list that are not told yet
         self._first = False  # the whole list that is looked at is the first
-        self._now_ms = 0.0
+        self.now_ms = 0.0
         self._out: list[Action] = []
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Decide on one event at the clock time `now_ms`."""
-        self._now_ms, self._out = now_ms, []
+        self.now_ms, self._out = now_ms, []
         if isinstance(event, Continued):
             self._continue()
         elif isinstance(event, Configured):
@@ -269,7 +268,7 @@
 
     def _listed(self, source: Source, event: Listed) -> None:
         listing = event.listing
-        source.heard_ms = self._now_ms
+        source.heard_ms = self.now_ms
         if event.identity != source.identity:
             if not listing.complete:
                 self._old(source, "changes of an order that has not begun here")
@@ -311,7 +310,7 @@
         self._out.append(Say(f"{source.name}: not applied: {what}"))
 
     def _heard(self, source: Source) -> None:
-        source.heard_ms = self._now_ms
+        source.heard_ms = self.now_ms
         if source.whole and not source.behind:
             self._current(source)
             self._confirm(source)
@@ -582,44 +581,3 @@
         drain = [m for m in changes.values() if m.entry.phase is Phase.DRAINING]
         rest = [m for m in changes.values() if m.entry.phase is Phase.UP]
         self._out.append(Apply(kind, (*drain, *rest), gone, self.revision))
-
-    # --- for operators
-
-    def report(self) -> dict[str, Any]:
-        """What each source says of whom, and the view; plain values for a table or JSON."""
-        sources = [
-            {
-                "name": s.name, "role": s.role.value, "state": s.state.value, "reason": s.reason,
-                "identity": s.identity, "revision": s.revision, "members": len(s.members),
-                "removed": len(s.removed), "unreadable": s.unreadable, "not_applied": s.old,
-                "silent_for_ms": None if s.heard_ms is None else round(self._now_ms - s.heard_ms),
-            }
-            for s in self.sources.values()
-        ]  # fmt: skip
-        names = dict.fromkeys(self.view)
-        for s in self.sources.values():
-            names.update(dict.fromkeys(s.members))
-        faults = [
-            {"source": s.name, "key": key, "reason": fault.reason}
-            for s in self.sources.values()
-            for key, fault in s.faults.items()
-        ]
-        members = [self._row(name) for name in names]
-        return {"revision": self.revision, "sources": sources, "members": members, "faults": faults}
-
-    def _row(self, name: str) -> dict[str, Any]:
-        says = {}
-        for s in self.sources.values():
-            if name in s.members:
-                says[s.name] = s.members[name].entry.phase.value
-            elif name in s.removed:
-                says[s.name] = "removed"
-        held = self.view.get(name)
-        phase = "shadowed" if name in self.shadowed else "gone" if held is None else held.entry.phase.value
-        shown = held or next(s.members[name] for s in self.sources.values() if name in s.members)
-        host, port = shown.address
-        return {
-            "id": name, "address": f"[{host}]:{port}" if ":" in host else f"{host}:{port}", "phase": phase,
-            "zone": shown.entry.zone, "weight": shown.entry.weight, "started_at_ms": shown.entry.started_at,
-            "sources": says,
-        }  # fmt: skip
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -65,4 +65,6 @@
 
     def report(self) -> dict[str, Any]:
         """What the sources say of whom, for operators."""
-        return self.membership.report()
+        from dillport.decide.membership_report import report
+
+        return report(self.membership)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from dillport import interface as api
 from dillport.decide.membership import Apply
@@ -17,7 +17,9 @@
 from dillport.net.config import Config
 from dillport.net.upstream import Answer, Attempt, Pool
 from dillport.policy import Balancer
-from dillport.relay.ports import Observer
+
+if TYPE_CHECKING:
+    from dillport.relay.ports import Observer
 
 log = logging.getLogger(__name__)
 
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -12,6 +12,7 @@
 
 from dillport.decide import membership as m
 from dillport.decide.membership import Membership, Role, Source, State
+from dillport.decide.membership_report import report as report_of
 from dillport.interface import Entry, ListKind, Phase
 from dillport.members import Fault, Listing, Member
 
@@ -343,14 +344,14 @@
     assert rig.view == {"a": "up", "b": "up"}
     rig.list("platform", whole(2, member("b"), faults=(Fault("a", "no port"),)))
     assert rig.view == {"a": "up", "b": "up"}  # the last good entry stays
-    report = rig.membership.report()
+    report = report_of(rig.membership)
     assert report["sources"][0]["unreadable"] == 2
     assert report["faults"] == [{"source": "platform", "key": "a", "reason": "no port"}]
     assert [line.text for line in rig.lines] == [
         "platform: entry 'c' left out: phase is 'odd'", "platform: entry 'a' left out: no port",
     ]  # fmt: skip
     rig.list("platform", changes(3, member("a", weight=2.0)))
-    assert rig.told["a"].entry.weight == 2.0 and not rig.membership.report()["faults"]
+    assert rig.told["a"].entry.weight == 2.0 and not report_of(rig.membership)["faults"]
     rig.list("platform", whole(4, member("b")))
     assert rig.view == {"b": "up"}
 
@@ -464,7 +465,7 @@
     rig.list("platform", whole(4, member("a", port=7), member("b", port=7, started_at=3.0)))
     rig.list("etcd", whole(9, member("a", DRAINING, port=7), member("c")), "77/0")
     rig.list("etcd", changes(10, removed=("c",)), "77/0")
-    report = rig.membership.report()
+    report = report_of(rig.membership)
     rows = {row["id"]: (row["phase"], row["sources"]) for row in report["members"]}
     assert rows["a"] == ("draining", {"platform": "up", "etcd": "draining"})
     assert rows["b"] == ("up", {"platform": "up"})
