Drop what has not left when its client leaves, also where nothing may be called off

Cause: Balancer._close gives Cancel only where the settings allow it, and Node.gone did nothing else. An attempt whose connection was still coming up was written once it was there, up to a connect time-out after its client had left; one that was partly written went on.

Ruled out: requests held while the node reads what it kept, and partly written ones where cancelling is allowed: these passed before.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -194,9 +194,16 @@
 
     def gone(self, name: str) -> None:
         """The client has left."""
-        if (request := self.open.get(name)) is not None and not request.answered:
-            self._close(name, request)
-            self.event(api.ClientGone(name))
+        if (request := self.open.get(name)) is None or request.answered:
+            return
+        self._close(name, request)
+        # What has not left ends here, also where nothing may be called off: guards against sending it on once
+        # its connection has come up, or the rest of it has found room, for a client that is not there.
+        for item in request.attempts:
+            if not item.over and item.attempt is not None and not item.attempt.left:
+                self._stop(item)
+                self._outcome(item, Answer(api.Status.MOOT))
+        self.event(api.ClientGone(name))
 
     def apply(self, change: Apply) -> None:
         """A change of the view: what leaves first, then who drains, then the rest."""
--- /dev/null
+++ b/tests/net/test_client_gone.py
@@ -0,0 +1,227 @@
+"""A client that leaves while its request waits: nothing of it is sent on, wherever it waits."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport.decide.membership import Listed, Source
+from dillport.net.config import load
+from dillport.net.fleet import Fleet
+from dillport.net.front import Front
+from dillport.net.node import Node
+from tests.sockets import PATIENT, WAIT, Backend, Client, Message, answer, configuration
+
+LEAVES = pytest.mark.parametrize("how", ["fin", "rst", "half"])
+CANCELS = pytest.mark.parametrize("cancel", [True, False])
+EFFECTS = pytest.mark.parametrize("target", ["/read", "/pay", "/once"])
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test's coroutine, with an end to it."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(WAIT):
+            await test()
+
+    asyncio.run(bounded())
+
+
+async def until(met: Callable[[], object]) -> None:
+    """Wait for it."""
+    while not met():
+        await asyncio.sleep(0.002)
+
+
+class Gate:
+    """Holds connections to a backend back until it is opened; `sized` makes their buffers small."""
+
+    def __init__(self, port: int, sized: bool = False) -> None:
+        self.open, self.tried = asyncio.Event(), 0
+        loop: Any = asyncio.get_running_loop()
+        connect = loop.sock_connect
+
+        async def held(sock: socket.socket, address: Any) -> None:
+            if address[1] == port:
+                self.tried += 1
+                if sized:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                await self.open.wait()
+            await connect(sock, address)
+
+        loop.sock_connect = held
+
+
+@contextlib.asynccontextmanager
+async def fronting(tmp: Path, *members: dict[str, Any], **over: Any) -> AsyncIterator[Front]:
+    """A front with its node in this process."""
+    path = tmp / "config.json"
+    path.write_text(json.dumps(configuration(list(members), 1, **(PATIENT | over))))
+    config = load({"PROXY_CONFIG": str(path)})
+    node = Node(config)
+    Fleet(node, [Source("platform")]).hand(Listed("platform", "here", config.known, saved=True))
+    front = Front(node, 50)
+    await front.listen(("127.0.0.1", 0))
+    try:
+        yield front
+    finally:
+        front.stop()
+        for connection in list(front.connections):
+            connection.abort()
+        await until(lambda: not front.connections)
+
+
+async def ask(front: Front, target: str, body: bytes = b"") -> Client:
+    """A client that has sent one request."""
+    client = Client(*await asyncio.open_connection(*front.address))
+    if target == "/read":
+        client.send(target)
+    else:
+        client.send(target, *(["Idempotency-Key: k"] if target == "/pay" else []), method="POST", body=body)
+    return client
+
+
+async def go(front: Front, client: Client, how: str) -> None:
+    """It leaves, and the front has seen it."""
+    before = len(front.connections)
+    sock = client.writer.get_extra_info("socket")
+    if how == "rst":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.writer.transport.abort()
+    elif how == "fin":
+        client.writer.close()
+    else:
+        client.writer.write_eof()
+    await until(lambda: len(front.connections) < before)
+    client.writer.transport.abort()
+
+
+async def settled() -> None:
+    """Enough turns for whatever is on its way over loopback."""
+    for _ in range(50):
+        await asyncio.sleep(0.001)
+
+
+def clean(node: Node) -> bool:
+    """Nothing is left behind by a request that is over."""
+    balancer = node.balancer
+    return not (node.open or balancer.out or balancer.requests or balancer.held or node.pool.count)
+
+
+@LEAVES
+@CANCELS
+@EFFECTS
+def test_while_its_connection_comes_up(tmp_path: Path, how: str, cancel: bool, target: str) -> None:
+    """Also where attempts may not be called off: nothing of this one has left."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        gate = Gate(backend.port)
+        async with fronting(tmp_path, backend.member(), limits={"cancel": cancel}) as front:
+            client = await ask(front, target)
+            await until(lambda: gate.tried)
+            await go(front, client, how)
+            gate.open.set()
+            await settled()
+            assert backend.got.empty() and not backend.connections
+            assert clean(front.node)
+        backend.stop()
+
+    run(test)
+
+
+@LEAVES
+@CANCELS
+def test_while_part_of_it_has_no_room(tmp_path: Path, how: str, cancel: bool) -> None:
+    """The server never gets the rest."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as server:
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            server.bind(("127.0.0.1", 0))
+            server.listen()
+            server.setblocking(False)
+            Gate(server.getsockname()[1], sized=True).open.set()
+            member = Backend("b0", port=server.getsockname()[1]).member()
+            async with fronting(tmp_path, member, limits={"cancel": cancel}) as front:
+                body = b"x" * 65536
+                client = await ask(front, "/once", body)
+                sock, _ = await loop.sock_accept(server)
+                sock.setblocking(False)
+                out = front.node.open
+                await until(lambda: [r for r in out.values() if (a := r.attempts[0].attempt) and a.connection
+                                     and a.connection.blocked])  # fmt: skip
+                await go(front, client, how)
+                came = 0
+                with contextlib.suppress(ConnectionError):
+                    while piece := await loop.sock_recv(sock, 65536):
+                        came += len(piece)
+                sock.close()
+                assert came < len(body) and clean(front.node)
+
+    run(test)
+
+
+@LEAVES
+@CANCELS
+def test_while_it_is_held_for_room(tmp_path: Path, how: str, cancel: bool) -> None:
+    """Room that comes is for those who are still there, and whoever left is not counted as waiting."""
+
+    async def test() -> None:
+        told = asyncio.Event()
+
+        async def late(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            await told.wait()
+            writer.write(answer(b"late"))
+
+        backend = Backend("b0", late)
+        await backend.start()
+        async with fronting(tmp_path, backend.member(), limits={"cancel": cancel}) as front:
+            clients = [await ask(front, "/read") for _ in range(6)]
+            balancer = front.node.balancer
+            await until(lambda: len(balancer.requests) == 6 and balancer.out == 4)
+            assert len(balancer.held) == 2
+            first, last = clients[-2:]
+            await go(front, last, how)
+            assert len(balancer.held) == 1
+            told.set()
+            assert (await first.answer()).code == 200
+            for client in clients[:4]:
+                assert (await client.answer()).code == 200
+            await settled()
+            assert backend.got.qsize() == 5 and not balancer.held and not front.node.open
+        backend.stop()
+
+    run(test)
+
+
+@LEAVES
+@CANCELS
+def test_while_the_node_reads_what_it_kept(tmp_path: Path, how: str, cancel: bool) -> None:
+    """What came while requests had to wait is not acted on for whoever has gone meanwhile."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        async with fronting(tmp_path, backend.member(), limits={"cancel": cancel}) as front:
+            front.node.wait(True)
+            gone, here = await ask(front, "/read"), await ask(front, "/read")
+            await until(lambda: len(front.node.open) == 2)
+            await go(front, gone, how)
+            front.node.wait(False)
+            assert (await here.answer()).code == 200
+            await settled()
+            assert backend.got.qsize() == 1 and not front.node.open and not front.node.balancer.out
+        backend.stop()
+
+    run(test)
