Serve classes of any name, and customers that allow probes

By reading: the class was the path's first part as it stands (latin-1), so a name with a slash, a space, a % or letters outside ASCII, which clients have to encode, was 'unknown class', 404. And where probes are allowed, cheap, and reports are given, the module looks before it sends; the node carries out no probes, so each request waited until its probe was overdue.

Change: proto/class_path finds the class as it is meant, then as it stands; /up without a Request-Id is the question; the node gives its module settings without probes.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -273,12 +273,12 @@
         except httptools.HttpParserInvalidURLError:
             raise BadRequest(400, "bad target") from None
         path, query = url.path or b"/", url.query or b""
-        if path == b"/up":
+        cls = node.class_paths.find(path)
+        # Where a class is called `up` the path does not tell its requests from the question: they have an id.
+        if path == b"/up" and (cls is None or b"request-id" not in headers):
             up = node.ready and not node.stopping
             self._write(200 if up else 503, b"up\n" if up else b"not up\n")
             return
-        first = path.removeprefix(b"/").partition(b"/")[0].decode("latin-1")
-        cls = node.classes.get(first)
         if cls is None:
             raise BadRequest(404, "unknown class")
         if method != (b"GET" if cls.effect is Effect.SAFE else b"POST"):
@@ -300,7 +300,7 @@
             return
         event = api.Arrival(
             request=name,
-            class_name=first,
+            class_name=cls.name,
             deadline=now + wait,
             is_retry=headers.get(b"client-retry") == b"1",
             key=key[0] if key else None,
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -7,6 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
@@ -17,6 +18,7 @@
 from dillport.net.config import Config
 from dillport.net.upstream import Answer, Attempt, Pool
 from dillport.policy import Balancer
+from dillport.proto.class_path import ClassPaths
 
 if TYPE_CHECKING:
     from dillport.relay.ports import Observer
@@ -78,8 +80,9 @@
 
     def __init__(self, config: Config) -> None:
         self.settings = config.settings
-        self.classes = {c.name: c for c in config.settings.classes}
-        self.balancer = Balancer(config.settings, config.seed)
+        self.class_paths = ClassPaths(config.settings.classes)
+        # This program carries out no probes: a request whose decision waited for one would wait in vain.
+        self.balancer = Balancer(replace(config.settings, probing=False), config.seed)
         self.loop = asyncio.get_running_loop()
         # The clock is monotonic and set to Unix time once, at the start: it can read `up_since_ms` as it is.
         self._zero = wall_ms() - time.monotonic() * 1000
--- /dev/null
+++ b/tests/net/test_other_customers.py
@@ -0,0 +1,98 @@
+"""Settings of other customers, on real sockets: any names, probes allowed, all else forbidden."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+import pytest
+
+from tests.net.test_client_gone import fronting, run
+from tests.sockets import LIMITS, Backend, Client
+
+NAMES = ["up", "discovery", "høyvann/i dag", "a/b", "a%2Fb", "Øst & vest", "%", "GET", "claim.2", "日本"]
+EFFECTS = ["retryable", "dedup", "fragile"]
+
+
+def classes(*names: str) -> list[dict[str, Any]]:
+    """Classes of these names, of all effects in turn."""
+    return [
+        {"name": name, "effect": EFFECTS[at % 3], "group": "all", "memory-span": 3000, "give-up": 4000,
+         "objective": 3000}
+        for at, name in enumerate(names)
+    ]  # fmt: skip
+
+
+def test_classes_of_any_name_are_served(tmp_path: Path) -> None:
+    """Whatever the class is called a backend's answer comes; `/up` without an id is the front's question."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        over = {"request-classes": classes(*NAMES)}
+        async with fronting(tmp_path, backend.member(), **over) as front:
+            client = Client(*await asyncio.open_connection(*front.address))
+            for row in over["request-classes"]:
+                target = f"/{quote(row['name'], safe='')}"
+                for rest in ("", "?obj=7", "/x/y"):
+                    method = "GET" if row["effect"] == "retryable" else "POST"
+                    key = ["Idempotency-Key: k"] if row["effect"] == "dedup" else []
+                    name = client.send(target + rest, *key, method=method)
+                    got = await client.answer()
+                    assert (got.code, got.body) == (200, f"b0 {name}".encode()), row["name"]
+                    assert (await backend.got.get()).start == f"{method} {target}{rest} HTTP/1.1"
+            client.writer.write(b"GET /up HTTP/1.1\r\n\r\n")
+            assert (await client.answer()).body == b"up\n" and backend.got.empty()
+            client.send("/none")
+            assert (await client.answer()).code == 404
+            client.writer.transport.abort()
+        backend.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["inline", "on_probe", "off"])
+def test_where_probes_are_allowed_nothing_waits_for_one(tmp_path: Path, how: str) -> None:
+    """The node carries out none: a request that waited for one would be answered only when it is overdue."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        over: dict[str, Any] = {
+            "limits": LIMITS | {"probing": True}, "charges": {"probe": 0.001},
+            "load-info": {"how": how, "names": ["active"]},
+        }  # fmt: skip
+        async with fronting(tmp_path, backend.member(), **over) as front:
+            assert not front.node.balancer.looks
+            client = Client(*await asyncio.open_connection(*front.address))
+            assert (await client.ask("/read")).code == 200
+            assert backend.got.qsize() == 1
+            client.writer.transport.abort()
+        backend.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize(("target", "code"), [("/once", 502), ("/read", 503)])
+def test_a_request_where_all_is_forbidden(tmp_path: Path, target: str, code: int) -> None:
+    """One attempt, nothing called off, no advice when to return, no zones, no reports."""
+
+    async def test() -> None:
+        async def breaks(backend: Backend, message: Any, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        backend = Backend("b0", breaks)
+        await backend.start()
+        limits = {"cancel": False, "most-tries": 1, "retry-after": False, "conn-idle": 300}
+        over = {"limits": limits, "load-info": {"how": "off"}, "zone": "", "weight-source": "off"}
+        async with fronting(tmp_path, backend.member(locality=""), **over) as front:
+            client = Client(*await asyncio.open_connection(*front.address))
+            got = await client.ask(target, method="POST" if target == "/once" else "GET")
+            assert got.code == code and "retry-after" not in got.headers
+            assert backend.got.qsize() == 1
+            client.writer.transport.abort()
+        backend.stop()
+
+    run(test)
