--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -710,6 +710,7 @@
     def _close(self, req: Request) -> None:
         """Nothing more is sent for it; an attempt still out is called off."""
         req.over, req.pending = True, set()
+        self.held.pop(req.id, None)  # no room is looked for, and none missed, for a client that has left
         if req.out and self.cfg.may_cancel and not req.stream:
             self.acts.append(api.Cancel(req.id, len(req.attempts) - 1))
         if not req.out:
