Give a backend connection's descriptor one owner while it comes up

Cause: `Connection.close` closed the socket itself as long as it had no transport, but `create_connection` makes a transport that owns the descriptor at once and tells of it a turn later. A drop in between freed the number, and the transport closed the same number again a turn later, by then another socket's.

Change: from `create_connection` on the descriptor is the transport's; a close in between only marks and shuts it down, and `open` ends it. Nothing cancels that step, and the time-out covers the connect alone. The writer of a connect is removed before its socket is closed, which asyncio's own loop did a turn later by number.

Seen: dropped at turn 1 the descriptors taken meanwhile were lost under uvloop ("used by transport") and under asyncio; dropped during the connect, asyncio lost the watcher of the next socket of that number. Both fail without the change in tests/net/test_upstream.py. Ruled out: a time-out in the window under uvloop, which closes and detaches by itself; it ended a connection that was up, though.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -107,6 +107,7 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
+        self.handed = False  # the descriptor is the transport's, which is its only owner from then on
         self.closed = self.wrote = self.blocked = False
         self.idle_since = 0.0
         self._reset()
@@ -123,16 +124,20 @@
 
     async def open(self) -> None:
         """Connect, then write the attempt that waits for it."""
-        loop = asyncio.get_running_loop()
+        loop = self.pool.loop
         try:
             async with asyncio.timeout(self.pool.connect_timeout):
                 await loop.sock_connect(self.sock, self.address)
-                await loop.create_connection(lambda: self, sock=self.sock)
+            # Two turns of the loop, and no wait: nothing ends it half-way, as both sides would close then.
+            self.handed = True
+            self.transport, _ = await loop.create_connection(lambda: self, sock=self.sock)
         except (OSError, TimeoutError):
             self._fail(Status.CONNECT_FAILED)
             return
         attempt = self.attempt
-        if attempt is None or self.closed:
+        if self.closed:
+            self.transport.abort()
+        elif attempt is None:
             self.close()
         elif not self.host.up or self.host.address != self.address:
             # Guards against sending to a backend that was taken off the list while the connection came up.
@@ -170,23 +175,22 @@
         self.pool.count -= 1
         if self in self.host.idle:
             self.host.idle.remove(self)
-        if self.task is not None and not self.task.done() and self.task is not asyncio.current_task():
-            self.task.cancel()
-        if self.transport is None:
+        if not self.handed:
+            if self.task is not None and self.task is not asyncio.current_task():
+                self.task.cancel()
+            self.pool.loop.remove_writer(self.sock)  # the cancelled connect may do it a turn later, by number
             self.sock.close()
             return
         with contextlib.suppress(OSError):  # the other side was first
             self.sock.shutdown(socket.SHUT_RDWR)
-        self.transport.abort()
+        if self.transport is not None:  # else `open` ends it, a turn or two from now
+            self.transport.abort()
 
     # --- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep no bytes back: what a write leaves in the buffer has not left, and that must be known."""
-        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
-        self.transport.set_write_buffer_limits(high=0)
-        if self.closed:
-            self.transport.abort()
+        cast(asyncio.Transport, transport).set_write_buffer_limits(high=0)  # no subclass of it under uvloop
 
     def pause_writing(self) -> None:
         """Bytes of the request are still here."""
--- /dev/null
+++ b/tests/net/test_upstream.py
@@ -0,0 +1,175 @@
+"""The pool of connections to backends, with each crossing forced: closes, late bytes, endless answers."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+import uvloop
+
+from dillport.interface import Effect, Settings
+from dillport.interface import RequestClass as Class
+from dillport.members import listing
+from dillport.net.upstream import Answer, Pool
+from tests.sockets import WAIT, answer
+
+NewLoop = Callable[[], asyncio.AbstractEventLoop]
+LOOPS = pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+READ = Class("read", Effect.SAFE, aim=400.0, deadline=1000.0)
+
+
+def run(test: Callable[[], Awaitable[None]], new_loop: NewLoop = uvloop.new_event_loop) -> None:
+    """Run a test's coroutine, with an end to it."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * WAIT):
+            await test()
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(bounded())
+
+
+def members(port: int, **over: Any) -> Any:
+    """The list with one backend."""
+    row = {"id": "b0", "host_port": f"127.0.0.1:{port}", "phase": "in_service"} | over
+    return listing({"revision": 1, "complete": True, "members": [row]}).members
+
+
+class Stand:
+    """A pool and the one backend it knows: a listener whose connections the test holds in its hands."""
+
+    def __init__(self, limit: int = 10, **over: Any) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(WAIT)
+        self.pool = Pool(Settings(classes=(READ,), **{"conn_idle": 60_000.0} | over), limit)
+        self.port = self.listener.getsockname()[1]
+        self.pool.update(members(self.port))
+        self.ends: list[Answer] = []
+        self.peers: list[socket.socket] = []
+
+    def start(self, data: bytes) -> Any:
+        """Begin an attempt."""
+        return self.pool.start("b0", data, self.ends.append)
+
+    async def accept(self) -> socket.socket:
+        """The next connection; its reads and writes hold the loop."""
+        self.listener.setblocking(False)
+        peer, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        peer.setblocking(True)
+        peer.settimeout(WAIT)
+        self.peers.append(peer)
+        return peer
+
+    async def request(self, peer: socket.socket, size: int) -> bytes:
+        """So many bytes of a request."""
+        peer.setblocking(False)
+        out = b""
+        while len(out) < size:
+            got = await asyncio.get_running_loop().sock_recv(peer, size - len(out))
+            assert got
+            out += got
+        peer.settimeout(WAIT)
+        return out
+
+    async def ended(self, count: int) -> Answer:
+        """The so manieth end."""
+        while len(self.ends) < count:
+            await asyncio.sleep(0)
+        return self.ends[count - 1]
+
+    def close(self) -> None:
+        """Close all of it."""
+        self.pool.close()
+        for sock in (*self.peers, self.listener):
+            sock.close()
+
+
+async def turns(count: int) -> None:
+    """Let the loop turn."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+def descriptors() -> set[int]:
+    """The process's open descriptors."""
+    return {int(name) for name in os.listdir("/proc/self/fd") if os.path.exists(f"/proc/self/fd/{name}")}
+
+
+def connect_in_one_turn(wait: float = 0.0) -> None:
+    """The loop connects without a wait: which turn brings what is known, whatever its resolver does."""
+
+    async def connect(sock: socket.socket, address: Any) -> None:
+        sock.setblocking(True)
+        sock.connect(address)
+        sock.setblocking(False)
+        time.sleep(wait)
+
+    asyncio.get_running_loop().sock_connect = connect  # type: ignore[method-assign]
+
+
+# --- one owner of a descriptor
+
+
+@LOOPS
+@pytest.mark.parametrize("at_once", [True, False])
+@pytest.mark.parametrize("turn", range(11))
+def test_an_attempt_dropped_as_its_connection_comes_up_closes_its_own_descriptor_alone(
+    new_loop: NewLoop, turn: int, at_once: bool
+) -> None:
+    """Guards against a number closed twice: by the second time it may be a client's connection."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        stand = Stand()
+        if at_once:
+            connect_in_one_turn()
+        else:
+            await loop.getaddrinfo("127.0.0.1", stand.port)
+        stand.start(b"GET / HTTP/1.1\r\n\r\n")  # what the loop opens once for itself is there after it
+        (await stand.accept()).close()
+        await stand.ended(1)
+        await turns(10)
+        before = descriptors()
+        attempt = stand.start(b"GET / HTTP/1.1\r\n\r\n")
+        await turns(turn)
+        attempt.drop()
+        pair = socket.socketpair()
+        copies = [os.dup(stand.listener.fileno()) for _ in range(3)]
+        taken = {fd: os.fstat(fd).st_ino for fd in (*copies, *(sock.fileno() for sock in pair))}
+        woken = asyncio.Event()
+        loop.add_reader(pair[0], woken.set)
+        await turns(10)
+        assert {fd: os.fstat(fd).st_ino for fd in taken} == taken
+        pair[1].send(b"x")
+        await woken.wait()  # its watcher is still its own, too
+        loop.remove_reader(pair[0])
+        for fd in copies:
+            os.close(fd)
+        for sock in pair:
+            sock.close()
+        await turns(10)
+        assert descriptors() == before and stand.pool.count == 0 and len(stand.ends) == 1
+        stand.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_time_that_is_over_once_it_is_connected_does_not_end_it_half_way(new_loop: NewLoop) -> None:
+    async def test() -> None:
+        stand = Stand(connect_timeout=1.0)
+        connect_in_one_turn(0.01)
+        await turns(3)
+        stand.start(b"one")
+        peer = await stand.accept()
+        assert await stand.request(peer, 3) == b"one"
+        peer.sendall(answer(b"mine"))
+        assert (await stand.ended(1)).body == b"mine"
+        stand.close()
+
+    run(test, new_loop)
