Let a connection rest for 25 ms after its answer before the next request

Cause: `Pool.start` wrote the next request on the connection used last as soon as its answer was read; `clean` sees only what came before.

Change: `start` passes over connections that have not rested for `REST` and takes the latest used of the others, or a new one; at the cap the longest idle is closed for it, rested or not. What comes late closes that connection alone. Idle limits too short for a rest keep none. Times of idleness come from the clock itself, as the loop's stands still while it works.

Seen: tests/net/test_upstream.py, a second answer put in behind the next request; without the change that request went out on the same connection. tests/test_node.py asked again at once and wanted one connection, which is what let that happen; it now waits for the rest and wants one connection as before.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import socket
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import cast
@@ -22,6 +23,7 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
+REST = 0.025  # s from an answer to the next request: a second answer may come some milliseconds late
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
 FIELDS = {
     "inflight": "in_flight", "active": "in_flight", "queue": "queue", "waiting": "queue", "util": "cpu",
@@ -335,15 +337,21 @@
             connection.close()
 
     def start(self, name: str, data: bytes, done: Callable[[Answer], None]) -> Attempt:
-        """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once."""
+        """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once.
+
+        One that has not rested is passed over: guards against taking what comes late behind its last answer
+        for the answer of this request.
+        """
         host = self.hosts[name]
         attempt = Attempt(data, done)
-        stale = self.loop.time() - KEEP * self.idle_limit
-        while host.idle:
-            connection = host.idle.pop()
-            if connection.idle_since < stale or not connection.clean:
+        now = time.monotonic()  # the loop's own clock stands still while it works
+        for connection in reversed(host.idle[:]):
+            if now - connection.idle_since < REST:
+                continue
+            if now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
                 connection.close()
                 continue
+            host.idle.remove(connection)
             connection.write(attempt)
             return attempt
         if self.count >= self.limit and not self._evict():
@@ -370,17 +378,18 @@
     def release(self, connection: Connection, reusable: bool) -> None:
         """Take back a connection after its answer."""
         host = connection.host
+        reusable = reusable and KEEP * self.idle_limit > REST
         if not reusable or not host.up or host.address != connection.address or connection.closed:
             connection.close()
             return
-        connection.wrote, connection.idle_since = False, self.loop.time()
+        connection.wrote, connection.idle_since = False, time.monotonic()
         host.idle.append(connection)
         if self.sweeper is None:
             self.sweeper = self.loop.call_later(max(SWEEP * self.idle_limit, 0.05), self._sweep)
 
     def _sweep(self) -> None:
         """Close what has been idle for long, well before the backend does so under a request."""
-        self.sweeper, stale, left = None, self.loop.time() - KEEP * self.idle_limit, False
+        self.sweeper, stale, left = None, time.monotonic() - KEEP * self.idle_limit, False
         for host in self.hosts.values():
             for connection in [c for c in host.idle if c.idle_since < stale]:
                 connection.close()
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -15,11 +15,13 @@
 from dillport.interface import Effect, Settings
 from dillport.interface import RequestClass as Class
 from dillport.members import listing
-from dillport.net.upstream import Answer, Pool
+from dillport.net import upstream
+from dillport.net.upstream import KEEP, Answer, Pool
 from tests.sockets import WAIT, answer
 
 NewLoop = Callable[[], asyncio.AbstractEventLoop]
 LOOPS = pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+LONG = 30.0  # s: a rest that no slow machine lives through, under the idle limit
 READ = Class("read", Effect.SAFE, aim=400.0, deadline=1000.0)
 
 
@@ -95,6 +97,12 @@
         await asyncio.sleep(0)
 
 
+async def wait_until(true: Callable[[], bool]) -> None:
+    """Wait for it."""
+    while not true():
+        await asyncio.sleep(0)
+
+
 def descriptors() -> set[int]:
     """The process's open descriptors."""
     return {int(name) for name in os.listdir("/proc/self/fd") if os.path.exists(f"/proc/self/fd/{name}")}
@@ -173,3 +181,102 @@
         stand.close()
 
     run(test, new_loop)
+
+
+# --- an answer belongs to one request
+
+
+@LOOPS
+def test_a_second_answer_some_milliseconds_late_is_nobody_elses(
+    new_loop: NewLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against serving a client with another's answer: the next request was written in between."""
+    monkeypatch.setattr(upstream, "REST", LONG)
+
+    async def test() -> None:
+        stand = Stand()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        peer.sendall(answer(b"mine"))
+        await stand.ended(1)
+        stand.start(b"two")
+        peer.sendall(answer(b"mine again"))  # behind the second request, wherever that was written
+        other = await stand.accept()
+        await stand.request(other, 3)
+        other.sendall(answer(b"yours"))
+        assert (await stand.ended(2)).body == b"yours"
+        assert peer.recv(10) == b""  # spoilt, and that alone
+        await wait_until(lambda: stand.pool.count == 1)
+        stand.close()
+
+    run(test, new_loop)
+
+
+def test_a_connection_that_has_rested_is_used_again_the_latest_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "REST", LONG)
+
+    async def test() -> None:
+        stand = Stand()
+        peers = []
+        for _ in range(3):
+            stand.start(b"one")
+            peers.append(await stand.accept())
+            await stand.request(peers[-1], 3)
+        for number, peer in enumerate(peers):
+            peer.sendall(answer(b"x"))
+            await stand.ended(number + 1)
+        idle = stand.pool.hosts["b0"].idle
+        assert [c.sock.getpeername() for c in idle] == [p.getsockname() for p in peers] and len(idle) == 3
+        used = list(idle)
+        for connection in used[:2]:
+            connection.idle_since -= LONG
+        stand.start(b"two")
+        assert idle == [used[0], used[2]]  # not the latest of all, which has not rested
+        assert await stand.request(peers[1], 3) == b"two"
+        stand.start(b"six")
+        assert await stand.request(peers[0], 3) == b"six"
+        stand.start(b"ten")
+        assert await stand.request(await stand.accept(), 3) == b"ten"
+        stand.close()
+
+    run(test)
+
+
+def test_at_the_cap_one_that_has_not_rested_is_closed_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "REST", LONG)
+
+    async def test() -> None:
+        stand = Stand(limit=1)
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        peer.sendall(answer(b"x"))
+        await stand.ended(1)
+        stand.start(b"two")
+        assert stand.pool.count == 1 and peer.recv(10) == b""
+        assert await stand.request(await stand.accept(), 3) == b"two"
+        stand.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("limit", [0.0, 20.0, 300.0])
+def test_short_idle_limits(limit: float) -> None:
+    """A connection is kept only where it can be used again before the backend closes it."""
+
+    async def test() -> None:
+        stand = Stand(conn_idle=limit)
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        began = time.monotonic()
+        peer.sendall(answer(b"x"))
+        await stand.ended(1)
+        assert stand.pool.count == len(stand.pool.hosts["b0"].idle) == (limit == 300.0)
+        assert await asyncio.to_thread(peer.recv, 10) == b""
+        assert limit < 300 or time.monotonic() - began > KEEP * 0.3
+        await wait_until(lambda: not stand.pool.count)
+        stand.close()
+
+    run(test)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,7 +22,7 @@
 from dillport.net.fleet import Fleet
 from dillport.net.front import Front
 from dillport.net.node import Node
-from dillport.net.upstream import Answer, Pool, parse_report
+from dillport.net.upstream import REST, Answer, Pool, parse_report
 from tests.sockets import (
     PATIENT,
     WAIT,
@@ -82,9 +82,11 @@
                 assert (got.code, got.body) == (200, f"b0 {sent.headers['request-id']}".encode())
                 assert sent.start == "GET /read/x?obj=7f HTTP/1.1"
                 assert 0 < int(sent.headers["request-timeout"].removesuffix("u")) <= 2_000_000
+                await asyncio.sleep(2 * REST)
             body = b"x" * 65536
             assert (await client.ask("/once", method="POST", body=body)).code == 200
             assert (await backend.got.get()).body == body
+            await asyncio.sleep(2 * REST)
             assert (await client.pay()).code == 200
             assert (await backend.got.get()).headers["idempotency-key"] == "k1"
             assert backend.connections == 1  # each new one costs
