Take no answer that came before the request had left for it

Cause: `data_received` took bytes for the attempt's answer as soon as an attempt waited for the connection: what a backend sent on its own as the connection came up, a turn before the request was written, served the client. So did a 200 that came while part of the request was still here; no backend begins before the last byte. `on_header` read trailers as headers: a `Not-Started` among them made an unsafe request go out again.

Change: such an attempt ends as one that could not connect, which it could not: nothing, or not all, was sent, and the connection is closed. Before the first request a connection is looked at as before later ones. Trailers are passed over. A break between coming up and the write counts as never run, too.

Seen: the three cases in tests/net/test_upstream.py fail without the change, the first two under both loops. Held before as well: bytes behind an answer in its packet, interim answers then one, 500 and 503 before the last byte.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -144,6 +144,8 @@
         elif not self.host.up or self.host.address != self.address:
             # Guards against sending to a backend that was taken off the list while the connection came up.
             self._fail(Status.MOOT)
+        elif not self.clean:
+            self._fail(Status.CONNECT_FAILED)
         else:
             self.write(attempt)
 
@@ -215,12 +217,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A break before the request's last byte has left proves that it never ran; after, it may have."""
-        self._fail(Status.CONNECT_FAILED if self.blocked else Status.RESET)
+        self._fail(Status.RESET if self.wrote and not self.blocked else Status.CONNECT_FAILED)
 
     def data_received(self, data: bytes) -> None:
         """Read the answer; bytes that belong to none spoil the connection."""
-        if self.attempt is None:
-            self.close()
+        if self.attempt is None or not self.wrote:
+            self._fail(Status.CONNECT_FAILED)  # an attempt that waits for the connection never ran
             return
         fault = ""
         try:
@@ -229,7 +231,11 @@
             fault = f"broken answer: {err}"
         if not self.in_body:
             self.head += len(data)  # guards memory against a header without end, which the parser would keep
-        if self.complete:
+        if self.complete and self.code == 200 and self.blocked:
+            # Guards against serving what no backend made for it: none begins before the request's last byte.
+            log.warning("backend %s:%d: an answer before the request was written", *self.address)
+            self._fail(Status.CONNECT_FAILED)
+        elif self.complete:
             self._finish(not fault and not self.excess)
         elif fault or self.large or self.head > MAX_HEAD:
             log.warning("backend %s:%d: %s", *self.address, fault or "answer too large")
@@ -243,8 +249,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep the few headers that matter."""
-        if self.complete:
-            return
+        if self.complete or self.in_body:
+            return  # a second answer's, or a trailer
         key = name.lower()
         if key == b"content-length":
             self.large = int(value) > MAX_BODY  # known from the head: its body is not waited for
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -12,7 +12,7 @@
 import pytest
 import uvloop
 
-from dillport.interface import Effect, Settings
+from dillport.interface import Effect, Settings, Status
 from dillport.interface import RequestClass as Class
 from dillport.members import listing
 from dillport.net import upstream
@@ -280,3 +280,87 @@
         stand.close()
 
     run(test)
+
+
+@LOOPS
+def test_an_answer_that_is_there_before_the_request_serves_nobody(new_loop: NewLoop) -> None:
+    """The request is not sent at all, so that it may go elsewhere, whatever its class."""
+
+    async def test() -> None:
+        stand = Stand()
+        connect_in_one_turn()
+        stand.start(b"one")
+        await turns(1)  # it is connected, and about to be written
+        stand.listener.setblocking(True)
+        peer, _ = stand.listener.accept()
+        peer.sendall(answer(b"nobody's"))
+        assert (await stand.ended(1)).status is Status.CONNECT_FAILED
+        assert peer.recv(10) == b"" and stand.pool.count == 0
+        peer.close()
+        stand.close()
+
+    run(test, new_loop)
+
+
+BIG = b"POST / HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + b"x" * 64_000_000  # more than kernels hold
+
+
+@LOOPS
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        (answer(b"not mine"), Status.CONNECT_FAILED),
+        (answer(b"", "503 Service Unavailable", "Not-Started: 1"), Status.FULL),
+        (answer(b"", "500 Internal Server Error"), Status.ERROR),
+    ],
+)
+def test_an_answer_before_the_last_byte_of_the_request(
+    new_loop: NewLoop, text: bytes, status: Status
+) -> None:
+    async def test() -> None:
+        stand = Stand()
+        attempt = stand.start(BIG)
+        peer = await stand.accept()
+        await stand.request(peer, 1)
+        assert not attempt.left
+        peer.sendall(text)
+        assert (await stand.ended(1)).status is status
+        assert stand.pool.count == 0
+        stand.close()
+
+    run(test, new_loop)
+
+
+@pytest.mark.parametrize(
+    ("text", "status", "kept"),
+    [
+        (answer(b"mine") + b"x", Status.OK, False),
+        (answer(b"mine") + answer(b"mine again"), Status.OK, False),
+        (b"HTTP/1.1 102 P\r\nNot-Started: 1\r\n\r\n" * 3 + answer(b"mine"), Status.OK, True),
+        (b"HTTP/1.1 102 P\r\n\r\n" + answer(b"", "503 Busy", "Not-Started: 1"), Status.FULL, True),
+        (b"HTTP/1.1 102 P\r\nNot-Started: 1\r\n\r\n" + answer(b"", "503 Busy"), Status.ERROR, True),
+        (b"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nNot-Started: 1\r\n\r\n",
+         Status.ERROR, True),
+    ],
+)  # fmt: skip
+def test_what_stands_round_an_answer(text: bytes, status: Status, kept: bool) -> None:
+    """In one packet, and byte by byte up to the answer's end."""
+
+    async def test() -> None:
+        stand = Stand()
+        for count, step in ((1, len(text)), (2, 1)):
+            stand.start(b"one")
+            peer = await stand.accept()
+            peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await stand.request(peer, 3)
+            for at in range(0, len(text), step):
+                if len(stand.ends) < count:
+                    peer.sendall(text[at : at + step])
+                    await turns(2)
+            assert (await stand.ended(count)).status is status
+            if step > 1:
+                assert stand.pool.count == kept
+            stand.pool.close_idle("b0")
+        stand.close()
+
+    run(test)
