Write no keyed repeat after its window, however late its connection comes up

Cause: `Balancer._legal` and `_bound` look at the memory span when a repeat is decided; it then waits for its connection, for the connect time-out at most, and was written after the span had ended: nobody drops it as a repeat by then.

Change: `Send.begin_by` says until when it may be written, for a keyed request with an attempt that may have run; the pool ends it as moot, closes and writes nothing after that. The node turns it into the monotonic clock, which the check at the write reads anew.

Seen: with the check taken out the request arrives (tests/net/test_upstream.py, both loops, new and kept connections); without the field the hostile run of tests/policy/test_rules.py breaks rule 2, as its checker now wants the field within the span; a mutant shows that it does.

--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -375,7 +376,7 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; a time-out of 0 lasts until the client gives up.
+    """Start an attempt; a time-out of 0 lasts until the client gives up. One not begun by `begin_by` is moot.
 
     `why` says how the server was found, `cause` what brought the attempt about; it was found among so many
     that were eligible, after so many were left out as crowded by the node's own count. None of these counts
@@ -389,6 +390,7 @@
     cause: Why = field(default=Why.UNSTATED, compare=False)
     among: int = field(default=0, compare=False)
     crowded: int = field(default=0, compare=False)
+    begin_by: float = math.inf
 
 
 @dataclass(slots=True)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -265,7 +265,10 @@
             self._outcome(item, Answer(api.Status.MOOT))
             return
         item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
-        item.attempt = self.pool.start(action.backend, request.render(wait), partial(self._outcome, item))
+        begin_by = (action.begin_by - self._zero) / 1000
+        item.attempt = self.pool.start(
+            action.backend, request.render(wait), partial(self._outcome, item), begin_by
+        )
         if item.over:
             item.attempt = None
 
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -62,12 +62,15 @@
 
 
 class Attempt:
-    """One request on its way to one backend; `done` is called once with its end, unless it is dropped."""
+    """One request on its way to one backend; `done` is called once with its end, unless it is dropped.
 
-    __slots__ = ("connection", "data", "done")
+    It is moot where it can't be written by `begin_by`, on the monotonic clock.
+    """
 
-    def __init__(self, data: bytes, done: Callable[[Answer], None]) -> None:
-        self.data, self.done = data, done
+    __slots__ = ("begin_by", "connection", "data", "done")
+
+    def __init__(self, data: bytes, done: Callable[[Answer], None], begin_by: float = math.inf) -> None:
+        self.data, self.done, self.begin_by = data, done, begin_by
         self.connection: Connection | None = None
 
     @property
@@ -209,6 +212,10 @@
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
         self._reset()
+        # Guards against an effect doubled by a repeat whose connection came up after its window had ended.
+        if time.monotonic() > attempt.begin_by:
+            self._fail(Status.MOOT)
+            return
         self.transport.write(attempt.data)
         self.wrote = True
         # Guards against calling a reset what never left: a write that fails at once closes the transport.
@@ -342,14 +349,16 @@
         for connection in self.hosts[name].idle[:] if name in self.hosts else ():
             connection.close()
 
-    def start(self, name: str, data: bytes, done: Callable[[Answer], None]) -> Attempt:
+    def start(
+        self, name: str, data: bytes, done: Callable[[Answer], None], begin_by: float = math.inf
+    ) -> Attempt:
         """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once.
 
         One that has not rested is passed over: guards against taking what comes late behind its last answer
         for the answer of this request.
         """
         host = self.hosts[name]
-        attempt = Attempt(data, done)
+        attempt = Attempt(data, done, begin_by)
         now = time.monotonic()  # the loop's own clock stands still while it works
         for connection in reversed(host.idle[:]):
             if now - connection.idle_since < REST:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -595,7 +595,14 @@
             cut = max(c.aim / 2, req.cls.usual + 4 * req.cls.dev)
             if cut + req.cls.usual < left:
                 stop, req.attempts[-1].cut = cut, True
-        self.acts.append(api.Send(req.id, b.entry.backend, stop, why, cause, self.among, self.crowded))
+        end = self._window(req)
+        self.acts.append(api.Send(req.id, b.entry.backend, stop, why, cause, self.among, self.crowded, end))
+
+    def _window(self, req: Request) -> float:
+        """Until when a keyed request may be written once more, as its connection may come up late."""
+        c, ran = req.cls.cfg, [a.sent for a in req.attempts if a.status not in (None, *api.NEVER_RAN)]
+        keyed = ran and c.effect is api.Effect.KEYED
+        return min(ran) + c.memory_span - 2 * self.cfg.tick if keyed else math.inf
 
     def _outcome(self, ev: api.Outcome) -> None:
         req = self.requests.get(ev.request)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -132,7 +132,9 @@
         if risky and r.cls.effect is api.Effect.UNSAFE:
             raise AssertionError("rule 2: an unsafe request that may have run was sent again")
         if risky and r.cls.effect is api.Effect.KEYED:
-            assert now - min(a[1] for a in risky) <= r.cls.memory_span, "rule 2: past the memory span"
+            window = min(a[1] for a in risky) + r.cls.memory_span
+            assert now <= window, "rule 2: past the memory span"
+            assert now <= act.begin_by <= window, "rule 2: may be written past the memory span"
             here = self.entries[act.backend]
             for name, _, _ in risky:
                 there = self.entries[name]
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import socket
 import time
@@ -54,9 +55,9 @@
         self.ends: list[Answer] = []
         self.peers: list[socket.socket] = []
 
-    def start(self, data: bytes) -> Any:
+    def start(self, data: bytes, begin_by: float = math.inf) -> Any:
         """Begin an attempt."""
-        return self.pool.start("b0", data, self.ends.append)
+        return self.pool.start("b0", data, self.ends.append, begin_by)
 
     async def accept(self) -> socket.socket:
         """The next connection; its reads and writes hold the loop."""
@@ -364,3 +365,44 @@
         stand.close()
 
     run(test)
+
+
+# --- a repeat that comes too late
+
+
+@LOOPS
+@pytest.mark.parametrize("kept", [True, False])
+def test_what_cannot_be_written_in_its_window_is_not_written(new_loop: NewLoop, kept: bool) -> None:
+    """Guards against an effect doubled: the connection for a keyed repeat is held back until after it."""
+
+    async def test() -> None:
+        loop, stand, go = asyncio.get_running_loop(), Stand(), asyncio.Event()
+        connect, begin_by = loop.sock_connect, time.monotonic() + 0.01
+
+        async def held_back(sock: socket.socket, address: Any) -> None:
+            await connect(sock, address)
+            await go.wait()
+
+        if kept:
+            stand.start(b"one")
+            peer = await stand.accept()
+            await stand.request(peer, 3)
+            peer.sendall(answer(b"x"))
+            await stand.ended(1)
+            stand.pool.hosts["b0"].idle[0].idle_since -= LONG
+            await asyncio.to_thread(time.sleep, 0.02)
+            stand.start(b"two", begin_by)
+        else:
+            loop.sock_connect = held_back  # type: ignore[method-assign]
+            stand.start(b"two", begin_by)
+            peer = await stand.accept()
+            await asyncio.to_thread(time.sleep, 0.02)
+            assert not stand.ends
+            go.set()
+        assert await asyncio.to_thread(peer.recv, 10) == b""
+        assert (await stand.ended(1 + kept)).status is Status.MOOT and stand.pool.count == 0
+        stand.start(b"ten", time.monotonic() + 3600)
+        assert await stand.request(await stand.accept(), 3) == b"ten"
+        stand.close()
+
+    run(test, new_loop)
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import replace
 
@@ -135,6 +136,27 @@
     _breaks(BASE, "rule 1")
 
 
+def test_the_checker_catches_a_repeat_that_may_be_written_whenever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "_window", lambda self, req: math.inf)
+    _breaks(BASE, "rule 2")
+
+
+def test_a_keyed_repeat_says_until_when_it_may_be_written() -> None:
+    """Counted from the first attempt that may have run; what surely never ran binds nothing."""
+    for effect, first, bound in (
+        (api.Effect.KEYED, api.Status.RESET, True), (api.Effect.KEYED, api.Status.FULL, False),
+        (api.Effect.SAFE, api.Status.RESET, False), (api.Effect.UNSAFE, api.Status.FULL, False),
+    ):  # fmt: skip
+        b = node(replace(BASE, classes=(replace(KEYED, effect=effect),)), ["x", "y", "z"])
+        sent = sends(b.handle(1000.0, api.Arrival("r", "pay", 2000.0)))
+        assert sent[0].begin_by == math.inf
+        for number, status in enumerate((first, api.Status.MOOT)):
+            now = 1010.0 + 10 * number
+            sent = sends(b.handle(now, api.Outcome("r", number, sent[0].backend, status, 1.0, False)))
+            end = 1000.0 + KEYED.memory_span - 2 * BASE.tick
+            assert sent[0].begin_by == (end if bound else math.inf)
+
+
 def test_unsafe_is_sent_again_only_after_proof_it_never_ran() -> None:
     b = node(BASE, ["x", "y", "z"])
     first = sends(b.handle(1000.0, api.Arrival("r", "once", 2000.0)))[0]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,8 +5,10 @@
 import asyncio
 import itertools
 import json
+import math
 import resource
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -15,13 +17,13 @@
 import pytest
 
 from dillport.decide.membership import Listed, Source
-from dillport.interface import Arrival, Effect, Settings, Status
+from dillport.interface import Arrival, Effect, Send, Settings, Status
 from dillport.interface import RequestClass as Class
 from dillport.members import ListError, Listing, listing, member
 from dillport.net.config import load
 from dillport.net.fleet import Fleet
 from dillport.net.front import Front
-from dillport.net.node import Node
+from dillport.net.node import Node, Open
 from dillport.net.upstream import REST, Answer, Pool, parse_report
 from tests.sockets import (
     PATIENT,
@@ -843,6 +845,26 @@
     run(test)
 
 
+def test_the_end_of_a_window_reaches_the_connection(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """In seconds of the monotonic clock, from the module's milliseconds."""
+
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration([], 9)))
+        node = Node(load({"PROXY_CONFIG": str(path)}))
+        node.pool.update(_list("b0", 9))
+        told: list[float] = []
+        monkeypatch.setattr(node.pool, "start", lambda name, data, done, begin_by: told.append(begin_by))
+        nobody: Any = None
+        node.open["r"] = Open(nobody, node.now() + 4000.0, lambda wait: b"")
+        before = time.monotonic()
+        for begin_by in (math.inf, node.now() + 500.0):
+            node._act(Send("r", "b0", 0.0, begin_by=begin_by))
+        assert told[0] == math.inf and before <= told[1] - 0.5 + 1e-5 <= time.monotonic() + 1e-4
+
+    run(test)
+
+
 def test_a_failed_decision_leaves_nothing_behind(tmp_path: Path) -> None:
     """Guards against requests that the module keeps, or counts as out, for good after an exception."""
 
