--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import socket
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import cast
@@ -22,6 +23,7 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
+REST = 0.025  # s from an answer to the next request: a second answer may come some milliseconds late
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
 FIELDS = {
     "inflight": "in_flight", "active": "in_flight", "queue": "queue", "waiting": "queue", "util": "cpu",
@@ -60,12 +62,15 @@
 
 
 class Attempt:
-    """One request on its way to one backend; `done` is called once with its end, unless it is dropped."""
+    """One request on its way to one backend; `done` is called once with its end, unless it is dropped.
 
-    __slots__ = ("connection", "data", "done")
+    It is moot where it can't be written by `begin_by`, on the monotonic clock.
+    """
 
-    def __init__(self, data: bytes, done: Callable[[Answer], None]) -> None:
-        self.data, self.done = data, done
+    __slots__ = ("begin_by", "connection", "data", "done")
+
+    def __init__(self, data: bytes, done: Callable[[Answer], None], begin_by: float = math.inf) -> None:
+        self.data, self.done, self.begin_by = data, done, begin_by
         self.connection: Connection | None = None
 
     @property
@@ -107,6 +112,7 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
+        self.handed = False  # the descriptor is the transport's, which is its only owner from then on
         self.closed = self.wrote = self.blocked = False
         self.idle_since = 0.0
         self._reset()
@@ -123,20 +129,26 @@
 
     async def open(self) -> None:
         """Connect, then write the attempt that waits for it."""
-        loop = asyncio.get_running_loop()
+        loop = self.pool.loop
         try:
             async with asyncio.timeout(self.pool.connect_timeout):
                 await loop.sock_connect(self.sock, self.address)
-                await loop.create_connection(lambda: self, sock=self.sock)
+            # Two turns of the loop, and no wait: nothing ends it half-way, as both sides would close then.
+            self.handed = True
+            self.transport, _ = await loop.create_connection(lambda: self, sock=self.sock)
         except (OSError, TimeoutError):
             self._fail(Status.CONNECT_FAILED)
             return
         attempt = self.attempt
-        if attempt is None or self.closed:
+        if self.closed:
+            self.transport.abort()
+        elif attempt is None:
             self.close()
         elif not self.host.up or self.host.address != self.address:
             # Guards against sending to a backend that was taken off the list while the connection came up.
             self._fail(Status.MOOT)
+        elif not self.clean:
+            self._fail(Status.CONNECT_FAILED)
         else:
             self.write(attempt)
 
@@ -170,23 +182,22 @@
         self.pool.count -= 1
         if self in self.host.idle:
             self.host.idle.remove(self)
-        if self.task is not None and not self.task.done() and self.task is not asyncio.current_task():
-            self.task.cancel()
-        if self.transport is None:
+        if not self.handed:
+            if self.task is not None and self.task is not asyncio.current_task():
+                self.task.cancel()
+            self.pool.loop.remove_writer(self.sock)  # the cancelled connect may do it a turn later, by number
             self.sock.close()
             return
         with contextlib.suppress(OSError):  # the other side was first
             self.sock.shutdown(socket.SHUT_RDWR)
-        self.transport.abort()
+        if self.transport is not None:  # else `open` ends it, a turn or two from now
+            self.transport.abort()
 
     # --- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep no bytes back: what a write leaves in the buffer has not left, and that must be known."""
-        self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
-        self.transport.set_write_buffer_limits(high=0)
-        if self.closed:
-            self.transport.abort()
+        cast(asyncio.Transport, transport).set_write_buffer_limits(high=0)  # no subclass of it under uvloop
 
     def pause_writing(self) -> None:
         """Bytes of the request are still here."""
@@ -201,6 +212,10 @@
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
         self._reset()
+        # Guards against an effect doubled by a repeat whose connection came up after its window had ended.
+        if time.monotonic() > attempt.begin_by:
+            self._fail(Status.MOOT)
+            return
         self.transport.write(attempt.data)
         self.wrote = True
         # Guards against calling a reset what never left: a write that fails at once closes the transport.
@@ -209,12 +224,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A break before the request's last byte has left proves that it never ran; after, it may have."""
-        self._fail(Status.CONNECT_FAILED if self.blocked else Status.RESET)
+        self._fail(Status.RESET if self.wrote and not self.blocked else Status.CONNECT_FAILED)
 
     def data_received(self, data: bytes) -> None:
         """Read the answer; bytes that belong to none spoil the connection."""
-        if self.attempt is None:
-            self.close()
+        if self.attempt is None or not self.wrote:
+            self._fail(Status.CONNECT_FAILED)  # an attempt that waits for the connection never ran
             return
         fault = ""
         try:
@@ -223,7 +238,11 @@
             fault = f"broken answer: {err}"
         if not self.in_body:
             self.head += len(data)  # guards memory against a header without end, which the parser would keep
-        if self.complete:
+        if self.complete and self.code == 200 and self.blocked:
+            # Guards against serving what no backend made for it: none begins before the request's last byte.
+            log.warning("backend %s:%d: an answer before the request was written", *self.address)
+            self._fail(Status.CONNECT_FAILED)
+        elif self.complete:
             self._finish(not fault and not self.excess)
         elif fault or self.large or self.head > MAX_HEAD:
             log.warning("backend %s:%d: %s", *self.address, fault or "answer too large")
@@ -237,8 +256,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep the few headers that matter."""
-        if self.complete:
-            return
+        if self.complete or self.in_body:
+            return  # a second answer's, or a trailer
         key = name.lower()
         if key == b"content-length":
             self.large = int(value) > MAX_BODY  # known from the head: its body is not waited for
@@ -330,16 +349,24 @@
         for connection in self.hosts[name].idle[:] if name in self.hosts else ():
             connection.close()
 
-    def start(self, name: str, data: bytes, done: Callable[[Answer], None]) -> Attempt:
-        """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once."""
+    def start(
+        self, name: str, data: bytes, done: Callable[[Answer], None], begin_by: float = math.inf
+    ) -> Attempt:
+        """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once.
+
+        One that has not rested is passed over: guards against taking what comes late behind its last answer
+        for the answer of this request.
+        """
         host = self.hosts[name]
-        attempt = Attempt(data, done)
-        stale = self.loop.time() - KEEP * self.idle_limit
-        while host.idle:
-            connection = host.idle.pop()
-            if connection.idle_since < stale or not connection.clean:
+        attempt = Attempt(data, done, begin_by)
+        now = time.monotonic()  # the loop's own clock stands still while it works
+        for connection in reversed(host.idle[:]):
+            if now - connection.idle_since < REST:
+                continue
+            if now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
                 connection.close()
                 continue
+            host.idle.remove(connection)
             connection.write(attempt)
             return attempt
         if self.count >= self.limit and not self._evict():
@@ -366,17 +393,18 @@
     def release(self, connection: Connection, reusable: bool) -> None:
         """Take back a connection after its answer."""
         host = connection.host
+        reusable = reusable and KEEP * self.idle_limit > REST
         if not reusable or not host.up or host.address != connection.address or connection.closed:
             connection.close()
             return
-        connection.wrote, connection.idle_since = False, self.loop.time()
+        connection.wrote, connection.idle_since = False, time.monotonic()
         host.idle.append(connection)
         if self.sweeper is None:
             self.sweeper = self.loop.call_later(max(SWEEP * self.idle_limit, 0.05), self._sweep)
 
     def _sweep(self) -> None:
         """Close what has been idle for long, well before the backend does so under a request."""
-        self.sweeper, stale, left = None, self.loop.time() - KEEP * self.idle_limit, False
+        self.sweeper, stale, left = None, time.monotonic() - KEEP * self.idle_limit, False
         for host in self.hosts.values():
             for connection in [c for c in host.idle if c.idle_since < stale]:
                 connection.close()
--- /dev/null
+++ b/tests/net/test_upstream.py
@@ -0,0 +1,408 @@
+"""The pool of connections to backends, with each crossing forced: closes, late bytes, endless answers."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import os
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+import uvloop
+
+from dillport.interface import Effect, Settings, Status
+from dillport.interface import RequestClass as Class
+from dillport.members import listing
+from dillport.net import upstream
+from dillport.net.upstream import KEEP, Answer, Pool
+from tests.sockets import WAIT, answer
+
+NewLoop = Callable[[], asyncio.AbstractEventLoop]
+LOOPS = pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+LONG = 30.0  # s: a rest that no slow machine lives through, under the idle limit
+READ = Class("read", Effect.SAFE, aim=400.0, deadline=1000.0)
+
+
+def run(test: Callable[[], Awaitable[None]], new_loop: NewLoop = uvloop.new_event_loop) -> None:
+    """Run a test's coroutine, with an end to it."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * WAIT):
+            await test()
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(bounded())
+
+
+def members(port: int, **over: Any) -> Any:
+    """The list with one backend."""
+    row = {"id": "b0", "host_port": f"127.0.0.1:{port}", "phase": "in_service"} | over
+    return listing({"revision": 1, "complete": True, "members": [row]}).members
+
+
+class Stand:
+    """A pool and the one backend it knows: a listener whose connections the test holds in its hands."""
+
+    def __init__(self, limit: int = 10, **over: Any) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(WAIT)
+        self.pool = Pool(Settings(classes=(READ,), **{"conn_idle": 60_000.0} | over), limit)
+        self.port = self.listener.getsockname()[1]
+        self.pool.update(members(self.port))
+        self.ends: list[Answer] = []
+        self.peers: list[socket.socket] = []
+
+    def start(self, data: bytes, begin_by: float = math.inf) -> Any:
+        """Begin an attempt."""
+        return self.pool.start("b0", data, self.ends.append, begin_by)
+
+    async def accept(self) -> socket.socket:
+        """The next connection; its reads and writes hold the loop."""
+        self.listener.setblocking(False)
+        peer, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        peer.setblocking(True)
+        peer.settimeout(WAIT)
+        self.peers.append(peer)
+        return peer
+
+    async def request(self, peer: socket.socket, size: int) -> bytes:
+        """So many bytes of a request."""
+        peer.setblocking(False)
+        out = b""
+        while len(out) < size:
+            got = await asyncio.get_running_loop().sock_recv(peer, size - len(out))
+            assert got
+            out += got
+        peer.settimeout(WAIT)
+        return out
+
+    async def ended(self, count: int) -> Answer:
+        """The so manieth end."""
+        while len(self.ends) < count:
+            await asyncio.sleep(0)
+        return self.ends[count - 1]
+
+    def close(self) -> None:
+        """Close all of it."""
+        self.pool.close()
+        for sock in (*self.peers, self.listener):
+            sock.close()
+
+
+async def turns(count: int) -> None:
+    """Let the loop turn."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+async def wait_until(true: Callable[[], bool]) -> None:
+    """Wait for it."""
+    while not true():
+        await asyncio.sleep(0)
+
+
+def descriptors() -> set[int]:
+    """The process's open descriptors."""
+    return {int(name) for name in os.listdir("/proc/self/fd") if os.path.exists(f"/proc/self/fd/{name}")}
+
+
+def connect_in_one_turn(wait: float = 0.0) -> None:
+    """The loop connects without a wait: which turn brings what is known, whatever its resolver does."""
+
+    async def connect(sock: socket.socket, address: Any) -> None:
+        sock.setblocking(True)
+        sock.connect(address)
+        sock.setblocking(False)
+        time.sleep(wait)
+
+    asyncio.get_running_loop().sock_connect = connect  # type: ignore[method-assign]
+
+
+# --- one owner of a descriptor
+
+
+@LOOPS
+@pytest.mark.parametrize("at_once", [True, False])
+@pytest.mark.parametrize("turn", range(11))
+def test_an_attempt_dropped_as_its_connection_comes_up_closes_its_own_descriptor_alone(
+    new_loop: NewLoop, turn: int, at_once: bool
+) -> None:
+    """Guards against a number closed twice: by the second time it may be a client's connection."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        stand = Stand()
+        if at_once:
+            connect_in_one_turn()
+        else:
+            await loop.getaddrinfo("127.0.0.1", stand.port)
+        stand.start(b"GET / HTTP/1.1\r\n\r\n")  # what the loop opens once for itself is there after it
+        (await stand.accept()).close()
+        await stand.ended(1)
+        await turns(10)
+        before = descriptors()
+        attempt = stand.start(b"GET / HTTP/1.1\r\n\r\n")
+        await turns(turn)
+        attempt.drop()
+        pair = socket.socketpair()
+        copies = [os.dup(stand.listener.fileno()) for _ in range(3)]
+        taken = {fd: os.fstat(fd).st_ino for fd in (*copies, *(sock.fileno() for sock in pair))}
+        woken = asyncio.Event()
+        loop.add_reader(pair[0], woken.set)
+        await turns(10)
+        assert {fd: os.fstat(fd).st_ino for fd in taken} == taken
+        pair[1].send(b"x")
+        await woken.wait()  # its watcher is still its own, too
+        loop.remove_reader(pair[0])
+        for fd in copies:
+            os.close(fd)
+        for sock in pair:
+            sock.close()
+        await turns(10)
+        assert descriptors() == before and stand.pool.count == 0 and len(stand.ends) == 1
+        stand.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_time_that_is_over_once_it_is_connected_does_not_end_it_half_way(new_loop: NewLoop) -> None:
+    async def test() -> None:
+        stand = Stand(connect_timeout=1.0)
+        connect_in_one_turn(0.01)
+        await turns(3)
+        stand.start(b"one")
+        peer = await stand.accept()
+        assert await stand.request(peer, 3) == b"one"
+        peer.sendall(answer(b"mine"))
+        assert (await stand.ended(1)).body == b"mine"
+        stand.close()
+
+    run(test, new_loop)
+
+
+# --- an answer belongs to one request
+
+
+@LOOPS
+def test_a_second_answer_some_milliseconds_late_is_nobody_elses(
+    new_loop: NewLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against serving a client with another's answer: the next request was written in between."""
+    monkeypatch.setattr(upstream, "REST", LONG)
+
+    async def test() -> None:
+        stand = Stand()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        peer.sendall(answer(b"mine"))
+        await stand.ended(1)
+        stand.start(b"two")
+        peer.sendall(answer(b"mine again"))  # behind the second request, wherever that was written
+        other = await stand.accept()
+        await stand.request(other, 3)
+        other.sendall(answer(b"yours"))
+        assert (await stand.ended(2)).body == b"yours"
+        assert peer.recv(10) == b""  # spoilt, and that alone
+        await wait_until(lambda: stand.pool.count == 1)
+        stand.close()
+
+    run(test, new_loop)
+
+
+def test_a_connection_that_has_rested_is_used_again_the_latest_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "REST", LONG)
+
+    async def test() -> None:
+        stand = Stand()
+        peers = []
+        for _ in range(3):
+            stand.start(b"one")
+            peers.append(await stand.accept())
+            await stand.request(peers[-1], 3)
+        for number, peer in enumerate(peers):
+            peer.sendall(answer(b"x"))
+            await stand.ended(number + 1)
+        idle = stand.pool.hosts["b0"].idle
+        assert [c.sock.getpeername() for c in idle] == [p.getsockname() for p in peers] and len(idle) == 3
+        used = list(idle)
+        for connection in used[:2]:
+            connection.idle_since -= LONG
+        stand.start(b"two")
+        assert idle == [used[0], used[2]]  # not the latest of all, which has not rested
+        assert await stand.request(peers[1], 3) == b"two"
+        stand.start(b"six")
+        assert await stand.request(peers[0], 3) == b"six"
+        stand.start(b"ten")
+        assert await stand.request(await stand.accept(), 3) == b"ten"
+        stand.close()
+
+    run(test)
+
+
+def test_at_the_cap_one_that_has_not_rested_is_closed_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "REST", LONG)
+
+    async def test() -> None:
+        stand = Stand(limit=1)
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        peer.sendall(answer(b"x"))
+        await stand.ended(1)
+        stand.start(b"two")
+        assert stand.pool.count == 1 and peer.recv(10) == b""
+        assert await stand.request(await stand.accept(), 3) == b"two"
+        stand.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("limit", [0.0, 20.0, 300.0])
+def test_short_idle_limits(limit: float) -> None:
+    """A connection is kept only where it can be used again before the backend closes it."""
+
+    async def test() -> None:
+        stand = Stand(conn_idle=limit)
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        began = time.monotonic()
+        peer.sendall(answer(b"x"))
+        await stand.ended(1)
+        assert stand.pool.count == len(stand.pool.hosts["b0"].idle) == (limit == 300.0)
+        assert await asyncio.to_thread(peer.recv, 10) == b""
+        assert limit < 300 or time.monotonic() - began > KEEP * 0.3
+        await wait_until(lambda: not stand.pool.count)
+        stand.close()
+
+    run(test)
+
+
+@LOOPS
+def test_an_answer_that_is_there_before_the_request_serves_nobody(new_loop: NewLoop) -> None:
+    """The request is not sent at all, so that it may go elsewhere, whatever its class."""
+
+    async def test() -> None:
+        stand = Stand()
+        connect_in_one_turn()
+        stand.start(b"one")
+        await turns(1)  # it is connected, and about to be written
+        stand.listener.setblocking(True)
+        peer, _ = stand.listener.accept()
+        peer.sendall(answer(b"nobody's"))
+        assert (await stand.ended(1)).status is Status.CONNECT_FAILED
+        assert peer.recv(10) == b"" and stand.pool.count == 0
+        peer.close()
+        stand.close()
+
+    run(test, new_loop)
+
+
+BIG = b"POST / HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + b"x" * 64_000_000  # more than kernels hold
+
+
+@LOOPS
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        (answer(b"not mine"), Status.CONNECT_FAILED),
+        (answer(b"", "503 Service Unavailable", "Not-Started: 1"), Status.FULL),
+        (answer(b"", "500 Internal Server Error"), Status.ERROR),
+    ],
+)
+def test_an_answer_before_the_last_byte_of_the_request(
+    new_loop: NewLoop, text: bytes, status: Status
+) -> None:
+    async def test() -> None:
+        stand = Stand()
+        attempt = stand.start(BIG)
+        peer = await stand.accept()
+        await stand.request(peer, 1)
+        assert not attempt.left
+        peer.sendall(text)
+        assert (await stand.ended(1)).status is status
+        assert stand.pool.count == 0
+        stand.close()
+
+    run(test, new_loop)
+
+
+@pytest.mark.parametrize(
+    ("text", "status", "kept"),
+    [
+        (answer(b"mine") + b"x", Status.OK, False),
+        (answer(b"mine") + answer(b"mine again"), Status.OK, False),
+        (b"HTTP/1.1 102 P\r\nNot-Started: 1\r\n\r\n" * 3 + answer(b"mine"), Status.OK, True),
+        (b"HTTP/1.1 102 P\r\n\r\n" + answer(b"", "503 Busy", "Not-Started: 1"), Status.FULL, True),
+        (b"HTTP/1.1 102 P\r\nNot-Started: 1\r\n\r\n" + answer(b"", "503 Busy"), Status.ERROR, True),
+        (b"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nNot-Started: 1\r\n\r\n",
+         Status.ERROR, True),
+    ],
+)  # fmt: skip
+def test_what_stands_round_an_answer(text: bytes, status: Status, kept: bool) -> None:
+    """In one packet, and byte by byte up to the answer's end."""
+
+    async def test() -> None:
+        stand = Stand()
+        for count, step in ((1, len(text)), (2, 1)):
+            stand.start(b"one")
+            peer = await stand.accept()
+            peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await stand.request(peer, 3)
+            for at in range(0, len(text), step):
+                if len(stand.ends) < count:
+                    peer.sendall(text[at : at + step])
+                    await turns(2)
+            assert (await stand.ended(count)).status is status
+            if step > 1:
+                assert stand.pool.count == kept
+            stand.pool.close_idle("b0")
+        stand.close()
+
+    run(test)
+
+
+# --- a repeat that comes too late
+
+
+@LOOPS
+@pytest.mark.parametrize("kept", [True, False])
+def test_what_cannot_be_written_in_its_window_is_not_written(new_loop: NewLoop, kept: bool) -> None:
+    """Guards against an effect doubled: the connection for a keyed repeat is held back until after it."""
+
+    async def test() -> None:
+        loop, stand, go = asyncio.get_running_loop(), Stand(), asyncio.Event()
+        connect, begin_by = loop.sock_connect, time.monotonic() + 0.01
+
+        async def held_back(sock: socket.socket, address: Any) -> None:
+            await connect(sock, address)
+            await go.wait()
+
+        if kept:
+            stand.start(b"one")
+            peer = await stand.accept()
+            await stand.request(peer, 3)
+            peer.sendall(answer(b"x"))
+            await stand.ended(1)
+            stand.pool.hosts["b0"].idle[0].idle_since -= LONG
+            await asyncio.to_thread(time.sleep, 0.02)
+            stand.start(b"two", begin_by)
+        else:
+            loop.sock_connect = held_back  # type: ignore[method-assign]
+            stand.start(b"two", begin_by)
+            peer = await stand.accept()
+            await asyncio.to_thread(time.sleep, 0.02)
+            assert not stand.ends
+            go.set()
+        assert await asyncio.to_thread(peer.recv, 10) == b""
+        assert (await stand.ended(1 + kept)).status is Status.MOOT and stand.pool.count == 0
+        stand.start(b"ten", time.monotonic() + 3600)
+        assert await stand.request(await stand.accept(), 3) == b"ten"
+        stand.close()
+
+    run(test, new_loop)
