Serve names with letters outside ASCII as they stand, and tell a bad client's /up from the front's

Ruled out before: second answers that come late (a rest of 25 ms changed nothing).

Change: the front's question has no query and none of a request's headers. High bytes of a request line are encoded for the parser alone; the target goes on as it came. Names with a slash are found either way.

Seen: tests/net/test_other_customers.py failed without, passes with, with requests cut anywhere.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -31,6 +31,10 @@
 BRIEF = 2.1  # the same where more than FEW of all that may be there are idle; first answers close then
 FEW = 1 / 8
 SWEEP = 0.2  # s between two looks for connections whose time is up
+ASKS = frozenset({  # headers that a client's request has, and the front's question has not
+    b"request-id", b"request-timeout", b"tenant", b"idempotency-key", b"client-retry", b"work-hint",
+    b"request-info",
+})  # fmt: skip
 ONCE = frozenset({b"request-id", b"idempotency-key", b"request-timeout", b"host"})
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
@@ -91,6 +95,8 @@
         self.blocked = False  # the kernel has not taken all that was written
         self.until = 0.0  # ms, the latest deadline of its requests
         self.parser = httptools.HttpRequestParser(self)
+        self.in_line, self.line = True, b""  # a request line is read; as much of it as came before
+        self.raw = b""  # its target as it came, where that is not what the parser was given
         self._reset()
 
     def _reset(self) -> None:
@@ -160,6 +166,8 @@
             if self.left > MAX_BODY and self.transport is not None:
                 self.transport.pause_reading()
             return
+        if self.in_line:
+            data = self._escape(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -183,6 +191,22 @@
         if self.mid and not (self.closing or self.blocked):
             self.front.waiting.setdefault(self, self.front.loop.time())
 
+    def _escape(self, data: bytes) -> bytes:
+        """Percent-encode letters outside ASCII in the request line: clients send them, the parser refuses them.
+
+        The target goes on to a backend as it came.
+        """
+        line, ends, rest = data.partition(b"\n")
+        self.line += line
+        whole = self.line
+        if ends:
+            self.in_line, self.line = not whole.strip(), b""
+        if line.isascii() and (not ends or whole.isascii()):
+            return data
+        if ends:
+            self.raw = b"".join(whole.split(b" ")[1:2])
+        return b"".join(b"%%%02X" % c if c > 127 else bytes((c,)) for c in line) + ends + rest
+
     def _end_here(self) -> None:
         """Read no more: the parser stops at an upgrade, which is not to be had here.
 
@@ -253,7 +277,7 @@
         """The request is whole: it is taken from here on."""
         if self.close_after:
             return
-        self.mid = False
+        self.mid, self.in_line = False, True
         self.asked += 1
         self.front.waiting.pop(self, None)
         self.keep_alive = self.parser.should_keep_alive()
@@ -274,8 +298,9 @@
             raise BadRequest(400, "bad target") from None
         path, query = url.path or b"/", url.query or b""
         cls = node.class_paths.find(path)
-        # Where a class is called `up` the path does not tell its requests from the question: they have an id.
-        if path == b"/up" and (cls is None or b"request-id" not in headers):
+        # Where a class is called `up` the path does not tell its requests from the question, their headers do.
+        # Guards against serving one that lacks its id with what no backend made.
+        if path == b"/up" and (cls is None or not (query or headers.keys() & ASKS)):
             up = node.ready and not node.stopping
             self._write(200 if up else 503, b"up\n" if up else b"not up\n")
             return
@@ -309,7 +334,8 @@
             writes=cls.effect is not Effect.SAFE,
         )
         self.request, self.until = name, max(self.until, event.deadline)
-        node.arrival(event, self, partial(render, method, self.target, headers, b"".join(self.body)))
+        target, self.raw = self.raw or self.target, b""
+        node.arrival(event, self, partial(render, method, target, headers, b"".join(self.body)))
 
     def _hint(self) -> float | None:
         value = self.headers.get(b"work-hint", b"")
--- a/dillport/proto/class_path.py
+++ b/dillport/proto/class_path.py
@@ -33,12 +33,13 @@
 
     def find(self, path: bytes) -> C | None:
         """The class of a path that begins with `/`, or None."""
-        first = path[1:].partition(b"/")[0]
-        if b"%" in first:
-            found = self.by_name.get(unquote_to_bytes(first))
-            if found is not None:
+        first, meant = path[1:].partition(b"/")[0], path
+        if b"%" in path:
+            meant = unquote_to_bytes(path)
+            if (found := self.by_name.get(unquote_to_bytes(first))) is not None:
                 return found
         for name in self.paths:
-            if path.startswith(name, 1) and path[1 + len(name) : 2 + len(name)] in (b"", b"/"):
-                return self.by_name[name]
+            for text in (path, meant):
+                if text.startswith(name, 1) and text[1 + len(name) : 2 + len(name)] in (b"", b"/"):
+                    return self.by_name[name]
         return self.by_name.get(first)
--- a/tests/net/test_other_customers.py
+++ b/tests/net/test_other_customers.py
@@ -47,6 +47,42 @@
             assert (await client.answer()).body == b"up\n" and backend.got.empty()
             client.send("/none")
             assert (await client.answer()).code == 404
+            up = "/up HTTP/1.1\r\n"
+            for lacks_its_id in ("/up?obj=7 HTTP/1.1", f"{up}Tenant: t", f"{up}Request-Timeout: 9m"):
+                other = Client(*await asyncio.open_connection(*front.address))
+                other.writer.write(f"GET {lacks_its_id}\r\n\r\n".encode())
+                assert (await other.answer()).code == 400
+                other.writer.transport.abort()
+            client.writer.transport.abort()
+        backend.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize("rest", ["", "/x", "?obj=ø", "/%C3%B8?obj=%"])
+@pytest.mark.parametrize("name", ["日本", "høyvann/idag", "a/b"])
+def test_names_sent_as_they_stand_go_on_unchanged(tmp_path: Path, name: str, rest: str) -> None:
+    """Cut anywhere, with another request behind it on the connection, and letters of a body left alone."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        target = f"/{name}{rest}".encode()
+        over = {"request-classes": classes("x", name)}
+        async with fronting(tmp_path, backend.member(), **over) as front:
+            client = Client(*await asyncio.open_connection(*front.address))
+            body = "ø\nø HTTP/1.1\n".encode()
+            text = b"POST %b HTTP/1.1\r\nRequest-Id: 99\r\nIdempotency-Key: \xc3\xb8\r\n" % target
+            text += b"Content-Length: %d\r\n\r\n" % len(body)
+            for number, cut in enumerate((0, 1, 5, 6, 7, 8, len(target) + 4, len(target) + 6, len(text)), 10):
+                whole = (b"\r\n" if number == 12 else b"") + text.replace(b": 99", b": %d" % number) + body
+                client.writer.write(whole[:cut])
+                await asyncio.sleep(0.002)
+                client.writer.write(whole[cut:])
+                got = await client.answer()
+                assert (got.code, got.body) == (200, b"b0 %d" % number)
+                sent = await backend.got.get()
+                assert sent.start.encode("latin-1") == b"POST %b HTTP/1.1" % target and sent.body == body
             client.writer.transport.abort()
         backend.stop()
 
