Bound all bytes of one backend's answer

Cause: `data_received` bounds the head and the body's own bytes; chunk extensions, digits of a chunk's size and trailers count as neither, so that an answer could go on for as long as the attempt has time.

Change: 512 KiB for all bytes of an answer, over which it ends as a reset with one line. A body of 64 KiB in chunks of one byte takes 384 KiB, and is served as before.

Seen: five shapes of answers without end in tests/net/test_upstream.py fail without the bound. The head's bound held for interim answers, header lines and empty lines, the body's for chunks of one byte.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -22,6 +22,7 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+MAX_BYTES = 8 * MAX_BODY  # of one answer: a body in chunks of one byte takes six times its size
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
 REST = 0.025  # s from an answer to the next request: a second answer may come some milliseconds late
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
@@ -120,7 +121,7 @@
     def _reset(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.body: list[bytes] = []
-        self.size = self.head = 0
+        self.size = self.head = self.bytes = 0
         self.in_body = False
         self.load = self.content_type = b""
         self.not_started = self.complete = self.excess = self.large = False
@@ -236,6 +237,9 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             fault = f"broken answer: {err}"
+        self.bytes += len(
+            data
+        )  # guards against chunks, their extensions, trailers or interim ones without end
         if not self.in_body:
             self.head += len(data)  # guards memory against a header without end, which the parser would keep
         if self.complete and self.code == 200 and self.blocked:
@@ -244,7 +248,7 @@
             self._fail(Status.CONNECT_FAILED)
         elif self.complete:
             self._finish(not fault and not self.excess)
-        elif fault or self.large or self.head > MAX_HEAD:
+        elif fault or self.large or self.head > MAX_HEAD or self.bytes > MAX_BYTES:
             log.warning("backend %s:%d: %s", *self.address, fault or "answer too large")
             self._fail(Status.RESET)
 
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import os
 import socket
@@ -17,7 +18,7 @@
 from dillport.interface import RequestClass as Class
 from dillport.members import listing
 from dillport.net import upstream
-from dillport.net.upstream import KEEP, Answer, Pool
+from dillport.net.upstream import KEEP, MAX_BODY, Answer, Pool
 from tests.sockets import WAIT, answer
 
 NewLoop = Callable[[], asyncio.AbstractEventLoop]
@@ -406,3 +407,63 @@
         stand.close()
 
     run(test, new_loop)
+
+
+# --- answers without end
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TINY = b"".join(b"1\r\n%c\r\n" % (97 + n % 26) for n in range(MAX_BODY))
+
+
+def test_a_body_in_the_smallest_chunks_is_served() -> None:
+    async def test() -> None:
+        stand = Stand()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        await asyncio.to_thread(peer.sendall, CHUNKED + TINY + b"0\r\n\r\n")
+        end = await stand.ended(1)
+        assert end.status is Status.OK and len(end.body) == MAX_BODY
+        stand.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("start", "again"),
+    [
+        (CHUNKED + b"1;", b"x" * 1024),
+        (CHUNKED, b"1;" + b"x" * 1024 + b"\r\ny\r\n"),
+        (CHUNKED, b"1\r\ny\r\n"),
+        (CHUNKED + b"0\r\n", b"More: " + b"x" * 1024 + b"\r\n"),
+        (CHUNKED + b"0\r\nMore: ", b"x" * 1024),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"More: x\r\n"),
+        (CHUNKED, b"000000000000"),
+        (b"", b"\r\n"),
+    ],
+)
+def test_an_answer_without_end_is_given_up(
+    start: bytes, again: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Whatever is without end in it; one plain line says so, and the next request is served."""
+
+    async def test() -> None:
+        stand = Stand()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        text = start + again * (1_000_000 // len(again))  # this much, and no end
+        with contextlib.suppress(ConnectionError):
+            await asyncio.to_thread(peer.sendall, text)
+        assert (await stand.ended(1)).status is Status.RESET
+        assert stand.pool.count == 0 and len(caplog.records) == 1
+        assert len(caplog.records[0].getMessage()) < 200 and caplog.records[0].exc_info is None
+        stand.start(b"two")
+        other = await stand.accept()
+        await stand.request(other, 3)
+        other.sendall(answer(b"yours"))
+        assert (await stand.ended(2)).body == b"yours"
+        stand.close()
+
+    run(test)
