Test what surely never ran, and end a lost connection once

Breaks, time-outs and changes of the list are put between the lines of an attempt's way under both loops: an idle or new connection closed or reset before and behind its write, partly written requests that are reset, closed, half closed or timed out, a refusal cut in its body, a first copy still open as the second arrives, a pool whose every connection comes up, a backend removed, back, draining or moved meanwhile.

One fault was found: after a half close under a partly written request, `close` aborted a transport that had just told of its end; asyncio's own loop then ended it a second time with a traceback (uvloop does not). The transport is forgotten as it tells so.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -225,6 +225,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A break before the request's last byte has left proves that it never ran; after, it may have."""
+        self.transport = None  # nothing to abort: asyncio's own would end a second time, with a traceback
         self._fail(Status.RESET if self.wrote and not self.blocked else Status.CONNECT_FAILED)
 
     def data_received(self, data: bytes) -> None:
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -6,7 +6,9 @@
 import contextlib
 import math
 import os
+import select
 import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -18,7 +20,7 @@
 from dillport.interface import RequestClass as Class
 from dillport.members import listing
 from dillport.net import upstream
-from dillport.net.upstream import KEEP, MAX_BODY, Answer, Pool
+from dillport.net.upstream import KEEP, MAX_BODY, REST, Answer, Pool
 from tests.sockets import WAIT, answer
 
 NewLoop = Callable[[], asyncio.AbstractEventLoop]
@@ -30,12 +32,16 @@
 def run(test: Callable[[], Awaitable[None]], new_loop: NewLoop = uvloop.new_event_loop) -> None:
     """Run a test's coroutine, with an end to it."""
 
+    faults: list[Any] = []
+
     async def bounded() -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: faults.append(context))
         async with asyncio.timeout(3 * WAIT):
             await test()
 
     with asyncio.Runner(loop_factory=new_loop) as runner:
         runner.run(bounded())
+    assert not faults
 
 
 def members(port: int, **over: Any) -> Any:
@@ -467,3 +473,235 @@
         stand.close()
 
     run(test)
+
+
+# --- what surely never ran
+
+
+def cross(monkeypatch: pytest.MonkeyPatch, before: Callable[[], Any], behind: Callable[[], Any]) -> None:
+    """What happens before and behind each write to a backend, in its turn."""
+    write = upstream.Connection.write
+
+    def crossed(connection: upstream.Connection, attempt: upstream.Attempt) -> None:
+        before()
+        write(connection, attempt)
+        behind()
+
+    monkeypatch.setattr(upstream.Connection, "write", crossed)
+
+
+def nothing() -> None:
+    """Happens."""
+
+
+@LOOPS
+@pytest.mark.parametrize("reset", [True, False])
+@pytest.mark.parametrize("order", ["seen", "before", "behind"])
+def test_an_idle_connection_closed_as_a_request_is_written(
+    new_loop: NewLoop, monkeypatch: pytest.MonkeyPatch, order: str, reset: bool
+) -> None:
+    """Behind the look at it: a request that has left may have run, and one that could not has not."""
+
+    async def test() -> None:
+        stand = Stand()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        peer.sendall(answer(b"x"))
+        await stand.ended(1)
+        stand.pool.hosts["b0"].idle[0].idle_since -= REST
+
+        def end() -> None:
+            if reset:
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            peer.close()
+
+        if order == "seen":
+            end()
+            stand.start(b"two")  # the loop has not turned
+            assert await stand.request(await stand.accept(), 3) == b"two"
+        else:
+            cross(monkeypatch, *((end, nothing) if order == "before" else (nothing, end)))
+            stand.start(b"two")
+            never = reset and order == "before"  # its write fails at once
+            assert (await stand.ended(2)).status is (Status.CONNECT_FAILED if never else Status.RESET)
+            assert stand.pool.count == 0
+        await turns(10)
+        stand.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+@pytest.mark.parametrize("reset", [True, False])
+def test_a_new_connection_closed_in_the_turn_of_its_first_request(new_loop: NewLoop, reset: bool) -> None:
+    async def test() -> None:
+        stand = Stand()
+        connect_in_one_turn()
+        stand.start(b"one")
+        await turns(1)
+        stand.listener.setblocking(True)
+        peer, _ = stand.listener.accept()
+        if reset:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()
+        assert (await stand.ended(1)).status is Status.CONNECT_FAILED and stand.pool.count == 0
+        await turns(10)
+        stand.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_a_break_in_the_middle_of_a_refusal_may_have_run(new_loop: NewLoop) -> None:
+    """Its head says that the request was not started, but it is not whole."""
+
+    async def test() -> None:
+        stand = Stand()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        peer.sendall(answer(b"xx", "503 Busy", "Not-Started: 1")[:-1])
+        peer.close()
+        assert (await stand.ended(1)).status is Status.RESET and stand.pool.count == 0
+        stand.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+@pytest.mark.parametrize("whole", [False, True])
+@pytest.mark.parametrize("ending", ["reset", "closed", "half closed"])
+def test_a_break_under_a_request_that_is_partly_written(new_loop: NewLoop, ending: str, whole: bool) -> None:
+    """It never ran as long as a byte of it is here; once the last has left it may have."""
+
+    async def test() -> None:
+        stand = Stand()
+        attempt = stand.start(BIG)
+        peer = await stand.accept()
+        await stand.request(peer, 1)
+        assert not attempt.left
+        if ending == "half closed":
+            peer.shutdown(socket.SHUT_WR)
+            await turns(5)
+        if whole:
+            await stand.request(peer, len(BIG) - 1)
+        if ending == "reset":
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()
+        assert (await stand.ended(1)).status is (Status.RESET if whole else Status.CONNECT_FAILED)
+        assert stand.pool.count == 0
+        await turns(10)
+        stand.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_a_time_out_in_the_turn_in_which_the_last_byte_leaves(new_loop: NewLoop) -> None:
+    """Dropped while a byte is here, the rest never leaves; once none is, it may have run."""
+
+    async def test() -> None:
+        stand = Stand()
+        attempt = stand.start(BIG)
+        peer = await stand.accept()
+        await stand.request(peer, 1)
+        assert not attempt.left
+        attempt.drop()
+        peer.settimeout(WAIT)
+        got = 1
+
+        def rest() -> int:
+            return got + sum(iter(lambda: len(peer.recv(1_000_000)), 0))
+
+        assert await asyncio.to_thread(rest) < len(BIG) and stand.pool.count == 0
+        attempt = stand.start(BIG)
+        peer = await stand.accept()
+        left = len(BIG)
+        while not attempt.left:
+            assert left > 0
+            peer.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                left -= len(peer.recv(65536))
+            await turns(1)
+        peer.settimeout(WAIT)
+        attempt.drop()  # it said that it left: all of it is there
+        assert await asyncio.to_thread(lambda: sum(iter(lambda: len(peer.recv(1_000_000)), 0))) == left
+        stand.close()
+
+    run(test, new_loop)
+
+
+# --- one attempt out
+
+
+@LOOPS
+@pytest.mark.parametrize("big", [False, True])
+def test_the_first_connection_is_shut_before_the_second_requests_first_byte(
+    new_loop: NewLoop, big: bool
+) -> None:
+    async def test() -> None:
+        stand = Stand()
+        attempt = stand.start(BIG if big else b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 1 if big else 3)
+        attempt.drop()
+        stand.start(b"two")
+        other = await stand.accept()
+        while not select.select([other], [], [], 0)[0]:
+            await turns(1)
+        peer.setblocking(False)
+        if big:  # the end stands behind what the kernels hold of it: it never becomes whole
+            peer.settimeout(WAIT)
+            assert await asyncio.to_thread(lambda: len(peer.makefile("rb").read())) < len(BIG) - 1
+        else:
+            assert peer.recv(1) == b""
+        stand.close()
+
+    run(test, new_loop)
+
+
+# --- while a connection comes up
+
+
+@LOOPS
+@pytest.mark.parametrize("turn", range(4))
+@pytest.mark.parametrize("change", ["removed", "removed and back", "draining", "moved"])
+def test_a_change_of_the_list_as_a_connection_comes_up(new_loop: NewLoop, turn: int, change: str) -> None:
+    """The attempt is not written: moot, and the connection is no longer counted."""
+
+    async def test() -> None:
+        stand, other = Stand(limit=1), socket.create_server(("127.0.0.1", 0))
+        connect_in_one_turn()
+        attempt = stand.start(b"one")
+        await turns(turn)
+        written = attempt.connection.wrote
+        if change.startswith("removed"):
+            stand.pool.update((), ["b0"])
+        if change == "removed and back":
+            stand.pool.update(members(stand.port))
+        if change == "draining":
+            stand.pool.update(members(stand.port, phase="terminating"))
+        if change == "moved":
+            stand.pool.update(members(other.getsockname()[1]))
+        if not written:
+            end = await stand.ended(1)
+            assert end.status is Status.MOOT and stand.pool.count == 0
+            assert (await stand.accept()).recv(10) == b""
+        other.close()
+        stand.close()
+
+    run(test, new_loop)
+
+
+def test_a_pool_whose_every_connection_comes_up_sends_no_more() -> None:
+    async def test() -> None:
+        stand = Stand(limit=2)
+        for text in (b"one", b"two", b"six"):
+            stand.start(text)
+        assert [end.status for end in stand.ends] == [Status.MOOT] and stand.pool.count == 2
+        got = {await stand.request(await stand.accept(), 3) for _ in range(2)}
+        assert got == {b"one", b"two"}
+        stand.close()
+
+    run(test)
