See a client leave that sent much behind its open request

Cause: ClientConnection.data_received paused reading for good once over 64 KiB had come behind an open request, so that neither the end of the stream was read nor, so, the client's leaving: its request stayed open and was sent on.

Change: reading goes on with one read (256 KiB at most) each 20 ms while the connection is there, what is read is dropped: 13 MB a second at most for a client that floods, until its answer and LINGER are over.

Seen: test_the_leaving_of_a_client_that_sent_much... failed for FIN and half-close on both loops without it (a reset was seen). Ruled out: the pause behind unread answers hides no leaving, a close over unread bytes resets and the write in wait sees it (test_the_leaving_of_a_client_that_does_not_read..., both loops). Clients that leave in a burst (FIN, reset, half-close, before and after their answers) leave no row behind; the tests passed as it was.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -23,6 +23,7 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+GULP = 0.02  # s between two reads of what nobody asked for: 13 MB a second, until its request has its answer
 LINGER = 0.5  # s for a client to read its last answer before the connection is torn down
 HIGH = 64 * 1024  # unread bytes behind which requests in a packet that was already read are left
 SAY = 10.0  # s between two lines on clients that do not read
@@ -157,10 +158,12 @@
         """Read a request; what cannot be read gets a plain answer and a close."""
         if self.closing or self.close_after:
             # The answer under way says `Connection: close`: what follows is for another connection. A little
-            # of it is taken from the kernel, as a close over unread bytes resets; a flood is left there.
+            # of it is taken from the kernel, as a close over unread bytes resets; a flood is taken slowly,
+            # one read (256 KiB at most) in each `GULP`: its end is the only sign that the client has left.
             self.left += len(data)
             if self.left > MAX_BODY and self.transport is not None:
                 self.transport.pause_reading()
+                self.front.loop.call_later(GULP, self._read_on)
             return
         try:
             self.parser.feed_data(data)
@@ -185,6 +188,10 @@
         if self.mid and not (self.closing or self.blocked):
             self.front.waiting.setdefault(self, self.front.loop.time())
 
+    def _read_on(self) -> None:
+        if self.transport is not None and not (self.blocked or self.transport.is_closing()):
+            self.transport.resume_reading()
+
     def _end_here(self) -> None:
         """Read no more: the parser stops at an upgrade, which is not to be had here.
 
--- a/tests/net/test_ending.py
+++ b/tests/net/test_ending.py
@@ -5,15 +5,16 @@
 import asyncio
 import itertools
 import socket
+import struct
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
 from dillport.decide.shutdown import Ends
-from dillport.net.front import Front
+from dillport.net.front import GULP, Front
 from tests.net.test_front import LOOPS, Deaf, NewLoop, fronting, large, run, stuff, until
-from tests.sockets import HOUR, PATIENT, WAIT, Backend, Client, Message
+from tests.sockets import HOUR, PATIENT, WAIT, Backend, Client, Message, echo
 
 IDS = itertools.count(1)
 __all__ = ["deaf"]
@@ -194,3 +195,138 @@
             assert await client.ended() == b"" and await before.ended() == b""
 
     run(test)
+
+
+# --- clients that leave
+
+
+def reset(sock: socket.socket) -> None:
+    """Leave with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+WAYS = pytest.mark.parametrize(
+    "leave",
+    [reset, socket.socket.close, lambda sock: sock.shutdown(socket.SHUT_WR)],
+    ids=["reset", "fin", "half"],
+)
+
+
+@LOOPS
+@WAYS
+def test_the_leaving_of_a_client_that_sent_much_is_seen_while_its_request_waits(
+    tmp_path: Path, new_loop: NewLoop, leave: Callable[[socket.socket], None]
+) -> None:
+    """Guards against sending on for one that has gone: its reading stopped for good over 64 KiB."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", never), settings=PATIENT) as front:
+            sock = connected(front, read())
+            await until(lambda: front.node.open)
+            await asyncio.get_running_loop().sock_sendall(sock, b"GET /up HTTP/1.1\r\n\r\n" * 50_000)
+            leave(sock)
+            await until(lambda: not front.node.open and not front.connections)
+            sock.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_a_client_that_sends_for_ever_is_read_slowly_and_gets_its_answer(
+    tmp_path: Path, new_loop: NewLoop
+) -> None:
+    go = asyncio.Event()
+
+    async def late(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await echo(backend, message, writer)
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", late), settings=PATIENT) as front:
+            sock, loop = connected(front, read()), asyncio.get_running_loop()
+            await until(lambda: front.node.open)
+            (connection,) = front.connections
+
+            async def flood() -> None:
+                while True:
+                    await loop.sock_sendall(sock, b"x" * (1 << 16))
+
+            flooding, began = asyncio.create_task(flood()), loop.time()
+            await until(lambda: connection.left > 4 << 20)
+            most = (loop.time() - began) / GULP + 2
+            assert connection.left <= most * (1 << 18) + 65536
+            go.set()
+            got, end = b"", b"b0 e%d" % (next(IDS) - 1)
+            while not got.endswith(end):
+                got += await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), WAIT)
+            assert got.count(b"HTTP/1.1 ") == 1
+            flooding.cancel()
+            sock.close()
+            await until(lambda: not front.connections)
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_the_leaving_of_a_client_that_does_not_read_is_seen_while_its_request_waits(
+    tmp_path: Path, deaf: Callable[[Front], Deaf], new_loop: NewLoop
+) -> None:
+    """Two requests in a packet, the first one's answer blocked: its connection is not read meanwhile."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", never), settings=PATIENT) as front:
+            client = deaf(front)
+            while not front.unread.total:
+                client.send(b"GET /up HTTP/1.1\r\n\r\n" * 70)
+                await asyncio.sleep(0.001)
+                if front.unread.total:
+                    await asyncio.sleep(0.3)  # the client's kernel may take it still
+            (connection,) = front.connections
+            assert connection.blocked
+            connection.data_received(read())
+            assert front.node.open and connection.blocked
+            client.sock.close()
+            await until(lambda: not front.node.open and not front.connections)
+
+    run(test, new_loop)
+
+
+@LOOPS
+@WAYS
+@pytest.mark.parametrize("answer_first", [True, False])
+def test_clients_that_leave_in_a_burst_as_their_answers_come_leave_nothing(
+    tmp_path: Path, new_loop: NewLoop, leave: Callable[[socket.socket], None], answer_first: bool,
+    caplog: pytest.LogCaptureFixture,
+) -> None:  # fmt: skip
+    """Answers and leavings lie in the kernel before the node's loop turns."""
+    waiting: list[tuple[Backend, Message, asyncio.StreamWriter]] = []
+
+    async def keep(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        waiting.append((backend, message, writer))
+
+    def give() -> None:
+        for _, message, writer in waiting:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            assert message.start
+
+    async def test() -> None:
+        faults: list[object] = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: faults.append(context))
+        async with fronting(tmp_path, *(Backend(f"b{n}", keep) for n in range(4)), settings=PATIENT) as front:
+            socks = [connected(front, read()) for _ in range(12)]
+            await until(lambda: waiting and len(front.node.open) == len(socks))
+            if answer_first:
+                give()
+            for sock in socks:
+                leave(sock)
+            if not answer_first:
+                give()
+            await until(lambda: not front.node.open and not front.connections)
+            tables = (front.idle, front.fresh, front.waiting, front.going, front.listener.coming)
+            assert not any(tables) and not len(front.unread) and not front.unread.total
+            for sock in socks:
+                sock.close()
+        assert not faults and not [r for r in caplog.records if r.exc_info]
+
+    run(test, new_loop)
