Let no signal beside SIGTERM change how a node ends

Cause: assemble.serve's handlers go with the loop; while the interpreter ends, the default is back, and a second SIGTERM or a SIGHUP ended the process by that signal (exit code -15, -1). A SIGHUP after SIGTERM could hand another file to parts that were closed already.

Seen: test_a_signal_at_the_very_end_changes_nothing failed for all three. Harmless, by the other tests of tests/test_signals.py, which passed before: SIGTERM twice, with SIGHUP before and after, while it starts.

--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -38,6 +38,7 @@
     from dillport.net.operators import Parts
     from dillport.operators import Operators
 
+ENDING = (signal.SIGTERM, signal.SIGINT)
 LOG_LINES, LOG_TIME = 50, 10.0  # at most so many lines in so many seconds
 
 
@@ -98,10 +99,12 @@
             front.ends = node.stop()
         stop.set()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in ENDING:
         loop.add_signal_handler(number, told)
 
     def hangup() -> None:  # never before the loop's next turn, when all below is there
+        if front.ends is not None:
+            return  # it ends before a change counts, and its parts may be closed
         reload(discovery)
         if parts is not None:
             parts.reload()
@@ -128,6 +131,8 @@
         await asyncio.sleep((front.ends.accept_ms - node.now()) / 1000)
         front.stop()
         await front.finish()
+        # Guards against the signals' default, which comes back with the loop's end, before the process's own.
+        signal.pthread_sigmask(signal.SIG_BLOCK, (*ENDING, signal.SIGHUP))
         discovery.watch(False)
         node.pool.close()
     finally:
