--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -13,6 +13,7 @@
 
 from dillport import interface as api
 from dillport.decide.admission import LEAST_BUDGET, OVER, UnreadAnswers
+from dillport.decide.shutdown import FRESH_MS, Ends
 from dillport.interface import Effect
 from dillport.members import Address
 from dillport.net.listener import Listener, Room
@@ -22,6 +23,7 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+GULP = 0.02  # s between two reads of what nobody asked for: 13 MB a second, until its request has its answer
 LINGER = 0.5  # s for a client to read its last answer before the connection is torn down
 HIGH = 64 * 1024  # unread bytes behind which requests in a packet that was already read are left
 SAY = 10.0  # s between two lines on clients that do not read
@@ -30,6 +32,7 @@
 IDLE = 60.0  # s that a connection is kept between two requests
 BRIEF = 2.1  # the same where more than FEW of all that may be there are idle; first answers close then
 FEW = 1 / 8
+STEP = 0.02  # s between two looks at what is still owed, once the node ends
 SWEEP = 0.2  # s between two looks for connections whose time is up
 ASKS = frozenset({  # headers that a client's request has, and the front's question has not
     b"request-id", b"request-timeout", b"tenant", b"idempotency-key", b"client-retry", b"work-hint",
@@ -161,10 +164,12 @@
         """Read a request; what cannot be read gets a plain answer and a close."""
         if self.closing or self.close_after:
             # The answer under way says `Connection: close`: what follows is for another connection. A little
-            # of it is taken from the kernel, as a close over unread bytes resets; a flood is left there.
+            # of it is taken from the kernel, as a close over unread bytes resets; a flood is taken slowly,
+            # one read (256 KiB at most) in each `GULP`: its end is the only sign that the client has left.
             self.left += len(data)
             if self.left > MAX_BODY and self.transport is not None:
                 self.transport.pause_reading()
+                self.front.loop.call_later(GULP, self._read_on)
             return
         if self.in_line:
             data = self._escape(data)
@@ -192,7 +197,7 @@
             self.front.waiting.setdefault(self, self.front.loop.time())
 
     def _escape(self, data: bytes) -> bytes:
-        """Percent-encode letters outside ASCII in the request line: clients send them, the parser refuses them.
+        """Percent-encode letters outside ASCII in the request line: the parser refuses what clients send.
 
         The target goes on to a backend as it came.
         """
@@ -207,6 +212,10 @@
             self.raw = b"".join(whole.split(b" ")[1:2])
         return b"".join(b"%%%02X" % c if c > 127 else bytes((c,)) for c in line) + ends + rest
 
+    def _read_on(self) -> None:
+        if self.transport is not None and not (self.blocked or self.transport.is_closing()):
+            self.transport.resume_reading()
+
     def _end_here(self) -> None:
         """Read no more: the parser stops at an upgrade, which is not to be had here.
 
@@ -223,6 +232,12 @@
         elif self.request is None:
             self.close()
 
+    def end(self) -> None:
+        """The node ends: turn away a request that is not whole, and take no other."""
+        if self.mid:
+            self._write(503, b"this node ends\n")
+        self.close()
+
     # --- httptools; a BadRequest that is raised here ends `feed_data`
 
     def on_message_begin(self) -> None:
@@ -298,8 +313,8 @@
             raise BadRequest(400, "bad target") from None
         path, query = url.path or b"/", url.query or b""
         cls = node.class_paths.find(path)
-        # Where a class is called `up` the path does not tell its requests from the question, their headers do.
-        # Guards against serving one that lacks its id with what no backend made.
+        # Where a class is called `up` the headers tell its requests from the question. Guards against serving
+        # one that lacks its id with what no backend made.
         if path == b"/up" and (cls is None or not (query or headers.keys() & ASKS)):
             up = node.ready and not node.stopping
             self._write(200 if up else 503, b"up\n" if up else b"not up\n")
@@ -318,6 +333,9 @@
         wait = cls.deadline
         if b"request-timeout" in headers:
             wait = min(wait, parse_timeout(headers[b"request-timeout"]))
+        if self.front.ends is not None:
+            # Guards against a request that is still open when SIGKILL comes.
+            wait = min(wait, max(0.0, self.front.ends.last_ms - now))
         key = parse_qs(query.decode("latin-1")).get("obj")
         if node.full() or self.over or self.front.unread.full:
             # Guards the descriptors, open requests and memory: nothing ran, so turning it away is harmless.
@@ -427,6 +445,7 @@
         self.fresh: dict[ClientConnection, float] = {}
         self.waiting: dict[ClientConnection, float] = {}
         self.going: set[ClientConnection] = set()  # closed, their descriptors free in a turn or two
+        self.ends: Ends | None = None  # once the node is told to end
         self.listener = Listener(lambda: ClientConnection(self), self._room)
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
 
@@ -538,8 +557,30 @@
         self.unread.forget(connection)
 
     def stop(self) -> None:
-        """Accept no more and close what is idle."""
+        """Accept all that wait and no more; close what is idle. A request on its way is still taken."""
         self.listener.close()
-        self.sweeper.cancel()
-        for connection in [*self.idle, *self.fresh]:
+        for connection in list(self.idle):
             connection.close()
+
+    async def finish(self) -> None:
+        """After `stop`: wait until all is answered and its client has it, then end what is left.
+
+        Bound: the time by which all is to be answered. Looks are taken every `STEP`: what is owed is in many
+        places, and comes back to some of them.
+        """
+        assert self.ends is not None
+        mute: list[ClientConnection] = []
+        while True:
+            # Between two looks all that had come was read: guards a first request that lies in the kernel.
+            for connection in [*self.idle, *(c for c in mute if c in self.fresh)]:
+                connection.close()
+            left = (self.ends.last_ms - self.node.now()) / 1000
+            if left <= 0 or not (self.connections or self.listener.coming or self.node.open):
+                break
+            now = self.loop.time()
+            mute = [c for c, since in self.fresh.items() if now - since >= FRESH_MS / 1000 or left <= STEP]
+            await asyncio.sleep(min(STEP, left))
+        await self.node.finish(0)
+        for connection in list(self.connections):
+            connection.end()
+        self.sweeper.cancel()
