Bound the wait for a mute discovery by the time to obey drains, and let watches live by lines

Where lists are pushed, what discovery's agent gets at its return counts as told at once.

Now `pace` and `Life` decide by the settings: from the return to the next call at most 0.65 of the drain grace passes (0.45 patience, 0.2 wait; floors 100 and 40 ms), a watch is given up 3.5 s after its last line, a line or a list under way has 2 s in all and the same patience between its pieces. Patience grows, to 2 s, for a node whose own timers come late or whose discovery stutters twice in a row, and after 256 failures. A beat begins the waits anew. A call is given up only after three more turns of the loop, and its socket at once. Where nodes ask by themselves all times stay, but for a line or list under way (5 s in all).

Failed before: the return in each shape (refused, mute, silent in mid-line; 5 s and more to the list), a watch and a whole list that dribble, a beat that did not begin the waits anew. The answer in the kernel failed under uvloop with no further turns before giving up (asyncio reads first). The existing tests of waits that grow take a grace with room for the longest wait; what they assert is the same.

--- a/benchmarks/coming_back.py
+++ b/benchmarks/coming_back.py
@@ -296,7 +296,7 @@
         self.clock, self.lister, self.listed_ms = clock, lister, float("inf")
         self.turns = Turns(me, nodes, BEARS) if rule == "turns" else None
         self.asks = Balancer(api.Settings(tuple(SITE_CLASSES), must_ask=True), me) if rule == "asks" else None
-        self.follow = pf.PlatformFollow(random.Random(me), False)
+        self.follow = pf.PlatformFollow(random.Random(me), False, pf.MOST_MS / pf.WAIT_PART)
 
     def start(self) -> None:
         """The process is up."""
--- a/benchmarks/herd.py
+++ b/benchmarks/herd.py
@@ -95,7 +95,7 @@
 
     def __init__(self, clock: Clock, seed: int, frozen: bool) -> None:
         self.clock = clock
-        self.follow = pf.PlatformFollow(random.Random(seed), False)
+        self.follow = pf.PlatformFollow(random.Random(seed), False, pf.MOST_MS / pf.WAIT_PART)
         self.back: list[float] = []
 
     def hand(self, event: pf.Event) -> None:
--- a/dillport/net/assemble.py
+++ b/dillport/net/assemble.py
@@ -87,7 +87,7 @@
     listed = Source(platform.NAME)
     fleet = Fleet(node, [listed])
     node.discovery = discovery = PlatformSource(
-        config.discovery, config.settings.must_ask, node.now, fleet.hand,
+        config.discovery, config.settings.must_ask, config.settings.drain_grace, node.now, fleet.hand,
         lambda: fleet.resume(platform.NAME), node.list_failed,
     )  # fmt: skip
     cap, over = places(config.client_sockets)
--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -19,8 +19,7 @@
 log = logging.getLogger(__name__)
 
 NAME = "platform"
-SILENCE = 5.0  # s without a byte after which a watch is dead: an empty line comes every 2 s
-CONNECT = 2.0  # s for a connection to come up
+LOOKS, LOOK = 3, 0.001  # turns of the loop, and s between them, before a call is given up
 SLICE = 500  # entries of a list that are checked in one turn of the loop
 
 
@@ -39,18 +38,24 @@
         self.timer: asyncio.TimerHandle | None = None
         self.lines: deque[bytes] = deque()
         self.builder: ListingBuilder | None = None  # of a long list that is read over several turns
-        self.whole = self.over = self.dropped = False
+        self.whole = self.over = self.dropped = self.slow = False
         self.loop = asyncio.get_running_loop()
+        self.life = owner.follow.life(owner.now_ms())
+        self.dialling = self.loop.create_task(self.dial())
 
     async def dial(self) -> None:
         """Connect; `connection_lost` or this ends the call."""
+        self._awake()
         try:
-            async with asyncio.timeout(CONNECT):
-                await self.loop.create_connection(lambda: self, *self.address)
-        except (OSError, TimeoutError) as err:
+            await self.loop.create_connection(lambda: self, *self.address)
+        except (OSError, asyncio.CancelledError) as err:
+            if isinstance(err, asyncio.CancelledError) and not self.over:
+                raise
             if not self.dropped:
-                log.warning("discovery: no connection: %s", err or "timed out")
+                log.warning("discovery: no connection: %s", str(err) or "timed out")
             self.over = True
+            if self.timer is not None:
+                self.timer.cancel()
             self._end()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -62,21 +67,34 @@
         host, port = self.address
         name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         self.transport.write(platform_list.request(name, self.target, self.watch))
+        self.life.connected(self.owner.now_ms())
         self._awake()
 
     def _awake(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.loop.call_later(SILENCE, self._silent)
+        wait = max(0.0, self.life.until_ms - self.owner.now_ms()) / 1000
+        self.timer = self.loop.call_later(wait, self._silent)
+
+    def _silent(self, looks: int = LOOKS) -> None:
+        """Guards against a discovery that is cut off: nothing closes its connection, it says no more.
 
-    def _silent(self) -> None:
-        """Guards against a discovery that is cut off: nothing closes its connection, it says no more."""
+        A loop that was busy may run its timers before it reads: what waits in the kernel gets some turns.
+        """
+        self.slow = self.life.slow(self.owner.now_ms()) if looks == LOOKS else self.slow
+        if looks:
+            self.timer = self.loop.call_later(LOOK, self._silent, looks - 1)
+            return
         log.warning("discovery is silent")
         self.close()
 
     def data_received(self, data: bytes) -> None:
         """Read."""
-        self._take(self.parser.receive(data))
+        messages = self.parser.receive(data)
+        if self.parser.began and not self.over:
+            self.life.came(self.owner.now_ms(), bool(messages), self.parser.under_way)
+            self._awake()
+        self._take(messages)
 
     def eof_received(self) -> None:
         """A list without a length ends with its connection."""
@@ -87,10 +105,11 @@
             if self.dropped:
                 return
             match message:
+                case platform_list.Began():
+                    if message.accepted:
+                        self.owner.heard()
                 case platform_list.Beat():
-                    self._awake()
-                    if self.parser.accepted:
-                        self.owner.beat()
+                    self.owner.beat()
                 case platform_list.Line():
                     self.lines.append(message.text)
                 case platform_list.Finished():
@@ -132,6 +151,8 @@
             self.timer.cancel()
         if self.transport is not None:
             self.transport.abort()
+        elif not self.dialling.done():
+            self.dialling.cancel()  # no more sockets than calls, however fast they are given up
 
     def drop(self) -> None:
         """End the call and say nothing of it: its owner no longer wants to know."""
@@ -157,18 +178,19 @@
         self,
         address: Address,
         must_ask: bool,
+        drain_grace_ms: float,
         now_ms: Callable[[], float],
         hand: Callable[[membership.Event], None],
         resume: Callable[[], int | None],
         failed: Callable[[], None],
     ) -> None:
         self.address, self.now_ms, self.hand, self.resume, self.failed = address, now_ms, hand, resume, failed
-        self.follow = PlatformFollow(random.Random(), must_ask)
+        self.follow = PlatformFollow(random.Random(), must_ask, drain_grace_ms)
         self.following: Call | None = None  # the watch, or the whole list that a watch goes on from
         self.fetching: set[Call] = set()
         self.retry: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()  # which dial: the loop holds none by itself
 
     def watch(self, on: bool) -> None:
         """Start or stop the watch."""
@@ -187,9 +209,15 @@
 
     # --- what calls say
 
+    def heard(self) -> None:
+        """A call is answered as asked."""
+        self.hand(membership.Heard(NAME))
+
     def beat(self) -> None:
-        """Something came."""
+        """A watch says that nothing has changed."""
         self.hand(membership.Heard(NAME))
+        if self.resume() is not None:
+            self._follow(platform_follow.Answered())
 
     def listed(self, listing: Listing, watched: bool) -> None:
         """A list, or a line of the watch. It is no answer if nothing can be watched after it."""
@@ -210,7 +238,7 @@
             self.following = None
         if not call.whole:
             self.hand(membership.Silenced(NAME, f"no answer from discovery at {identity(call.address)}"))
-        self._follow(platform_follow.Ended(call.whole, extra))
+        self._follow(platform_follow.Ended(call.whole, extra, call.slow))
 
     # --- what was decided
 
@@ -231,9 +259,8 @@
 
     def _call(self, target: str, watch: bool) -> Call:
         call = Call(self, target, watch)
-        task = self.loop.create_task(call.dial())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.add(call.dialling)
+        call.dialling.add_done_callback(self.tasks.discard)
         return call
 
     def _drop(self) -> None:
--- a/dillport/proto/platform_list.py
+++ b/dillport/proto/platform_list.py
@@ -22,7 +22,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Beat:
-    """Something came: discovery lives."""
+    """An empty line: nothing has changed."""
+
+
+@dataclass(slots=True, frozen=True)
+class Began:
+    """The answer has begun: its head is whole; `accepted` says that it is a 200."""
+
+    accepted: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,7 +46,7 @@
     reason: str
 
 
-Message = Line | Beat | Finished | Broken
+Message = Line | Beat | Began | Finished | Broken
 
 
 def request(host: str, target: str, watch: bool) -> bytes:
@@ -55,18 +62,25 @@
         self.watch, self.over = watch, False
         self._parser = httptools.HttpResponseParser(self)
         self._rest = bytearray()
+        self._began = False
         self._out: list[Message] = []
 
     @property
-    def accepted(self) -> bool:
-        """Whether the call is answered as asked, as far as is known."""
-        return self._parser.get_status_code() == 200
+    def began(self) -> bool:
+        """Whether the answer's head is whole."""
+        return self._began
+
+    @property
+    def under_way(self) -> bool:
+        """Whether more has to come at once: the rest of an object, or of an answer that is no watch."""
+        watching = self.watch and self._parser.get_status_code() == 200
+        return self._began and not self.over and (not watching or bool(self._rest))
 
     def receive(self, data: bytes) -> list[Message]:
         """Bytes as they come, cut anywhere."""
         if self.over:
             return []
-        self._out = [Beat()]
+        self._out = []
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
@@ -86,15 +100,22 @@
         self.over = True
         self._out.append(message)
 
+    def on_headers_complete(self) -> None:
+        """The head is whole."""
+        self._began = True
+        self._out.append(Began(self._parser.get_status_code() == 200))
+
     def on_body(self, body: bytes) -> None:
         """A piece of it."""
         if self.over or self._parser.get_status_code() != 200:
             return
         self._rest += body
-        if self.watch and b"\n" in body:
+        if not self.watch:
+            return
+        if b"\n" in body:
             *lines, rest = self._rest.split(b"\n")
             self._rest = bytearray(rest)
-            self._out += [Line(bytes(line)) for line in lines if line.strip()]
+            self._out += [Line(bytes(line)) if line.strip() else Beat() for line in lines]
 
     def on_message_complete(self) -> None:
         """The end of a whole list, or of a watch."""
--- a/tests/decide/test_platform_follow.py
+++ b/tests/decide/test_platform_follow.py
@@ -9,10 +9,12 @@
 from dillport.decide import platform_follow as p
 from dillport.decide.platform_follow import PlatformFollow
 
+LONG = p.MOST_MS / p.WAIT_PART  # ms to obey a drain that leave room for the longest wait
+
 
 def follow(must_ask: bool = False, state: str = "idle") -> PlatformFollow:
     """One in a state: unwanted, idle (wanted, nothing out yet), following or waiting."""
-    out = PlatformFollow(random.Random(1), must_ask)
+    out = PlatformFollow(random.Random(1), must_ask, LONG)
     out.wanted = state != "unwanted"
     out.following, out.waiting = state == "following", state == "waiting"
     return out
@@ -91,7 +93,7 @@
     """After a minute without discovery their next tries are spread over the longest wait."""
     tries = []
     for seed in range(1000):
-        one = PlatformFollow(random.Random(seed), False)
+        one = PlatformFollow(random.Random(seed), False, LONG)
         now = 0.0
         one.handle(now, p.Wanted(True), 7)
         while now < 60_000.0:
@@ -102,3 +104,178 @@
         tries.append(now)
     most = max(sum(t <= other < t + 1000.0 for other in tries) for t in tries)
     assert max(tries) - min(tries) > 1500.0 and most < 700
+
+
+# --- where lists are pushed: an agent that answers at once, and is mute or refuses while discovery is down
+
+GRACES = [500.0, 1000.0, 2000.0, 10_000.0]
+
+
+class Agent:
+    """What a node learns of an agent that answers at once, in virtual time, call by call."""
+
+    def __init__(self, seed: int, grace_ms: float) -> None:
+        self.now_ms = 0.0
+        self.follow = PlatformFollow(random.Random(seed), False, grace_ms)
+        self.do(p.Wanted(True))
+
+    def do(self, event: p.Event) -> None:
+        """Up to the next call."""
+        for action in self.follow.handle(self.now_ms, event, 7):
+            if isinstance(action, p.Wait):
+                self.now_ms = action.until_ms
+                self.do(p.Due())
+
+    def call(self, back_ms: float, refuses: bool = False, late: bool = False) -> bool:
+        """One call; whether it was answered. One that is opened before the return stays mute for good.
+
+        `late` makes it come up at the last moment of the time for that.
+        """
+        if self.now_ms >= back_ms:
+            return True
+        life = self.follow.life(self.now_ms)
+        if late:
+            self.now_ms = life.until_ms
+        life.connected(self.now_ms)  # no further patience
+        if not refuses:
+            self.now_ms = life.until_ms
+        self.do(p.Ended(False, slow=life.slow(self.now_ms)))
+        return False
+
+
+@pytest.mark.parametrize("grace_ms", GRACES)
+@pytest.mark.parametrize("shape", ["refuses", "mute", "late and mute"])
+def test_the_return_of_discovery_is_learned_with_a_third_of_the_time_to_spare(
+    grace_ms: float, shape: str
+) -> None:
+    """Guards against new requests for a server whose drain counted as told when discovery came back."""
+    worst = 0.0
+    for seed in range(300):
+        back_ms = 3000.0 + 17.0 * seed
+        agent = Agent(seed, grace_ms)
+        while not agent.call(back_ms, shape == "refuses", shape == "late and mute"):
+            pass
+        worst = max(worst, agent.now_ms - back_ms)
+    assert worst <= grace_ms * 2 / 3
+
+
+@pytest.mark.parametrize("grace_ms", [0.0, 100.0])
+def test_tries_have_a_floor_however_short_the_time_to_obey_is(grace_ms: float) -> None:
+    agent, tries = Agent(1, grace_ms), 0
+    while not agent.call(60_000.0):
+        tries += 1
+    assert tries < 60_000.0 / (p.LEAST_PATIENCE_MS + p.LEAST_WAIT_MS / 2)
+
+
+@pytest.mark.parametrize("grace_ms", GRACES)
+@pytest.mark.parametrize("phase", [0.0, 1.0, 500.0, 1000.0, 1999.0])
+@pytest.mark.parametrize("middle", [False, True])
+def test_a_watch_that_falls_silent_is_replaced_before_what_it_misses_has_to_be_obeyed(
+    grace_ms: float, phase: float, middle: bool
+) -> None:
+    """At every phase of the beat, with a call that comes up late and is mute behind it, then a good one."""
+    for seed in range(50):
+        agent = Agent(seed, grace_ms)
+        life = agent.follow.life(0.0)
+        life.connected(0.0)
+        life.came(0.0, True, False)
+        agent.do(p.Answered())
+        silent_ms = phase  # after the last line
+        if middle:
+            life.came(silent_ms, False, True)
+        agent.now_ms = life.until_ms
+        assert agent.now_ms > p.BEAT_MS or middle
+        agent.do(p.Ended(False, slow=life.slow(agent.now_ms)))
+        agent.call(float("inf"), late=True)
+        assert agent.now_ms - silent_ms < 6000.0 + grace_ms / 3
+        if grace_ms <= 2000.0:
+            assert agent.now_ms - silent_ms < 6000.0
+
+
+@pytest.mark.parametrize("must_ask", [False, True])
+def test_a_watch_that_dribbles_is_dead(must_ask: bool) -> None:
+    """Guards against a byte a second and no line: each byte was a sign of life."""
+    follow = PlatformFollow(random.Random(1), must_ask, 10_000.0)
+    life, now = follow.life(0.0), 0.0
+    life.connected(now)
+    life.came(now, True, False)
+    while now < life.until_ms:
+        now += 100.0
+        life.came(now, False, True)
+    assert now <= 100.0 + follow.pace.under_way_ms
+    assert life.slow(now)
+
+
+def test_a_whole_list_under_way_has_a_bound_in_all() -> None:
+    follow = PlatformFollow(random.Random(1), False, 1000.0)
+    life, now = follow.life(0.0), 0.0
+    life.connected(now)
+    life.came(now, True, True)  # its head
+    while now < life.until_ms:
+        now += 50.0
+        life.came(now, False, True)
+    assert now <= 50.0 + follow.pace.under_way_ms
+
+
+def test_lines_keep_a_watch_alive_whatever_is_cut_between_them() -> None:
+    follow = PlatformFollow(random.Random(1), False, 500.0)
+    life, now = follow.life(0.0), 0.0
+    life.connected(now)
+    life.came(now, True, False)
+    for _ in range(20):
+        now += p.BEAT_MS
+        assert now < life.until_ms
+        life.came(now, False, True)
+        now += 50.0
+        assert now < life.until_ms
+        life.came(now, True, False)
+
+
+def test_the_patience_of_a_starved_node_grows_to_a_bound_and_shrinks_again() -> None:
+    """Guards a node whose every turn comes late against giving up each call just before its answer."""
+    follow = PlatformFollow(random.Random(1), False, 500.0)
+    follow.handle(0.0, p.Wanted(True), 7)
+    seen = []
+    for _ in range(12):
+        life = follow.life(0.0)
+        life.connected(0.0)
+        late = life.until_ms + 300.0
+        follow.handle(late, p.Ended(False, slow=life.slow(late)), 7)
+        follow.handle(late, p.Due(), 7)
+        seen.append(follow.patience_ms)
+    assert seen[0] == follow.pace.patience_ms < seen[1] and max(seen) <= p.MOST_PATIENCE_MS
+    assert max(seen) > 300.0  # no longer given up because of its own lateness
+    for _ in range(12):  # in time and mute: more patience would only miss the return
+        follow.handle(0.0, p.Ended(False), 7)
+        follow.handle(0.0, p.Due(), 7)
+    assert follow.patience_ms == follow.pace.patience_ms
+    for _ in range(2):
+        follow.handle(0.0, p.Ended(False, slow=True), 7)
+    assert follow.patience_ms > follow.pace.patience_ms
+    follow.handle(0.0, p.Answered(), 7)
+    assert follow.patience_ms == follow.pace.patience_ms
+
+
+@pytest.mark.parametrize("grace_ms", [500.0, 2000.0])
+def test_an_agent_that_is_always_slow_is_heard_in_the_end(grace_ms: float) -> None:
+    """Guards against no list at all for good; an outage of a minute is still followed by it in time."""
+    agent = Agent(1, grace_ms)
+    while agent.follow.patience_ms == agent.follow.pace.patience_ms:
+        agent.call(float("inf"))
+    assert agent.now_ms > 60_000.0
+    assert agent.follow.patience_ms + 1.5 * agent.follow.pace.wait_ms < grace_ms  # and after it for a while
+    while agent.follow.patience_ms < p.MOST_PATIENCE_MS:
+        agent.call(float("inf"))
+    for _ in range(1000):
+        agent.call(float("inf"))
+    assert agent.follow.patience_ms == p.MOST_PATIENCE_MS
+
+
+def test_where_nodes_ask_by_themselves_patience_is_as_long_as_a_watch_may_be_silent() -> None:
+    follow = PlatformFollow(random.Random(1), True, 500.0)
+    life = follow.life(0.0)
+    assert life.until_ms == 2000.0
+    life.connected(100.0)
+    assert life.until_ms == 5100.0
+    follow.handle(0.0, p.Ended(False, slow=True), 7)
+    assert follow.life(0.0).patience_ms == 5000.0
--- /dev/null
+++ b/tests/net/test_platform_return.py
@@ -0,0 +1,259 @@
+"""What a node learns when: discovery that comes back, falls silent, moves, and the crossings of all that.
+
+The agent here stands where the settings say that lists are pushed: it answers at once, and is mute or refuses
+while discovery is down.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import time
+
+import pytest
+
+from dillport.decide import membership
+from dillport.decide.membership import Silenced, Source
+from dillport.interface import Phase
+from dillport.net.fleet import Fleet
+from dillport.net.sources import platform
+from dillport.net.sources.platform import PlatformSource
+from tests.net.test_etcd_source import LOOPS, WAIT, Loop, run, until
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def listed(revision: int, complete: bool = False, indent: int | None = None, **phases: str) -> bytes:
+    """A list of servers by name."""
+    rows = [
+        {"id": name, "host_port": f"127.0.0.1:{at}", "phase": phase}
+        for at, (name, phase) in enumerate(phases.items(), 1)
+    ]
+    return json.dumps({"revision": revision, "complete": complete, "members": rows}, indent=indent).encode()
+
+
+class Agent:
+    """Answers calls with the list it has; `asked` holds each call's target and how to write to it."""
+
+    def __init__(self) -> None:
+        self.asked: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
+        self.writers: list[asyncio.StreamWriter] = []
+        self.mute = False
+        self.list = listed(1, True, b0="in_service", b1="in_service")
+        self.body: bytes | None = None  # of a watch, in place of the list
+        self.address = ("127.0.0.1", 0)
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen, again at the same address."""
+        self.server = await asyncio.start_server(self._serve, *self.address)
+        self.address = self.server.sockets[0].getsockname()
+
+    def refuse(self) -> None:
+        """Reset what is open, and listen no longer."""
+        assert self.server is not None
+        self.server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        target = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode()
+        self.writers.append(writer)
+        if not self.mute:
+            writer.write(HEAD + chunk(self.list + b"\n" if self.body is None else self.body))
+            if "watch" not in target:
+                writer.write(b"0\r\n\r\n")
+        self.asked.put_nowait((target, writer))
+
+    async def watched(self) -> asyncio.StreamWriter:
+        """The next watch."""
+        async with asyncio.timeout(WAIT):
+            while True:
+                target, writer = await self.asked.get()
+                if "watch" in target:
+                    return writer
+
+
+class Node:
+    """A source and its merge; the view is what a node would hold."""
+
+    def __init__(self, agent: Agent, grace_ms: float) -> None:
+        self.fleet = Fleet(self, [Source(platform.NAME)])
+        self.told: list[membership.Event] = []
+        self.fleet.listeners.append(lambda event, _: self.told.append(event))
+        self.source = PlatformSource(
+            agent.address, False, grace_ms, self.now, self.fleet.hand,
+            lambda: self.fleet.resume(platform.NAME), lambda: None,
+        )  # fmt: skip
+
+    def now(self) -> float:
+        return time.monotonic() * 1000
+
+    def apply(self, change: membership.Apply) -> None:
+        """The view has it."""
+
+    def drains(self, name: str = "b0") -> bool:
+        member = self.fleet.membership.view.get(name)
+        return member is not None and member.entry.phase is not Phase.UP
+
+    def silenced(self) -> int:
+        return sum(isinstance(event, Silenced) for event in self.told)
+
+
+async def up(grace_ms: float) -> tuple[Agent, Node, asyncio.StreamWriter]:
+    """A node in the middle of its day: its watch is open and has beaten."""
+    agent = Agent()
+    await agent.start()
+    node = Node(agent, grace_ms)
+    node.source.watch(True)
+    watch = await agent.watched()
+    await until(lambda: "b0" in node.fleet.membership.view)
+    return agent, node, watch
+
+
+DRAIN = listed(2, True, b0="terminating", b1="in_service")
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("grace_ms", [500.0, 2000.0])
+@pytest.mark.parametrize("shape", ["refused", "mute", "silent in mid-line"])
+def test_what_discovery_has_at_its_return_is_known_within_the_time_to_obey_it(
+    shape: str, grace_ms: float, loop: Loop
+) -> None:
+    async def test() -> None:
+        agent, node, watch = await up(grace_ms)
+        if shape == "refused":
+            agent.refuse()
+            await until(lambda: node.silenced() >= 6)  # waits have grown
+        else:
+            agent.mute = True
+            if shape == "mute":
+                agent.reset()
+            else:
+                half = listed(2, indent=2 if "indented" in shape else None, b0="terminating")[:30]
+                watch.write(chunk(half))
+            await agent.watched()  # a new call is out, that is never answered
+        agent.mute, agent.list = False, DRAIN
+        if shape == "refused":
+            await agent.start()
+        back = node.now()
+        await until(node.drains)
+        assert node.now() - back <= grace_ms
+        node.source.watch(False)
+
+    run(test, loop)
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+def test_an_answer_that_waits_in_the_kernel_is_read_though_its_time_is_over(loop: Loop) -> None:
+    """Guards a busy node against giving up the one call that was answered: uvloop runs timers first."""
+
+    async def test() -> None:
+        agent, node, watch = await up(500.0)
+        agent.mute = True
+        watch.transport.abort()
+        mute = await agent.watched()
+        # While another's bytes are read the answer comes, and the call's time is over when the loop goes on.
+        one, other = socket.socketpair()
+
+        def busy() -> None:
+            running.remove_reader(one)
+            with socket.socket(fileno=socket.dup(mute.get_extra_info("socket").fileno())) as raw:
+                raw.send(HEAD + chunk(DRAIN + b"\n"))
+            time.sleep(0.5)
+
+        running = asyncio.get_running_loop()
+        running.add_reader(one, busy)
+        other.send(b"x")
+        await until(node.drains)
+        assert agent.asked.empty() and len(agent.writers) == 3  # whole list, first watch, this one
+        node.source.watch(False)
+        one.close()
+        other.close()
+
+    run(test, loop)
+
+
+def test_a_watch_that_dribbles_is_opened_anew() -> None:
+    """Guards against bytes that pass for beats: no line ever came to its end."""
+
+    async def test() -> None:
+        agent, node, watch = await up(500.0)
+
+        async def dribble() -> None:
+            while True:
+                watch.write(chunk(b" "))
+                await asyncio.sleep(0.02)
+
+        task = asyncio.create_task(dribble())
+        agent.list = DRAIN
+        await agent.watched()
+        await until(node.drains)
+        task.cancel()
+        node.source.watch(False)
+
+    run(test)
+
+
+def test_a_whole_list_that_dribbles_is_asked_for_anew() -> None:
+    async def test() -> None:
+        agent = Agent()
+        await agent.start()
+        agent.mute = True
+        node = Node(agent, 500.0)
+        node.source.watch(True)
+        async with asyncio.timeout(WAIT):
+            _, writer = await agent.asked.get()
+        writer.write(HEAD)
+
+        async def dribble() -> None:
+            while True:
+                writer.write(chunk(b" "))
+                await asyncio.sleep(0.02)
+
+        task = asyncio.create_task(dribble())
+        agent.mute = False
+        await until(lambda: "b0" in node.fleet.membership.view)
+        task.cancel()
+        node.source.watch(False)
+
+    run(test)
+
+
+def test_a_beat_begins_the_waits_anew() -> None:
+    """Guards against a quiet day with resets on which each wait is longer than the one before."""
+
+    async def test() -> None:
+        agent, node, _watch = await up(2000.0)
+        backoff = node.source.follow.backoff
+        agent.body = b"\n"
+        for _ in range(6):
+            agent.reset()
+            await agent.watched()
+            await until(lambda: backoff.next_ms == backoff.first_ms)
+        node.source.watch(False)
+
+    run(test)
+
+
+def test_bytes_without_a_line_are_no_beat_and_waits_grow() -> None:
+    async def test() -> None:
+        agent, node, _watch = await up(2000.0)
+        agent.body = b" "
+        for _ in range(4):
+            agent.reset()
+            await agent.watched()
+        backoff = node.source.follow.backoff
+        assert backoff.next_ms == node.source.follow.pace.wait_ms
+        node.source.watch(False)
+
+    run(test)
--- a/tests/net/test_platform_source.py
+++ b/tests/net/test_platform_source.py
@@ -16,6 +16,8 @@
 from tests.net.test_etcd_source import WAIT, run, until
 from tests.sockets import FakeDiscovery
 
+LONG = platform_follow.MOST_MS / platform_follow.WAIT_PART  # ms to obey a drain: room for the longest wait
+
 
 def test_a_fault_of_the_program_while_a_line_is_read_costs_that_watch(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
@@ -37,7 +39,7 @@
         await discovery.start()
         address = ("127.0.0.1", discovery.port)
         source = PlatformSource(
-            address, False, lambda: time.monotonic() * 1000, told.append, lambda: 1, lambda: None
+            address, False, LONG, lambda: time.monotonic() * 1000, told.append, lambda: 1, lambda: None
         )
         source.watch(True)
         async with asyncio.timeout(WAIT):
@@ -91,7 +93,7 @@
         await discovery.start()
         address = ("127.0.0.1", discovery.port)
         source = PlatformSource(
-            address, False, lambda: time.monotonic() * 1000, told.append, lambda: None, lambda: None
+            address, False, LONG, lambda: time.monotonic() * 1000, told.append, lambda: None, lambda: None
         )
         source.watch(True)
         await until(lambda: discovery.asked == 3)
--- a/tests/proto/test_platform_list.py
+++ b/tests/proto/test_platform_list.py
@@ -19,8 +19,8 @@
 
 
 def said(call: p.ListCall, *pieces: bytes) -> list[p.Message]:
-    """All that is said of these bytes, but for the beats."""
-    return [m for piece in pieces for m in call.receive(piece) if not isinstance(m, p.Beat)]
+    """All that is said of these bytes, but for their beginning and the beats."""
+    return [m for piece in pieces for m in call.receive(piece) if not isinstance(m, p.Beat | p.Began)]
 
 
 WATCH = HEAD + chunk(b"\n") + chunk(b'{"revision"') + chunk(b": 1}\n\n{}") + chunk(b"\n") + b"0\r\n\r\n"
@@ -92,3 +92,14 @@
 def test_the_request() -> None:
     got = p.request("[::1]:80", "/discovery/hosts", watch=True)
     assert got == b"GET /discovery/hosts HTTP/1.1\r\nHost: [::1]:80\r\nConnection: keep-alive\r\n\r\n"
+
+
+def test_what_is_a_beat() -> None:
+    """Guards against bytes without a line that pass for one."""
+    call = p.ListCall(watch=True)
+    assert call.receive(HEAD[:20]) == [] and not call.began
+    assert call.receive(HEAD[20:]) == [p.Began(True)] and not call.under_way
+    assert call.receive(chunk(b" ")) == [] and call.under_way
+    assert call.receive(chunk(b"\r")) == []
+    assert call.receive(chunk(b"\n\n")) == [p.Beat(), p.Beat()] and not call.under_way
+    assert call.receive(chunk(b'{"a":')) == [] and call.under_way
