--- a/tests/net/test_platform_return.py
+++ b/tests/net/test_platform_return.py
@@ -125,7 +125,7 @@
 
 @pytest.mark.parametrize("loop", LOOPS)
 @pytest.mark.parametrize("grace_ms", [500.0, 2000.0])
-@pytest.mark.parametrize("shape", ["refused", "mute", "silent in mid-line"])
+@pytest.mark.parametrize("shape", ["refused", "mute", "silent in mid-line", "silent in an indented object"])
 def test_what_discovery_has_at_its_return_is_known_within_the_time_to_obey_it(
     shape: str, grace_ms: float, loop: Loop
 ) -> None:
@@ -257,3 +257,15 @@
         node.source.watch(False)
 
     run(test)
+
+
+def test_an_indented_object_on_a_watch_is_applied_without_asking_for_the_whole_list() -> None:
+    async def test() -> None:
+        _agent, node, watch = await up(500.0)
+        text = listed(2, indent=2, b0="terminating") + b"\n"
+        watch.write(chunk(text[:40]) + chunk(text[40:]))
+        await until(node.drains)
+        assert not any(isinstance(event, membership.Spoiled) for event in node.told)
+        node.source.watch(False)
+
+    run(test)
--- a/tests/proto/test_platform_list.py
+++ b/tests/proto/test_platform_list.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import itertools
+import json
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -94,6 +96,103 @@
     assert got == b"GET /discovery/hosts HTTP/1.1\r\nHost: [::1]:80\r\nConnection: keep-alive\r\n\r\n"
 
 
+# --- objects that span lines
+
+ROWS = [
+    {"id": "s-{1", "host_port": "10.1.0.18:80", "phase": "in_service", "size": 1.0},
+    {"id": "s\\\"]}2", "host_port": "10.1.0.19:80", "phase": "terminating", "odd": {"a": [[], {}]}},
+    {"id": "\\\\", "host_port": "é:1", "phase": "terminated"},
+]
+LISTS: list[dict[str, Any]] = [
+    {"revision": n, "complete": n == 1, "members": rows}
+    for n, rows in enumerate([ROWS, [], ROWS[1:2], ROWS[2:], [ROWS[0]] * 3], 1)
+]
+FORMS: list[dict[str, Any]] = [
+    {}, {"separators": (",", ":")}, {"indent": 0}, {"indent": 1}, {"indent": 4}, {"indent": "\t"},
+    {"indent": 2, "ensure_ascii": False}, {"indent": 2, "separators": (",", ":")}, {"indent": "\r"},
+]  # fmt: skip
+
+
+def objects(messages: list[p.Message]) -> list[Any]:
+    """What lines say; a line that cannot be read is None."""
+    out = []
+    for message in messages:
+        if isinstance(message, p.Line):
+            try:
+                out.append(json.loads(message.text))
+            except ValueError:
+                out.append(None)
+    return out
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    st.lists(st.tuples(st.sampled_from(LISTS), st.sampled_from(FORMS), st.sampled_from(["\n", "\r\n"]))),
+    st.lists(st.integers(0, 5000), max_size=12),
+    st.booleans(),
+)
+def test_indented_objects_on_a_watch_say_what_compact_ones_say(
+    said_: list[tuple[dict[str, Any], dict[str, Any], str]], cuts: list[int], chunks: bool
+) -> None:
+    body = b"\n" + b"".join((json.dumps(one, **form) + end).encode() for one, form, end in said_)
+    at = [0, *sorted(cut % (len(body) + 1) for cut in cuts), len(body)]
+    pieces = [body[a:b] for a, b in itertools.pairwise(at) if a < b]
+    data = [HEAD, *map(chunk, pieces)] if chunks else [HEAD + b"".join(map(chunk, pieces))]
+    call = p.ListCall(watch=True)
+    assert objects(said(call, *data)) == [one for one, _, _ in said_]
+    assert not call.under_way
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_a_whole_list_may_be_indented(form: dict[str, Any]) -> None:
+    text = json.dumps(LISTS[0], **form).encode()
+    call = p.ListCall(watch=False)
+    got = said(call, HEAD, *(chunk(text[i : i + 1]) for i in range(len(text))), b"0\r\n\r\n")
+    assert objects(got) == [LISTS[0]] and got[-1] == p.Finished(True)
+
+
+def test_an_object_is_read_when_it_is_whole_and_not_when_its_line_ends() -> None:
+    """Guards against a drain that is known only with the next beat, two seconds later."""
+    drain = {"revision": 7, "complete": False, "members": [{"id": "s-1", "phase": "terminating"}]}
+    for form in FORMS:
+        call = p.ListCall(watch=True)
+        assert objects(said(call, HEAD, chunk(json.dumps(drain, **form).encode()))) == [drain]
+        assert not call.under_way
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        b"{", b'{"revision": 2,', b'{\n "revision": 2,\n "members": [', b'{"a": "}', b"}", b"]]]",
+        b'{"a": "\\', b"nonsense {", b'{"a": 1}}', b"{\n]\n]",
+    ],
+)  # fmt: skip
+@pytest.mark.parametrize("behind", [b"", b"\n", b"\r\n"])
+def test_garbage_swallows_nothing_behind_it(garbage: bytes, behind: bytes) -> None:
+    """It is handed on as it is, so that the whole list is asked for, and the line behind it is read."""
+    good = json.dumps(LISTS[1]).encode() + b"\n"
+    body = garbage + b"\n" + behind + good
+    for data in ([chunk(body)], [chunk(body[i : i + 1]) for i in range(len(body))]):
+        *bad, last = objects(said(p.ListCall(watch=True), HEAD, *data))
+        assert None in bad and last == LISTS[1]
+
+
+def test_an_object_over_many_lines_has_the_same_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(p, "MAX_LINE", 100)
+    call = p.ListCall(watch=True)
+    assert said(call, HEAD + chunk(b"{\n" + b"[\n" * 49)) == []
+    assert said(call, chunk(b"x")) == [p.Broken("line too long: over 100 bytes")]
+
+
+@pytest.mark.parametrize("junk", [b'"', b'\\"', b'"\\', b"{", b"}", b'{"'])
+def test_a_long_line_of_junk_is_looked_at_once(junk: bytes) -> None:
+    """Guards the loop against a search that begins anew at each quote: this would take minutes."""
+    call = p.ListCall(watch=True)
+    call.receive(HEAD)
+    call.receive(chunk(b"{" + junk * 500_000))
+    call.receive(chunk(b"\n\n"))
+
+
 def test_what_is_a_beat() -> None:
     """Guards against bytes without a line that pass for one."""
     call = p.ListCall(watch=True)
