Test a new discovery at every crossing, and a drain and a request in one turn

SIGHUP while the watch is at rest, in mid-line, in its wait, connecting, mute or refused; to one address, to two with no turn between, there and back; with lower revisions; to an address that is dead, mute or whose connections never come up: the list of one that answers is known within 2 s, where it counts 4 s later.

--- a/tests/net/test_platform_return.py
+++ b/tests/net/test_platform_return.py
@@ -10,16 +10,21 @@
 import json
 import socket
 import time
+from pathlib import Path
 
 import pytest
 
 from dillport.decide import membership
 from dillport.decide.membership import Silenced, Source
 from dillport.interface import Phase
+from dillport.net import node as real
+from dillport.net.config import load
 from dillport.net.fleet import Fleet
+from dillport.net.front import Front
 from dillport.net.sources import platform
 from dillport.net.sources.platform import PlatformSource
 from tests.net.test_etcd_source import LOOPS, WAIT, Loop, run, until
+from tests.sockets import Backend, Client, configuration
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -269,3 +274,183 @@
         node.source.watch(False)
 
     run(test)
+
+
+# --- a new address: what it has counts as told 4 s later
+
+MOVED = 2.0  # s: well within that
+
+
+async def moves(node: Node, *to: Agent) -> None:
+    """SIGHUP after SIGHUP, with no turn of the loop between; the last one's list is known in time."""
+    for agent in to:
+        node.source.move(agent.address)
+    at = node.now()
+    await until(node.drains)
+    assert node.now() - at <= 1000 * MOVED
+    assert identity_of(node) == platform.identity(to[-1].address)
+    await to[-1].watched()
+
+
+def identity_of(node: Node) -> str | None:
+    return node.fleet.membership.sources[platform.NAME].identity
+
+
+async def other(revision: int = 2) -> Agent:
+    """Another agent, whose list has the drain."""
+    out = Agent()
+    out.list = listed(revision, True, b0="terminating", b1="in_service")
+    await out.start()
+    return out
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("state", ["at rest", "in mid-line", "waiting", "calling", "mute", "refused"])
+@pytest.mark.parametrize("ways", ["one", "two at once", "there and back"])
+def test_a_new_address_holds_whatever_was_under_way_at_the_old_one(state: str, ways: str, loop: Loop) -> None:
+    """Its revisions are lower than those of the old one."""
+
+    async def test() -> None:
+        agent, node, watch = await up(500.0)
+        watch.write(chunk(listed(50, b1="in_service") + b"\n"))
+        await until(lambda: node.fleet.resume(platform.NAME) == 50)
+        new, between = await other(), await other(70)
+        between.mute = True
+        if state == "in mid-line":
+            watch.write(chunk(b'{"revision": 51, "complete": true, "mem'))
+            call = node.source.following
+            await until(lambda: call is not None and call.parser.under_way)
+        elif state == "waiting":
+            agent.reset()
+            await until(lambda: node.source.follow.waiting)
+        elif state == "calling":
+            agent.reset()
+            await until(lambda: node.source.follow.waiting)
+            await until(lambda: node.source.follow.following)  # not connected yet
+        elif state == "mute":
+            agent.mute = True
+            agent.reset()
+            await agent.watched()
+        elif state == "refused":
+            agent.refuse()
+            await until(lambda: node.silenced() >= 3)
+        if ways == "there and back":
+            node.source.move(between.address)
+            async with asyncio.timeout(WAIT):
+                await between.asked.get()  # it has been asked, and never answers
+            if state == "refused":
+                await agent.start()
+            agent.mute, agent.list = False, DRAIN  # its revision is lower than it was, too
+            while not agent.asked.empty():
+                agent.asked.get_nowait()
+            await moves(node, agent)
+        else:
+            await moves(node, *([between, new] if ways == "two at once" else [new]))
+        assert len(node.source.tasks) <= 2
+        node.source.watch(False)
+
+    run(test, loop)
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("shape", ["dead", "mute"])
+def test_a_new_address_that_is_dead_at_first_is_heard_when_it_comes(shape: str, loop: Loop) -> None:
+    async def test() -> None:
+        _agent, node, _watch = await up(500.0)
+        new = await other()
+        if shape == "dead":
+            new.refuse()
+        new.mute = True
+        node.source.move(new.address)
+        if shape == "dead":
+            await until(lambda: node.silenced() >= 7)
+            await new.start()
+        else:
+            async with asyncio.timeout(WAIT):
+                await new.asked.get()
+        new.mute, back = False, node.now()
+        await until(node.drains)
+        assert node.now() - back <= 500.0
+        node.source.watch(False)
+
+    run(test, loop)
+
+
+def test_connections_that_never_come_up_are_given_up_and_do_not_pile_up() -> None:
+    """Guards against a socket for each try: the kernel goes on with a connection for minutes."""
+
+    async def test() -> None:
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fill = [socket.socket() for _ in range(4)]
+        for one in fill:  # nobody accepts: further ones never come up
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        _agent, node, _watch = await up(500.0)
+        node.source.move(full.getsockname())
+        await until(lambda: node.silenced() >= 6)
+        assert len(node.source.tasks) <= 2
+        node.source.watch(False)
+        for one in [full, *fill]:
+            one.close()
+
+    run(test)
+
+
+# --- a drain and a request in one turn of the loop
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("first", ["drain", "request"])
+@pytest.mark.parametrize("indent", [None, 2])
+def test_a_drain_and_a_request_that_are_read_in_one_turn(
+    first: str, indent: int | None, loop: Loop, tmp_path: Path
+) -> None:
+    """The request is served, by whichever; whatever comes after it goes to the server that stays."""
+
+    async def test() -> None:
+        backends = [Backend("b0"), Backend("b1")]
+        for backend in backends:
+            await backend.start()
+        agent = Agent()
+        agent.list = listed(41, False)
+        await agent.start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration([backends[0].member()], agent.address[1])))
+        config = load({"PROXY_CONFIG": str(path)})
+        node = real.Node(config)
+        fleet = Fleet(node, [Source(platform.NAME)])
+        identity = platform.identity(agent.address)
+        fleet.hand(membership.Listed(platform.NAME, identity, config.known, saved=True))
+        source = PlatformSource(
+            agent.address, False, config.settings.drain_grace, node.now, fleet.hand,
+            lambda: fleet.resume(platform.NAME), node.list_failed,
+        )  # fmt: skip
+        source.watch(True)
+        watch = await agent.watched()
+        front = Front(node, 9)
+        await front.listen(("127.0.0.1", 0))
+        client = Client(*await asyncio.open_connection(*front.address))
+        assert (await client.ask("/up")).code == 200
+        rows = [backends[0].member() | {"phase": "terminating"}, backends[1].member()]
+        line = {"revision": 42, "complete": False, "members": rows}
+        news = (watch, chunk(json.dumps(line, indent=indent).encode() + b"\n"))
+        asks = (client.writer, b"POST /once HTTP/1.1\r\nRequest-Id: 7\r\nContent-Length: 0\r\n\r\n")
+        for writer, data in [news, asks] if first == "drain" else [asks, news]:  # past the loop: both wait
+            with socket.socket(fileno=socket.dup(writer.get_extra_info("socket").fileno())) as raw:
+                raw.send(data)
+        assert (await client.answer()).code == 200
+        await until(lambda: fleet.resume(platform.NAME) == 42)
+        assert backends[0].got.qsize() + backends[1].got.qsize() == 1
+        before = backends[0].got.qsize()
+        for _ in range(20):
+            assert (await client.ask("/once", method="POST")).code == 200
+        assert backends[0].got.qsize() == before
+        source.watch(False)
+        front.stop()
+        client.writer.transport.abort()
+        for backend in backends:
+            backend.stop()
+
+    run(test, loop)
