Judge: count what is sent on 0.3 s after its client left while it waited

A request of which no server has seen anything when its client leaves is not to be sent on 300 ms later or more; over a quarter of such cases fails the play. The judge knew only the first rule's word on it, request by request (a first byte over 50 ms after the leaving), and nothing said how many cases there were.

The judge counts the cases and the late ones and has a line and a breach of rule 1 for them; what the world's own loop was late by is no lateness of the node. The first rule holds as before.

Tests hold both sides of 300 ms and of a quarter, and the three ways to leave on real sockets.

--- a/dillport/lab/clients.py
+++ b/dillport/lab/clients.py
@@ -14,13 +14,13 @@
 import socket
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import cast
+from typing import Literal, cast
 
 import httptools
 
 from dillport.interface import Effect, Group
 from dillport.lab.records import Answered, Asked, ClientLeft, Crossed, Journal, Unreached, Wanted, now_ms
-from dillport.lab.servers import form_of
+from dillport.lab.servers import RESET, form_of
 from dillport.lab.site import RequestClass, Site
 from dillport.members import Address
 
@@ -29,6 +29,7 @@
 SETTLE_MS = 100.0  # that a connection is watched on after its answer: a second one must not come
 CLOSED = 7  # TCP_INFO's state once a reset came
 BODY = 500  # characters kept of an answer's body
+Leave = Literal["close", "reset", "half"]
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,6 +41,7 @@
     wait_ms: tuple[float, float] = (12.0, 100.0)  # before a retry, where no advice is honoured
     honours: float = 0.9  # part that waits as long as `Retry-After` says
     leaves: float = 0.0  # part that leaves early
+    leaves_by: tuple[Leave, ...] = ("close",)  # how these do, in turn over all requests
     uses: int = 0  # requests on one connection, after which its client closes it; 0: any number
     tenants: tuple[str, ...] = ("north", "south")
     bursts: tuple[tuple[float, float, float], ...] = ()
@@ -47,7 +49,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Arrival:
-    """A request to come: when, from the start on, and what; `leaves_ms` is its client's patience."""
+    """A request to come: when, from the start on, and what; `leaves_ms` is its client's patience.
+
+    It leaves by a close, a reset, or by ending its own side alone, `half` of the connection.
+    """
 
     at_ms: float
     name: str
@@ -55,6 +60,7 @@
     key: str
     tenant: str
     leaves_ms: float | None
+    leaves_by: Leave = "close"
 
 
 def draw(site: Site, rate: float, seconds: float, seed: int, habits: Habits | None = None) -> list[Arrival]:
@@ -71,7 +77,8 @@
         patience = rng.uniform(0.1, 0.9) * cls.aim_ms if rng.random() < habits.leaves else None
         name, tenant = f"{seed:04x}{len(out):012x}", rng.choice(habits.tenants)
         key = f"key-{name}" if cls.effect is Effect.KEYED else ""
-        out.append(Arrival(at * 1000, name, cls, key, tenant, patience))
+        how = habits.leaves_by[len(out) % len(habits.leaves_by)]
+        out.append(Arrival(at * 1000, name, cls, key, tenant, patience, how))
     return out
 
 
@@ -216,9 +223,14 @@
         else:
             self._finish(False)
 
-    def leave(self) -> None:
+    def leave(self, how: Leave = "close") -> None:
         """Wait no longer; what may still come is for nobody."""
         self.done, self.last = None, ""
+        if how == "half" and self.transport is not None and self.open:
+            self.transport.write_eof()  # it goes once the node ends its side, or says something
+            return
+        if how == "reset" and self.open:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.close()
 
     def close(self) -> None:
@@ -317,7 +329,7 @@
             wait = give_up + AFTER_MS - at if patience is None else patience
             await asyncio.wait([done], timeout=max(0.0, wait) / 1000)
             if not done.done():
-                connection.leave()
+                connection.leave(arrival.leaves_by)
                 if patience is None:
                     return Outcome(0, False)
                 self.journal.add(ClientLeft(name, now_ms()))
--- a/dillport/lab/judge.py
+++ b/dillport/lab/judge.py
@@ -2,9 +2,10 @@
 
 Rule 1: whatever a node has taken gets exactly one final answer in time, and nothing is sent for it after.
 Rule 2: no effect is doubled. Rule 3: nothing new goes to a server that a source took off, past the grace.
-Rule 4: no cold server is sent more than its budget. Each breach names its request or server and brings the
-records that prove it. Times are given the rules' slack, what the world's own loop was late by, and what the
-machine kept the node's process waiting for a core in the last `STARVED_MS`.
+Rule 4: no cold server is sent more than its budget. Beside them, what waited when its client
+left is not sent on long after, but for a quarter of all such requests. Each breach names its request or
+server and brings the records that prove it. Times are given the rules' slack, what the world's own loop was
+late by, and what the machine kept the node's process waiting for a core in the last `STARVED_MS`.
 """
 
 from __future__ import annotations
@@ -51,6 +52,8 @@
 EVIDENCE = 40  # records that a breach brings at most, the last ones
 DEADLY = ("SIGTERM", "SIGKILL")
 STARVED_MS = 1_000.0
+LEFT_MS = 300.0  # after its client left: whatever waited then and is sent on no sooner is late
+LEFT_PART = 1 / 4  # of all that waited when their clients left that may be late
 INFORMED = 2 / 3  # part of a fall's work that has to come from nodes that were told of the start
 
 
@@ -108,7 +111,8 @@
 class Verdict:
     """All breaches, the classes with `all` for the sum, the servers, and how many attempts requests took.
 
-    `pushed` is the most that a cold server was sent, of what it may be sent.
+    `pushed` is the most that a cold server was sent, of what it may be sent. `waited` requests had no
+    attempt at a server when their clients left; `sent_late` of them were sent on `LEFT_MS` later or more.
     """
 
     breaches: list[Breach] = field(default_factory=list)
@@ -116,12 +120,19 @@
     servers: dict[str, Served] = field(default_factory=dict)
     attempts: Counter[int] = field(default_factory=Counter)
     pushed: float = 0.0
+    waited: int = 0
+    sent_late: int = 0
 
     @property
     def ok(self) -> bool:
         """Whether no rule was broken."""
         return not self.breaches
 
+    @property
+    def lets_go(self) -> bool:
+        """Whether what waited when its client left was let go, but for a part at most."""
+        return self.sent_late <= LEFT_PART * self.waited
+
     @property
     def sent_to_removed(self) -> int:
         """Requests that went to removed servers after the grace."""
@@ -132,13 +143,15 @@
         return [b for b in self.breaches if b.rule == rule]
 
     def lines(self) -> list[str]:
-        """One line a rule, for people."""
+        """One line a rule and one on clients that left, for people."""
         out = []
         for rule, title in TITLES.items():
             found = self.broken(rule)
             first = f", first {found[0].subject}: {found[0].text}" if found else ""
             out.append(f"rule {rule}, {title}: {f'{len(found)} BROKEN{first}' if found else 'kept'}")
-        return out
+        late = f"{self.sent_late} sent on {LEFT_MS:.0f} ms later or more"
+        kept = "kept" if self.lets_go else f"BROKEN, over {LEFT_PART:.0%}"
+        return [*out, f"clients that left while their requests waited: {self.waited}, {late}: {kept}"]
 
 
 @dataclass(slots=True)
@@ -279,6 +292,7 @@
                 self._after_end(name, request)
                 self._effects(name, request)
                 self._refusals(name, request)
+        self._left()
         self._crashes()
         self._drains()
         self._cold()
@@ -292,13 +306,16 @@
 
     def _slack(self, *moments: float) -> float:
         """The rules' slack, and what the world was late by at these moments."""
+        return self.rules.slack_ms + self._late(*moments)
+
+    def _late(self, *moments: float) -> float:
         late = 0.0
         for at in moments:
             place = bisect_left(self.ticks, at)
             for held in self.held_up[place : place + 2]:
                 if held.at_ms - held.late_ms <= at:
                     late = max(late, held.late_ms)
-        return self.rules.slack_ms + late
+        return late
 
     def _starved(self, node: str, at: float) -> float:
         """How long the node had no core before a moment, though it was ready to run."""
@@ -376,6 +393,25 @@
                     text = f"sent on {late:.0f} ms after its end"
                     self._breach(1, name, text, [end, *attempt.records()])
 
+    def _left(self) -> None:
+        """Count what waited when its client left, whether or not it was sent on, and when."""
+        late: list[tuple[str, ClientLeft, _Attempt]] = []
+        for name, request in self.requests.items():
+            left = request.left
+            attempts = sorted(request.attempts, key=lambda a: a.got.first_byte_at_ms)
+            if left is None or (attempts and attempts[0].got.first_byte_at_ms <= left.at_ms):
+                continue
+            self.out.waited += 1
+            for attempt in attempts:
+                at = attempt.got.first_byte_at_ms
+                if at - self._late(at) >= left.at_ms + LEFT_MS:
+                    late.append((name, left, attempt))
+                    break
+        self.out.sent_late = len(late)
+        if not self.out.lets_go:
+            text = f"{len(late)} of {self.out.waited} whose clients left while they waited were sent on late"
+            self._breach(1, late[0][0], text, [r for _, left, a in late for r in (left, *a.records())])
+
     def _crashes(self) -> None:
         """A node may end only after it was told to."""
         started: dict[str, NodeStarted] = {}
--- a/tests/lab/test_clients.py
+++ b/tests/lab/test_clients.py
@@ -12,7 +12,7 @@
 import pytest
 
 from dillport.interface import Effect, Group
-from dillport.lab.clients import Arrival, Clients, Connection, Front, Habits, draw
+from dillport.lab.clients import Arrival, Clients, Connection, Front, Habits, Leave, draw
 from dillport.lab.records import Answered, Asked, ClientLeft, Crossed, Journal, Unreached, Wanted
 from dillport.lab.site import RequestClass, Site
 from tests.lab.world import of, run, until
@@ -48,13 +48,13 @@
                 await self.reply(message, writer)
         writer.close()
 
-    async def ask(self, cls: str, leaves_ms: float | None = None) -> int:
+    async def ask(self, cls: str, leaves_ms: float | None = None, by: Leave = "close") -> int:
         """One request; the status it ends with."""
         found = SITE.find(cls)
         assert found is not None
         name = f"{len(self.journal):016x}"
         key = f"key-{name}" if found.effect is Effect.KEYED else ""
-        return (await self.clients.ask(Arrival(0, name, found, key, "north", leaves_ms))).status
+        return (await self.clients.ask(Arrival(0, name, found, key, "north", leaves_ms, by))).status
 
 
 @contextlib.asynccontextmanager
@@ -235,6 +235,42 @@
     run(test)
 
 
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+def test_ways_to_leave(how: Leave) -> None:
+    async def test() -> None:
+        seen: asyncio.Future[bytes | type[Exception]] = asyncio.get_running_loop().create_future()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            try:
+                seen.set_result(await reader.read(1))
+            except ConnectionError as err:
+                seen.set_result(type(err))
+            await gate.wait()
+            writer.close()
+
+        gate = asyncio.Event()
+        async with rig(OK) as world:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            world.front.nodes["n0"] = server.sockets[0].getsockname()[:2]
+            await world.ask("read", leaves_ms=30, by=how)
+            assert await seen == (ConnectionResetError if how == "reset" else b"")
+            assert len(of(world.journal, ClientLeft)) == 1 and not of(world.journal, Answered)
+            assert len(world.clients.connections) == (how == "half") and not world.clients.idle
+            gate.set()
+            await until(lambda: not world.clients.connections)
+            server.close()
+
+    run(test)
+
+
+def test_those_who_leave_do_so_in_each_way() -> None:
+    ways: tuple[Leave, ...] = ("close", "reset", "half")
+    some, plain = (draw(SITE, 200, 2, 7, Habits(leaves=0.5, leaves_by=by)) for by in (ways, ways[:1]))
+    assert {a.leaves_by for a in some if a.leaves_ms} == set(ways)
+    assert [a.leaves_ms for a in some] == [a.leaves_ms for a in plain] and plain[1].leaves_by == "close"
+
+
 def test_no_answer_in_time_is_seen() -> None:
     async def test() -> None:
         async with rig(OK, habits=Habits(try_part=(0.01, 0.01), retries=0)) as world:
--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -163,6 +163,44 @@
     one(got, 1, "r9", "sent on 100 ms after its end")
 
 
+def waits(name: str, at: float, after: float | None) -> list[Record]:
+    """Its client leaves while it waits; it is sent on so long after that, or never."""
+    sent = [] if after is None else attempt(name, "s0", at + 50 + after)
+    return [*asked(name, "read", at), ClientLeft(name, at + 50), *sent]
+
+
+@pytest.mark.parametrize(("after", "late"), [(None, 0), (1.0, 0), (299.9, 0), (300.0, 1), (700.0, 1)])
+def test_what_waited_when_its_client_left_is_not_sent_on_later(after: float | None, late: int) -> None:
+    got = verdict(waits("r9", 100, after))
+    assert (got.waited, got.sent_late, got.lets_go) == (1, late, not late)
+    assert f"waited: 1, {late} sent on 300 ms later or more: " in got.lines()[-1]
+    assert ("BROKEN" in got.lines()[-1]) is bool(late)
+    texts = [b.text for b in got.broken(1) if b.subject == "r9"]
+    assert ("1 of 1 whose clients left while they waited were sent on late" in texts) is bool(late)
+
+
+@pytest.mark.parametrize(("cases", "late"), [(3, 1), (4, 1), (5, 1), (7, 2), (8, 2), (8, 3)])
+def test_a_quarter_of_what_waited_may_be_sent_on_late(cases: int, late: int) -> None:
+    story = [waits(f"r{n}", 100 + 10 * n, 400.0 if n < late else None) for n in range(cases)]
+    got = verdict(*story, served("r99", "read", 50))
+    assert (got.waited, got.sent_late) == (cases, late)
+    assert got.lets_go is (4 * late <= cases) and ("BROKEN" in got.lines()[-1]) is (4 * late > cases)
+    # Each of them breaks the first rule besides, which has no such part.
+    assert len(got.broken(1)) == late + (not got.lets_go) and not got.ok
+
+
+def test_what_was_written_to_a_server_when_its_client_left_did_not_wait() -> None:
+    out = [*asked("r9", "read", 100), *attempt("r9", "s0", 150, "turned"), ClientLeft("r9", 150.0)]
+    assert verdict(out).waited == 0 and verdict(out, attempt("r9", "s1", 600)).sent_late == 0
+    assert verdict(served("r9", "read", 100)).waited == 0
+
+
+def test_what_the_world_was_late_by_is_no_lateness_of_the_node() -> None:
+    late = waits("r9", 100, 320.0)
+    assert verdict(late, HeldUp(472, 25)).sent_late == 0
+    assert verdict(late, HeldUp(472, 15)).sent_late == 1 == verdict(late, HeldUp(465, 25)).sent_late
+
+
 def test_sent_on_after_the_answer() -> None:
     got = verdict(served("r9", "read", 100), attempt("r9", "s1", 300))
     one(got, 1, "r9", "sent on 170 ms after its end")
