An answer that meets a client that has gone loses no outcome

Cause: ClientConnection._linger calls write_eof, which raises OSError under asyncio's own loop where the client has reset meanwhile. In Node._outcome that came before the Outcome was handed on: the module counted the attempt as out for good. uvloop, on which the program runs, did not raise in any order.

Change: the half close may fail; and whatever a client's side raises, Node._answer goes on to what the module is owed, with a line in the log.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import re
 from functools import partial
@@ -425,7 +426,8 @@
         if not self.closing and self.transport is not None:
             self.closing = True
             self.front.forget(self)
-            self.transport.write_eof()
+            with contextlib.suppress(OSError):  # the client was first: its end is on its way here
+                self.transport.write_eof()
             if not self.blocked:  # else once it is not, or when it has stalled
                 self.front.loop.call_later(LINGER, self.transport.abort)
 
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -350,7 +350,10 @@
         if request is not None and not request.answered:
             client = request.client
             self._close(name, request)
-            tell(client)
+            try:
+                tell(client)
+            except Exception:  # guards the module's counts: whoever answers hands on an outcome after it
+                log.exception("request %s could not be answered", name)
 
     def _close(self, name: str, request: Open) -> None:
         request.answered = True
