--- a/tests/net/test_ending.py
+++ b/tests/net/test_ending.py
@@ -197,6 +197,18 @@
     run(test)
 
 
+def test_a_signal_that_came_while_the_process_stood_still_is_as_old_as_that(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fronting(tmp_path) as front:
+            node = front.node
+            node._pause.turned_ms -= 2_000.0
+            found = node.stop()
+            assert node.stopping and node._pause.age_ms >= 2_000.0
+            assert found.last_ms <= node.now() + 3_500.0 - node._pause.age_ms
+
+    run(test)
+
+
 # --- clients that leave
 
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.sockets import CLASSES, ROOT, WAIT, Backend, Client, Message, configuration, running
+from tests.sockets import CLASSES, PATIENT, ROOT, WAIT, Backend, Client, Message, configuration, running
 from tests.test_node import never, run
 
 TERM, HUP = signal.SIGTERM, signal.SIGHUP
@@ -142,6 +142,25 @@
     run(test)
 
 
+def test_requests_that_wait_for_a_server_at_sigterm_are_answered(tmp_path: Path) -> None:
+    """Some are out at one that never answers, the others held: their own deadlines are an hour off."""
+
+    async def test() -> None:
+        async with running(tmp_path, Backend("b0", never), **PATIENT) as rig:
+            clients = [await rig.client() for _ in range(6)]
+            for client in clients:
+                client.send("/read")
+            while (await (await rig.client()).ask("/up")).code != 200:
+                pass
+            rig.terminate()
+            for client in clients:
+                assert (await client.answer()).code in (502, 503)
+                assert await client.ended() == b""
+            assert await rig.end() == 0
+
+    run(test)
+
+
 def test_half_a_request_at_sigterm_is_answered_when_it_is_whole(tmp_path: Path) -> None:
     """After the listener's end, while the node waits for nothing else."""
 
@@ -156,6 +175,7 @@
                 while True:
                     socket.create_connection(("127.0.0.1", rig.port)).close()
                     await asyncio.sleep(0.01)
+            await asyncio.sleep(0.2)  # a node that waits for nothing has ended by now
             client.writer.write(b"\r\n")
             assert (await client.answer()).code == 200
             assert await client.ended() == b"" and await rig.end() == 0
