Say once that discovery is mute or refuses, however many tries an outage takes

With short waits a refused call came up to 20 times a second; its line (net/sources/platform, `dial` and `_silent`) stood in the log each time, and the log's brake of 50 lines in 10 s left others out. Failures in a row are one line now, the rest is at the level for debugging. The test failed without.

--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -52,7 +52,7 @@
             if isinstance(err, asyncio.CancelledError) and not self.over:
                 raise
             if not self.dropped:
-                log.warning("discovery: no connection: %s", str(err) or "timed out")
+                self._warn(f"discovery: no connection: {str(err) or 'timed out'}")
             self.over = True
             if self.timer is not None:
                 self.timer.cancel()
@@ -85,9 +85,13 @@
         if looks:
             self.timer = self.loop.call_later(LOOK, self._silent, looks - 1)
             return
-        log.warning("discovery is silent")
+        self._warn("discovery is silent")
         self.close()
 
+    def _warn(self, text: str) -> None:
+        """Once for all failures in a row: guards the log's other lines, as tries are many."""
+        log.log(logging.DEBUG if self.owner.follow.failed else logging.WARNING, text)
+
     def data_received(self, data: bytes) -> None:
         """Read."""
         messages = self.parser.receive(data)
--- a/tests/net/test_platform_return.py
+++ b/tests/net/test_platform_return.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import logging
 import socket
 import time
 from pathlib import Path
@@ -376,6 +377,20 @@
     run(test, loop)
 
 
+def test_an_outage_is_one_line_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against ten lines a second, for which the others are left out."""
+
+    async def test() -> None:
+        agent, node, _watch = await up(500.0)
+        agent.refuse()
+        await until(lambda: node.silenced() >= 6)
+        node.source.watch(False)
+
+    with caplog.at_level(logging.INFO, platform.log.name):
+        run(test)
+    assert sum("no connection" in line for line in caplog.messages) <= 1
+
+
 def test_connections_that_never_come_up_are_given_up_and_do_not_pile_up() -> None:
     """Guards against a socket for each try: the kernel goes on with a connection for minutes."""
 
