--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -24,7 +24,7 @@
 MAX_HEAD = 16 * 1024
 MAX_BYTES = 8 * MAX_BODY  # of one answer: a body in chunks of one byte takes six times its size
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
-REST = 0.025  # s from an answer to the next request: a second answer may come some milliseconds late
+REST = 0.015  # s from an answer to the next request: a second answer may come some milliseconds late
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
 FIELDS = {
     "inflight": "in_flight", "active": "in_flight", "queue": "queue", "waiting": "queue", "util": "cpu",
