A request waits for a connection that has not rested, for at most 10 ms

Change: where no rested one is idle the request waits on the one that has rested longest, and goes on a new one if that is spoilt meanwhile. 10 ms is three times the latest second answer that was seen (3.5 ms).

Seen: tests/net/test_upstream.py on sockets: bytes that come late, or the server's end, while a request waits: it goes out once, on a new connection; a drop, a drain, an end or a move while it waits: nothing is written. The test that a new one is opened at the cap asked for what is no longer done: replaced by the one on spoilt ones.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -24,7 +24,7 @@
 MAX_HEAD = 16 * 1024
 MAX_BYTES = 8 * MAX_BODY  # of one answer: a body in chunks of one byte takes six times its size
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
-REST = 0.015  # s from an answer to the next request: a second answer may come some milliseconds late
+REST = 0.01  # s from an answer to the next request: a second answer may come some milliseconds late
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
 FIELDS = {
     "inflight": "in_flight", "active": "in_flight", "queue": "queue", "waiting": "queue", "util": "cpu",
@@ -114,6 +114,7 @@
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
         self.handed = False  # the descriptor is the transport's, which is its only owner from then on
+        self.resting: asyncio.TimerHandle | None = None  # its attempt waits until it has rested
         self.closed = self.wrote = self.blocked = False
         self.idle_since = 0.0
         self._reset()
@@ -140,17 +141,29 @@
         except (OSError, TimeoutError):
             self._fail(Status.CONNECT_FAILED)
             return
-        attempt = self.attempt
         if self.closed:
             self.transport.abort()
-        elif attempt is None:
+        else:
+            self._begin()
+
+    def rest(self, attempt: Attempt, wait: float) -> None:
+        """Write the attempt in `wait` seconds, if nothing comes by then that belongs to the last one."""
+        self.attempt, attempt.connection = attempt, self
+        self.resting = self.pool.loop.call_later(wait, self._begin)
+
+    def _begin(self) -> None:
+        """Write the attempt that waits."""
+        attempt = self.attempt
+        if attempt is None:
             self.close()
         elif not self.host.up or self.host.address != self.address:
-            # Guards against sending to a backend that was taken off the list while the connection came up.
+            # Guards against sending to a backend that was taken off the list while the attempt waited.
+            self.resting = None
             self._fail(Status.MOOT)
         elif not self.clean:
             self._fail(Status.CONNECT_FAILED)
         else:
+            self.resting = None
             self.write(attempt)
 
     @property
@@ -170,9 +183,11 @@
         return False
 
     def _fail(self, status: Status) -> None:
-        attempt, self.attempt = self.attempt, None
+        attempt, self.attempt, resting = self.attempt, None, self.resting
         self.close()
-        if attempt is not None:
+        if attempt is not None and resting is not None:
+            self.pool.connect(self.host, attempt)  # nothing of it was written here
+        elif attempt is not None:
             attempt.end(Answer(status))
 
     def close(self) -> None:
@@ -181,6 +196,9 @@
             return
         self.closed = True
         self.pool.count -= 1
+        if self.resting is not None:
+            self.resting.cancel()
+            self.resting = None
         if self in self.host.idle:
             self.host.idle.remove(self)
         if not self.handed:
@@ -238,9 +256,7 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             fault = f"broken answer: {err}"
-        self.bytes += len(
-            data
-        )  # guards against chunks, their extensions, trailers or interim ones without end
+        self.bytes += len(data)  # guards against chunks, extensions, trailers or interim answers without end
         if not self.in_body:
             self.head += len(data)  # guards memory against a header without end, which the parser would keep
         if self.complete and self.code == 200 and self.blocked:
@@ -359,14 +375,16 @@
     ) -> Attempt:
         """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once.
 
-        One that has not rested is passed over: guards against taking what comes late behind its last answer
-        for the answer of this request.
+        One that has not rested is passed over, or waited for where there is no other: a new one takes longer.
+        Guards against taking what comes late behind an answer for that of this request.
         """
         host = self.hosts[name]
         attempt = Attempt(data, done, begin_by)
         now = time.monotonic()  # the loop's own clock stands still while it works
+        resting: Connection | None = None  # the one that has rested longest
         for connection in reversed(host.idle[:]):
             if now - connection.idle_since < REST:
+                resting = connection
                 continue
             if now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
                 connection.close()
@@ -374,19 +392,27 @@
             host.idle.remove(connection)
             connection.write(attempt)
             return attempt
-        if self.count >= self.limit and not self._evict():
+        if resting is not None and resting.clean:
+            host.idle.remove(resting)
+            resting.rest(attempt, REST - (now - resting.idle_since))
+        else:
+            self.connect(host, attempt)
+        return attempt
+
+    def connect(self, host: Host, attempt: Attempt) -> None:
+        """Begin an attempt on a new connection."""
+        if not host.up or (self.count >= self.limit and not self._evict()):
             attempt.end(Answer(Status.MOOT))
-            return attempt
+            return
         try:
             connection = Connection(self, host)
         except OSError as err:  # guards the count of connections when no descriptor is left
             log.warning("no socket for a backend: %s", err)
             attempt.end(Answer(Status.MOOT))
-            return attempt
+            return
         self.count += 1
         connection.attempt, attempt.connection = attempt, connection
         connection.task = self.loop.create_task(connection.open())
-        return attempt
 
     def _evict(self) -> bool:
         """Close the connection that has been idle longest."""
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -244,14 +244,21 @@
         assert await stand.request(peers[1], 3) == b"two"
         stand.start(b"six")
         assert await stand.request(peers[0], 3) == b"six"
-        stand.start(b"ten")
-        assert await stand.request(await stand.accept(), 3) == b"ten"
+        monkeypatch.setattr(upstream, "REST", 0.05)
+        used[2].idle_since = time.monotonic()
+        stand.start(b"ten")  # the only one is waited for
+        assert not used[2].wrote and stand.pool.count == 3
+        assert await stand.request(peers[2], 3) == b"ten"
         stand.close()
 
     run(test)
 
 
-def test_at_the_cap_one_that_has_not_rested_is_closed_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("comes", [answer(b"mine again"), b""])
+def test_an_attempt_whose_resting_connection_is_spoilt_goes_on_a_new_one(
+    monkeypatch: pytest.MonkeyPatch, comes: bytes
+) -> None:
+    """By bytes that come late or by its end, at the cap, too; it counts as one attempt that went out once."""
     monkeypatch.setattr(upstream, "REST", LONG)
 
     async def test() -> None:
@@ -262,14 +269,50 @@
         peer.sendall(answer(b"x"))
         await stand.ended(1)
         stand.start(b"two")
-        assert stand.pool.count == 1 and peer.recv(10) == b""
+        assert stand.pool.count == 1
+        if comes:
+            peer.sendall(comes)
+        else:
+            peer.shutdown(socket.SHUT_WR)
         assert await stand.request(await stand.accept(), 3) == b"two"
+        assert peer.recv(10) == b"" and stand.pool.count == 1 and len(stand.ends) == 1
+        stand.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["drop", "drain", "gone", "moved"])
+def test_an_attempt_that_waits_for_a_resting_connection_may_still_be_called_off(
+    monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
+    """Nothing is written for a client that has left, or to a server that drains, is gone or another one."""
+    monkeypatch.setattr(upstream, "REST", 0.05)
+
+    async def test() -> None:
+        stand = Stand()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        peer.sendall(answer(b"x"))
+        await stand.ended(1)
+        attempt = stand.start(b"two")
+        assert not attempt.left
+        if how == "drop":
+            attempt.drop()
+        elif how == "gone":
+            stand.pool.update((), ["b0"])
+        else:
+            phase = "terminating" if how == "drain" else "in_service"
+            stand.pool.update(members(stand.port + (how == "moved"), phase=phase))
+        assert how == "drop" or (await stand.ended(2)).status is Status.MOOT
+        assert await asyncio.to_thread(peer.recv, 10) == b""
+        await wait_until(lambda: not stand.pool.count)
         stand.close()
 
     run(test)
 
 
-@pytest.mark.parametrize("limit", [0.0, 20.0, 300.0])
+@pytest.mark.parametrize("limit", [0.0, 10.0, 300.0])
 def test_short_idle_limits(limit: float) -> None:
     """A connection is kept only where it can be used again before the backend closes it."""
 
