Bound what is kept of a request line by the longest head

Cause: found on reading the mend of names outside ASCII again: the parser passes over carriage returns before a request, no header is too long then, and front._escape kept them all.

Seen: tests/net/test_other_customers.py::test_line_ends_without_a_request_hold_no_memory failed without.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -203,8 +203,7 @@
         The target goes on to a backend as it came.
         """
         line, ends, rest = data.partition(b"\n")
-        self.line += line
-        whole = self.line
+        whole = self.line = (self.line + line)[:MAX_HEAD]  # the parser refuses longer ones, but for line ends
         if ends:
             self.in_line, self.line = not whole.strip(), b""
         if line.isascii() and (not ends or whole.isascii()):
--- a/tests/net/test_other_customers.py
+++ b/tests/net/test_other_customers.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from tests.net.test_client_gone import fronting, run
+from dillport.net.front import MAX_HEAD
+from tests.net.test_client_gone import fronting, run, until
 from tests.sockets import LIMITS, Backend, Client
 
 NAMES = ["up", "discovery", "høyvann/i dag", "a/b", "a%2Fb", "Øst & vest", "%", "GET", "claim.2", "日本"]
@@ -89,6 +90,26 @@
     run(test)
 
 
+def test_line_ends_without_a_request_hold_no_memory(tmp_path: Path) -> None:
+    """The parser passes over them, and so no header is too long."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0", port=9).member()) as front:
+            client = Client(*await asyncio.open_connection(*front.address))
+            for _ in range(20):
+                client.writer.write(b"\r" * 65536)
+                await client.writer.drain()
+            client.writer.write(b"\nGET /up HTTP/1.1\r\n\r\n")
+            assert (await client.answer()).body == b"up\n"
+            (connection,) = front.connections
+            client.writer.write(b"\r" * 65536)
+            await until(lambda: connection.line)
+            assert len(connection.line) <= MAX_HEAD
+            client.writer.transport.abort()
+
+    run(test)
+
+
 @pytest.mark.parametrize("how", ["inline", "on_probe", "off"])
 def test_where_probes_are_allowed_nothing_waits_for_one(tmp_path: Path, how: str) -> None:
     """The node carries out none: a request that waited for one would be answered only when it is overdue."""
