Send no request on with a target that another request, or a header, had

A request that began behind another in its packet had its headers looked through as if they were its request line. Line ends before a request counted into the line, so that its second word was not the target. At fault: front._escape, on_message_complete and on_message_begin. Change: the raw target ends with its own request, a line is kept only from its first letter on, and one that began in another's packet is read as it is.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -99,7 +99,7 @@
         self.blocked = False  # the kernel has not taken all that was written
         self.until = 0.0  # ms, the latest deadline of its requests
         self.parser = httptools.HttpRequestParser(self)
-        self.in_line, self.line = True, b""  # a request line is read; as much of it as came before
+        self.in_line, self.line = True, b""  # what comes next is of a request line; what came of it before
         self.raw = b""  # its target as it came, where that is not what the parser was given
         self._reset()
 
@@ -202,10 +202,10 @@
 
         The target goes on to a backend as it came.
         """
-        line, ends, rest = data.partition(b"\n")
-        whole = self.line = (self.line + line)[:MAX_HEAD]  # the parser refuses longer ones, but for line ends
+        line, ends, rest = (data if self.line else data.lstrip(b"\r\n")).partition(b"\n")
+        whole = self.line = self.line + line  # its length is bounded by the head's
         if ends:
-            self.in_line, self.line = not whole.strip(), b""
+            self.in_line, self.line = False, b""
         if line.isascii() and (not ends or whole.isascii()):
             return data
         if ends:
@@ -248,6 +248,8 @@
             return
         self._reset()
         self.mid = True
+        # One that begins behind another in its packet is read as it is: what comes next is no request line.
+        self.in_line = bool(self.line)
         self.front.idle.pop(self, None)
         self.front.fresh.pop(self, None)
 
@@ -300,6 +302,7 @@
             self._take()
         except BadRequest as err:
             self._turn_away(err.code, str(err))
+        self.raw = b""
 
     # --- requests
 
@@ -352,7 +355,7 @@
             writes=cls.effect is not Effect.SAFE,
         )
         self.request, self.until = name, max(self.until, event.deadline)
-        target, self.raw = self.raw or self.target, b""
+        target = self.raw or self.target
         node.arrival(event, self, partial(render, method, target, headers, b"".join(self.body)))
 
     def _hint(self) -> float | None:
--- a/tests/net/test_other_customers.py
+++ b/tests/net/test_other_customers.py
@@ -75,8 +75,10 @@
             body = "ø\nø HTTP/1.1\n".encode()
             text = b"POST %b HTTP/1.1\r\nRequest-Id: 99\r\nIdempotency-Key: \xc3\xb8\r\n" % target
             text += b"Content-Length: %d\r\n\r\n" % len(body)
-            for number, cut in enumerate((0, 1, 5, 6, 7, 8, len(target) + 4, len(target) + 6, len(text)), 10):
-                whole = (b"\r\n" if number == 12 else b"") + text.replace(b": 99", b": %d" % number) + body
+            cuts = (0, 1, 5, 1, 2, 3, 6, 7, 8, len(target) + 4, len(target) + 6, len(text))
+            for number, cut in enumerate(cuts, 10):
+                empty = b"\r\n" if number in (10, 12, 13, 14, 15) else b""  # some clients begin so
+                whole = empty + text.replace(b": 99", b": %d" % number) + body
                 client.writer.write(whole[:cut])
                 await asyncio.sleep(0.002)
                 client.writer.write(whole[cut:])
@@ -102,10 +104,40 @@
             client.writer.write(b"\nGET /up HTTP/1.1\r\n\r\n")
             assert (await client.answer()).body == b"up\n"
             (connection,) = front.connections
-            client.writer.write(b"\r" * 65536)
-            await until(lambda: connection.line)
-            assert len(connection.line) <= MAX_HEAD
+            assert len(connection.line) == 0
+            client.writer.write(b"\r" * 12_000 + b"\nGET /up")
+            await until(lambda: connection.mid)
+            assert connection.line == b"GET /up"  # nothing of what came before it
+            client.writer.write(b" HTTP/1.1\r\n\r\n")
+            assert (await client.answer()).body == b"up\n"
+            client.writer.write(b"GET /" + b"x" * 65536)  # a line without an end is bounded, too
+            assert (await client.answer()).code == 431
+            assert len(connection.line) <= MAX_HEAD + 256 * 1024  # one read more than what a head may be
+            client.writer.transport.abort()
+
+    run(test)
+
+
+def test_what_a_request_line_is_taken_for_is_its_own(tmp_path: Path) -> None:
+    """Guards against sending one request on with a target that another one, or a header, had."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        async with fronting(tmp_path, backend.member()) as front:
+            client = Client(*await asyncio.open_connection(*front.address))
+            client.writer.write("GET /up?ø HTTP/1.1\r\n\r\n".encode())
+            assert (await client.answer()).body == b"up\n"
+            assert (await client.ask("/read/x")).code == 200
+            assert (await backend.got.get()).start == "GET /read/x HTTP/1.1"
+            # Behind another in one packet; its headers come alone, and look like a line with letters.
+            client.writer.write(b"GET /up HTTP/1.1\r\n\r\nGET /read/y HTTP/1.1\r\n")
+            assert (await client.answer()).body == b"up\n"
+            client.writer.write("Tenant: fjell sjø\r\nRequest-Id: 7\r\n\r\n".encode())
+            assert (await client.answer()).code == 200
+            assert (await backend.got.get()).start == "GET /read/y HTTP/1.1"
             client.writer.transport.abort()
+        backend.stop()
 
     run(test)
 
