Read what came while the process stood still before its connections' time is up

Seen: a node under SIGSTOP for 2.6 s reset new connections whose whole request lay in the kernel: after SIGCONT the look for overdue connections ran before the sockets were read.

At fault: front._sweep, which judged by a clock that went on while nothing was read.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -511,8 +511,10 @@
 
         Guards against clients that keep a connection: others may find none left to ask on.
         """
-        now = self.loop.time()
+        now, due = self.loop.time(), self.sweeper.when()
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
+        if now - due > SWEEP:
+            return  # guards what came while this process stood still: it is read before the next look
         while self.waiting and now - next(iter(self.waiting.values())) > SLOW:
             connection = next(iter(self.waiting))
             del self.waiting[connection]
--- a/tests/net/test_ending.py
+++ b/tests/net/test_ending.py
@@ -6,13 +6,15 @@
 import itertools
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
 from dillport.decide.shutdown import Ends
-from dillport.net.front import GULP, Front
+from dillport.net import front as front_module
+from dillport.net.front import GULP, SWEEP, Front
 from tests.net.test_front import LOOPS, Deaf, NewLoop, fronting, large, run, stuff, until
 from tests.sockets import HOUR, PATIENT, WAIT, Backend, Client, Message, echo
 
@@ -209,6 +211,30 @@
     run(test)
 
 
+@LOOPS
+@pytest.mark.parametrize("cut", [0, 20, -1])
+def test_what_came_while_the_process_stood_still_is_read_before_its_time_is_up(
+    tmp_path: Path, new_loop: NewLoop, cut: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The look for connections whose time is up is overdue then, and comes before the sockets."""
+    monkeypatch.setattr(front_module, "SLOW", 0.1)
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            data = read()
+            sock = connected(front, data[:cut])
+            await until(lambda: front.fresh if cut == 0 else any(c.mid for c in front.connections))
+            sock.sendall(data[cut:])
+            time.sleep(3 * SWEEP)
+            front.sweeper.cancel()
+            front._sweep()
+            loop = asyncio.get_running_loop()
+            assert b" 200 OK" in await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), WAIT)
+            sock.close()
+
+    run(test, new_loop)
+
+
 # --- clients that leave
 
 
