Take one more look at the end of a node where that end is itself late

Seen: with the time for the last answer over as the listener closes (short deadlines leave 40 ms between the two, less than a busy turn of the loop may take), what the listener had just accepted and requests that lay in the kernel on new connections were never read; they were reset with the process.

Confirmed by a test: accepted or up, its request in the kernel, the last time over, then stop and finish.

At fault: Front.finish, which left its loop before the loop of the process had turned once.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -571,21 +571,22 @@
     async def finish(self) -> None:
         """After `stop`: wait until all is answered and its client has it, then end what is left.
 
-        Bound: the time by which all is to be answered. Looks are taken every `STEP`: what is owed is in many
-        places, and comes back to some of them.
+        Bound: the time by which all is to be answered, and one look more. Looks are taken every `STEP`: what
+        is owed is in many places, and comes back to some of them.
         """
         assert self.ends is not None
         mute: list[ClientConnection] = []
+        last = False
         while True:
             # Between two looks all that had come was read: guards a first request that lies in the kernel.
             for connection in [*self.idle, *(c for c in mute if c in self.fresh)]:
                 connection.close()
             left = (self.ends.last_ms - self.node.now()) / 1000
-            if left <= 0 or not (self.connections or self.listener.coming or self.node.open):
+            if last or not (self.connections or self.listener.coming or self.node.open):
                 break
-            now = self.loop.time()
-            mute = [c for c, since in self.fresh.items() if now - since >= FRESH_MS / 1000 or left <= STEP]
-            await asyncio.sleep(min(STEP, left))
+            now, last = self.loop.time(), left <= STEP
+            mute = [c for c, since in self.fresh.items() if now - since >= FRESH_MS / 1000 or last]
+            await asyncio.sleep(STEP)  # where the end is late itself, too: what has come is turned away
         await self.node.finish(0)
         for connection in list(self.connections):
             connection.end()
--- a/tests/net/test_ending.py
+++ b/tests/net/test_ending.py
@@ -158,6 +158,28 @@
     run(test, new_loop)
 
 
+@LOOPS
+@pytest.mark.parametrize("up", [False, True])
+def test_an_end_that_is_late_reads_what_has_come_once_more(
+    tmp_path: Path, new_loop: NewLoop, up: bool
+) -> None:
+    """The time by which all is answered is over as the listener closes, on a core that others held."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            sock = connected(front)
+            if up:
+                await until(lambda: front.fresh)
+            told(front, 0.0)
+            sock.sendall(read())
+            front.stop()
+            await front.finish()
+            assert not front.listener.coming and all(c.closing for c in front.connections)
+            assert (await all_of(sock)).startswith(b"HTTP/1.1 503 ")
+
+    run(test, new_loop)
+
+
 @LOOPS
 def test_the_end_waits_for_answers_that_the_kernel_has_not_taken(
     tmp_path: Path, deaf: Callable[[Front], Deaf], new_loop: NewLoop
