Answer 413 to a Content-Length of thousands of zeros, which Python does not read

Seen: 'Content-Length: 000...3' with 5,000 digits passed the parser; int() refuses over 4,300 digits, so the client got 500 and the log a traceback.

At fault: ClientConnection.on_header. Change: over nine characters it is too large, unread.

Measured: the new row of test_bad_input_gets_a_plain_answer_and_a_close fails without it (500 for 413).

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -271,7 +271,7 @@
         if key in ONCE and key in self.headers:
             # Guards against a request that is one thing to this node and another to a backend.
             raise BadRequest(400, "header given twice")
-        if key == b"content-length" and int(value) > MAX_BODY:
+        if key == b"content-length" and (len(value) > 9 or int(value) > MAX_BODY):  # zeros may be thousands
             raise BadRequest(413, "body too large")
         self.headers[key] = value
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -713,6 +713,7 @@
         (b"POST /once HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
         (b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, 413),
         (b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 60000000\r\n\r\n", 413),  # at its head
+        (b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: %b3\r\n\r\nabc" % (b"0" * 5000), 413),
         (b"GET /read HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Id: 2\r\n\r\n", 400),
         (b"GET /read HTTP/1.1\r\nRequest-Id: 1\r\nX: a\x01b\r\n\r\n", 400),
         (b"GET /re\x01ad HTTP/1.1\r\nRequest-Id: 1\r\n\r\n", 400),
