Read a request on a resting connection before the end of a node closes it

Seen: SIGSTOP of 0.2 s near the listener's end: requests that had come on resting connections were reset, three in one end, as stop closed them before they were read. Any busy turn of the loop does the same.

Confirmed by a test: a connection that was answered on, its next request in the kernel, then stop and finish.

At fault: Front.stop and the first look of Front.finish.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -563,13 +563,11 @@
         self.unread.forget(connection)
 
     def stop(self) -> None:
-        """Accept all that wait and no more; close what is idle. A request on its way is still taken."""
+        """Accept all that wait and no more. A request on its way is still taken."""
         self.listener.close()
-        for connection in list(self.idle):
-            connection.close()
 
     async def finish(self) -> None:
-        """After `stop`: wait until all is answered and its client has it, then end what is left.
+        """After `stop`: close what is idle, wait until clients have all answers, then end what is left.
 
         Bound: the time by which all is to be answered, and one look more. Looks are taken every `STEP`: what
         is owed is in many places, and comes back to some of them.
@@ -578,14 +576,16 @@
         mute: list[ClientConnection] = []
         last = False
         while True:
-            # Between two looks all that had come was read: guards a first request that lies in the kernel.
-            for connection in [*self.idle, *(c for c in mute if c in self.fresh)]:
-                connection.close()
+            # Between two looks all that had come was read: guards a request that lies in the kernel.
+            for connection in mute:
+                if connection in self.idle or connection in self.fresh:
+                    connection.close()
             left = (self.ends.last_ms - self.node.now()) / 1000
             if last or not (self.connections or self.listener.coming or self.node.open):
                 break
             now, last = self.loop.time(), left <= STEP
             mute = [c for c, since in self.fresh.items() if now - since >= FRESH_MS / 1000 or last]
+            mute += self.idle
             await asyncio.sleep(STEP)  # where the end is late itself, too: what has come is turned away
         await self.node.finish(0)
         for connection in list(self.connections):
--- a/tests/net/test_ending.py
+++ b/tests/net/test_ending.py
@@ -128,6 +128,27 @@
     run(test, new_loop)
 
 
+@LOOPS
+def test_a_request_on_a_resting_connection_that_came_as_the_listener_closes_is_answered(
+    tmp_path: Path, new_loop: NewLoop
+) -> None:
+    """It lies in the kernel, as a busy turn of the loop was long; a close over it resets."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            loop, sock = asyncio.get_running_loop(), connected(front, read())
+            assert b" 200 OK" in await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), WAIT)
+            await until(lambda: front.idle)
+            told(front)
+            sock.sendall(read())
+            front.stop()
+            await front.finish()
+            got = await all_of(sock)
+            assert b" 200 OK" in got and b"Connection: close" in got
+
+    run(test, new_loop)
+
+
 @LOOPS
 def test_a_connection_that_stays_mute_does_not_hold_up_the_end(tmp_path: Path, new_loop: NewLoop) -> None:
     async def test() -> None:
