Read the sockets between two looks at the end, also where a timer goes before them

Seen: at an end near a SIGSTOP of 0.2 s, a new connection with its request sent was reset (one of eight ends).

Confirmed by a test: a reader holds the loop past the next look while the request comes; under uvloop an overdue timer wakes the look before the sockets are polled. asyncio's own loop polls first.

Change: one turn more after the step.

Measured: test_a_look_that_comes_before_the_sockets_closes_over_no_request fails without it under uvloop, new and resting connection alike (reset).

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -587,6 +587,7 @@
             mute = [c for c, since in self.fresh.items() if now - since >= FRESH_MS / 1000 or last]
             mute += self.idle
             await asyncio.sleep(STEP)  # where the end is late itself, too: what has come is turned away
+            await asyncio.sleep(0)  # uvloop's timers go before the sockets; these are read in between
         await self.node.finish(0)
         for connection in list(self.connections):
             connection.end()
--- a/tests/net/test_ending.py
+++ b/tests/net/test_ending.py
@@ -14,7 +14,7 @@
 
 from dillport.decide.shutdown import Ends
 from dillport.net import front as front_module
-from dillport.net.front import GULP, SWEEP, Front
+from dillport.net.front import GULP, STEP, SWEEP, Front
 from tests.net.test_front import LOOPS, Deaf, NewLoop, fronting, large, run, stuff, until
 from tests.sockets import HOUR, PATIENT, WAIT, Backend, Client, Message, echo
 
@@ -149,6 +149,43 @@
     run(test, new_loop)
 
 
+@LOOPS
+@pytest.mark.parametrize("used", [False, True])
+def test_a_look_that_comes_before_the_sockets_closes_over_no_request(
+    tmp_path: Path, new_loop: NewLoop, used: bool
+) -> None:
+    """The request comes while a reader holds the loop past the next look, whose timer goes before sockets."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            loop, sock, (here, there) = asyncio.get_running_loop(), connected(front), socket.socketpair()
+            await until(lambda: front.fresh)
+            if used:
+                sock.sendall(read())
+                assert b" 200 OK" in await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), WAIT)
+                await until(lambda: front.idle)
+            for connection in front.fresh:
+                front.fresh[connection] -= 1.0  # mute for long
+            told(front)
+            front.stop()
+            done = asyncio.create_task(front.finish())
+            await asyncio.sleep(0)
+
+            def hold() -> None:
+                loop.remove_reader(here)
+                sock.sendall(read())
+                time.sleep(2 * STEP)
+
+            loop.add_reader(here, hold)
+            there.send(b"x")
+            assert b" 200 OK" in await all_of(sock)
+            await done
+            here.close()
+            there.close()
+
+    run(test, new_loop)
+
+
 @LOOPS
 def test_a_connection_that_stays_mute_does_not_hold_up_the_end(tmp_path: Path, new_loop: NewLoop) -> None:
     async def test() -> None:
