--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -64,9 +64,7 @@
     return number if found[2] == b"m" else number / 1000
 
 
-def render(
-    method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait: float
-) -> bytes:
+def render(method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait: float) -> bytes:
     """A request as it goes on to a backend that the node will wait `wait` milliseconds for."""
     lines = [
         b"%b %b HTTP/1.1" % (method, target),
@@ -524,7 +522,6 @@
             if now - since <= (BRIEF if self.pressed else IDLE):
                 break
             connection.close()
-
         self._end_unread()
 
     def held(self, connection: ClientConnection) -> None:
@@ -573,18 +570,16 @@
         is owed is in many places, and comes back to some of them.
         """
         assert self.ends is not None
-        mute: list[ClientConnection] = []
-        last = False
+        mute, last = list[ClientConnection](), False
         while True:
             # Between two looks all that had come was read: guards a request that lies in the kernel.
-            for connection in mute:
-                if connection in self.idle or connection in self.fresh:
-                    connection.close()
+            for connection in [c for c in mute if c in self.idle or c in self.fresh]:
+                connection.close()
             left = (self.ends.last_ms - self.node.now()) / 1000
             if last or not (self.connections or self.listener.coming or self.node.open):
                 break
             now, last = self.loop.time(), left <= STEP
-            mute = [c for c, since in self.fresh.items() if now - since >= FRESH_MS / 1000 or last]
+            mute = [c for c, since in self.fresh.items() if last or now - since >= FRESH_MS / 1000]
             mute += self.idle
             await asyncio.sleep(STEP)  # where the end is late itself, too: what has come is turned away
             await asyncio.sleep(0)  # uvloop's timers go before the sockets; these are read in between
