Cut a target with letters out of a loose request line as the parser does

Seen: 'GET /read?ø' with no version went on as 'GET /read?ø<CR> HTTP/1.1', a line end within the line to a backend; with two spaces before such a target it went on percent-encoded, a form that no client sent.

Confirmed on sockets with the backend's view of its request line.

At fault: ClientConnection._escape, which cut the line at single spaces and kept its CR. Change: it is cut at any white space, which no target may hold.

Measured: test_a_loose_request_line_goes_on_with_its_target_alone fails without it, two of three rows.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -207,7 +207,7 @@
         if line.isascii() and (not ends or whole.isascii()):
             return data
         if ends:
-            self.raw = b"".join(whole.split(b" ")[1:2])
+            self.raw = b"".join(whole.split()[1:2])  # some clients send two spaces, or no version
         return b"".join(b"%%%02X" % c if c > 127 else bytes((c,)) for c in line) + ends + rest
 
     def _read_on(self) -> None:
--- a/tests/net/test_other_customers.py
+++ b/tests/net/test_other_customers.py
@@ -142,6 +142,28 @@
     run(test)
 
 
+LOOSE = ["GET /read?ø\r\n", "GET  /read?ø HTTP/1.1\r\n", "GET /read?ø  HTTP/1.1\r\n"]
+
+
+@pytest.mark.parametrize("line", LOOSE)
+def test_a_loose_request_line_goes_on_with_its_target_alone(tmp_path: Path, line: str) -> None:
+    """Guards against a line end within the line to a backend, and a target that no client sent."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        async with fronting(tmp_path, backend.member()) as front:
+            client = Client(*await asyncio.open_connection(*front.address))
+            client.writer.write(line.encode() + b"Request-Id: 8\r\n\r\n")
+            assert (await client.answer()).code == 200
+            sent = await backend.got.get()
+            assert sent.start.encode("latin-1") == "GET /read?ø HTTP/1.1".encode()
+            client.writer.transport.abort()
+        backend.stop()
+
+    run(test)
+
+
 @pytest.mark.parametrize("how", ["inline", "on_probe", "off"])
 def test_where_probes_are_allowed_nothing_waits_for_one(tmp_path: Path, how: str) -> None:
     """The node carries out none: a request that waited for one would be answered only when it is overdue."""
