--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -177,9 +177,7 @@
         self._answer(name, lambda client: client.failed())
         self.event(api.ClientGone(name))
         for item in request.attempts:
-            if not item.over:
-                self._stop(item)
-                self._outcome(item, Answer(api.Status.CANCELLED))
+            self._stop(item, api.Status.CANCELLED)
 
     def arrival(self, event: api.Arrival, client: Client, render: Callable[[float], bytes]) -> None:
         """A client's request has come; `render` gives its bytes for a backend, told for how long."""
@@ -204,9 +202,8 @@
         # What has not left ends here, also where nothing may be called off: guards against sending it on once
         # its connection has come up, or the rest of it has found room, for a client that is not there.
         for item in request.attempts:
-            if not item.over and item.attempt is not None and not item.attempt.left:
-                self._stop(item)
-                self._outcome(item, Answer(api.Status.MOOT))
+            if item.attempt is not None and not item.attempt.left:
+                self._stop(item, api.Status.MOOT)
         self.event(api.ClientGone(name))
 
     def apply(self, change: Apply) -> None:
@@ -292,19 +289,16 @@
             item.attempt = None
 
     def _timeout(self, item: Try) -> None:
-        if item.over:
-            return
         left = item.attempt is not None and item.attempt.left
-        self._stop(item)
         # A connection that was still coming up when the time ran out carried nothing: it never ran.
-        self._outcome(item, Answer(api.Status.TIMEOUT if left else api.Status.CONNECT_FAILED))
+        self._stop(item, api.Status.TIMEOUT if left else api.Status.CONNECT_FAILED)
 
-    def _stop(self, item: Try) -> None:
-        if item.timer is not None:
-            item.timer.cancel()
-        if item.attempt is not None:
-            item.attempt.drop()
-            item.attempt = None
+    def _stop(self, item: Try, status: api.Status) -> None:
+        """End an attempt from this side, if it is out."""
+        if not item.over:
+            if item.attempt is not None:
+                item.attempt.drop()
+            self._outcome(item, Answer(status))
 
     def _cancel(self, action: api.Cancel) -> None:
         request = self.open.get(action.request)
@@ -313,10 +307,7 @@
             status = api.Status.CANCELLED
             self.event(api.Outcome(action.request, action.attempt, "", status, 0.0, True))
             return
-        item = request.attempts[action.attempt]
-        if not item.over:
-            self._stop(item)
-            self._outcome(item, Answer(api.Status.CANCELLED))
+        self._stop(request.attempts[action.attempt], api.Status.CANCELLED)
 
     def _outcome(self, item: Try, answer: Answer) -> None:
         """The one outcome of an attempt; a backend's whole answer goes to the client and ends the request."""
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -322,14 +322,11 @@
                 report = parse_report(self.load.decode("latin-1"))
             except ValueError as err:
                 log.warning("backend %s:%d: %s", *self.address, err)
-        if self.large:
-            answer = Answer(Status.ERROR, report)
-        elif self.code == 200:
+        answer = Answer(Status.ERROR, report)
+        if self.code == 200 and not self.large:
             answer = Answer(Status.OK, report, b"".join(self.body), self.content_type)
-        elif self.code in (503, 504) and self.not_started:
-            answer = Answer(Status.FULL, report)
-        else:
-            answer = Answer(Status.ERROR, report)
+        elif self.code in (503, 504) and self.not_started and not self.large:
+            answer.status = Status.FULL
         self.pool.release(self, clean and self.keep_alive and not self.blocked)
         attempt.end(answer)
 
