An answer of a server that says no length ends with its connection; a reset is no end

Seen: an answer without Content-Length and Transfer-Encoding (HTTP/1.0 servers, Connection: close) was a reset even where the server ended it with a FIN: an error for a request that had run, and a repeat or a failure. RFC 9112, 6.3, ends such an answer with its connection. At fault: net/upstream.py, Connection had no eof_received, so that every end was connection_lost. Change: eof_received ends an answer whose head is whole and named no length, if the request has left and no reset has come by then (SO_ERROR): a FIN with a reset behind it in the same turn counts as broken, too. Interim answers, cut heads, cut lengths and chunks, and other codings than chunked stay broken.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -123,7 +123,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body: list[bytes] = []
         self.size = self.head = self.bytes = 0
-        self.in_body = False
+        self.in_body = self.sized = False
         self.load = self.content_type = b""
         self.not_started = self.complete = self.excess = self.large = False
 
@@ -246,6 +246,15 @@
         self.transport = None  # nothing to abort: asyncio's own would end a second time, with a traceback
         self._fail(Status.RESET if self.wrote and not self.blocked else Status.CONNECT_FAILED)
 
+    def eof_received(self) -> None:
+        """The end of an answer whose head names none (RFC 9112, 6.3); of all else it is a break."""
+        if self.attempt is None or self.blocked or self.complete or self.sized or not self.in_body:
+            return
+        # Guards against serving what was cut: a reset that has come by now may stand behind the end.
+        if not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.on_message_complete()
+            self._finish(False)
+
     def data_received(self, data: bytes) -> None:
         """Read the answer; bytes that belong to none spoil the connection."""
         if self.attempt is None or not self.wrote:
@@ -280,6 +289,7 @@
         if self.complete or self.in_body:
             return  # a second answer's, or a trailer
         key = name.lower()
+        self.sized = self.sized or key in (b"content-length", b"transfer-encoding")
         if key == b"content-length":
             self.large = int(value) > MAX_BODY  # known from the head: its body is not waited for
         elif key == b"server-load":
@@ -307,7 +317,7 @@
             return
         if self.parser.get_status_code() < 200:
             self.load = b""
-            self.not_started = self.in_body = False
+            self.not_started = self.in_body = self.sized = False
             return
         self.complete = True
         self.keep_alive = self.parser.should_keep_alive()
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -417,6 +417,78 @@
     run(test)
 
 
+# --- an answer that ends with its connection
+
+ENDLESS = b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n\r\n"
+
+
+@LOOPS
+@pytest.mark.parametrize("one_turn", [True, False])
+@pytest.mark.parametrize("reset", ["", "reset", "closed and reset"])
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        (ENDLESS + b"mine", Status.OK),
+        (ENDLESS, Status.OK),
+        (b"HTTP/1.1 102 P\r\nContent-Length: 0\r\n\r\n" + ENDLESS + b"mine", Status.OK),
+        (b"HTTP/1.0 503 Busy\r\nNot-Started: 1\r\n\r\nbusy", Status.FULL),
+        (b"HTTP/1.0 500 Broken\r\n\r\nbroken", Status.ERROR),
+        (ENDLESS[:-2], Status.RESET),
+        (b"HTTP/1.1 102 P\r\n\r\n", Status.RESET),
+        (b"", Status.RESET),
+        (answer(b"mine")[:-1], Status.RESET),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmine\r\n0\r\n", Status.RESET),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nmine", Status.RESET),
+    ],
+)
+def test_an_answer_with_no_length_ends_with_its_connection_and_a_reset_is_no_end(
+    new_loop: NewLoop, text: bytes, status: Status, reset: str, one_turn: bool
+) -> None:
+    """Also where the last bytes and the reset are there before the loop turns."""
+
+    async def test() -> None:
+        stand = Stand()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        if text:
+            peer.sendall(text)
+        if not one_turn:
+            await turns(5)
+        if reset == "closed and reset":
+            peer.shutdown(socket.SHUT_WR)
+        if reset:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()
+        end = await stand.ended(1)
+        assert end.status is (Status.RESET if reset else status) and stand.pool.count == 0
+        assert end.body == (b"" if reset or status is not Status.OK or text == ENDLESS else b"mine")
+        await turns(10)
+        assert len(stand.ends) == 1
+        stand.close()
+
+    run(test, new_loop)
+
+
+@LOOPS
+def test_an_answer_with_no_length_that_ends_before_the_request_has_left_serves_nobody(
+    new_loop: NewLoop,
+) -> None:
+    async def test() -> None:
+        stand = Stand()
+        stand.start(BIG)
+        peer = await stand.accept()
+        await stand.request(peer, 1)
+        peer.sendall(ENDLESS + b"not mine")
+        peer.shutdown(socket.SHUT_WR)
+        await turns(5)
+        peer.close()
+        assert (await stand.ended(1)).status is Status.CONNECT_FAILED and stand.pool.count == 0
+        stand.close()
+
+    run(test, new_loop)
+
+
 # --- a repeat that comes too late
 
 
