Count out a repeat that is decided for a request whose client left while events were held

Seen: a refusal by a backend that comes while events are held back (after a stand-still, or while the memory is read) reaches the module once its client has left. The module then makes attempt 1 for a request that the node has forgotten. The node called it off as attempt 0, which the module had ended: attempt 1 stayed out for good, in the backend's count, the node's and the concurrency limit (where nothing may be called off). At fault: net/node.py, _send: number 0 for any request it does not know. Change: -1, the module's last attempt, which is the one it has just made. Confirmed: tests/net/test_client_gone.py::test_while_a_refusal_by_a_backend_is_held_back, real sockets, events held, the answer read, then the client's FIN, RST or half close, then let go: fails without it in all three where cancelling is forbidden.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -269,7 +269,7 @@
 
     def _send(self, action: api.Send) -> None:
         request, now = self.open.get(action.request), self.now()
-        number = len(request.attempts) if request else 0
+        number = len(request.attempts) if request else -1  # the last one, of a request that is over here
         item = Try(action.request, number, action.backend, now)
         if request is None:
             self._outcome(item, Answer(api.Status.MOOT))
--- a/tests/net/test_client_gone.py
+++ b/tests/net/test_client_gone.py
@@ -225,3 +225,39 @@
         backend.stop()
 
     run(test)
+
+
+@LEAVES
+@CANCELS
+def test_while_a_refusal_by_a_backend_is_held_back(tmp_path: Path, how: str, cancel: bool) -> None:
+    """As after a stand-still: what the module then sends for one that is over still ends, and counts no more."""
+
+    async def test() -> None:
+        go_on = asyncio.Event()
+
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            await go_on.wait()
+            writer.write(answer(b"", "503 Busy", "Not-Started: 1"))
+
+        backends = [Backend(f"b{n}", respond) for n in range(2)]
+        for backend in backends:
+            await backend.start()
+        members = [backend.member() for backend in backends]
+        async with fronting(tmp_path, *members, limits={"cancel": cancel}) as front:
+            node = front.node
+            client = await ask(front, "/read")
+            await until(lambda: sum(backend.got.qsize() for backend in backends))
+            node.wait(True)
+            go_on.set()
+            await until(lambda: node._held)
+            await go(front, client, how)
+            node.wait(False)
+            await settled()
+            assert sum(backend.got.qsize() for backend in backends) == 1
+            node.pool.close_idle("b0")
+            node.pool.close_idle("b1")
+            assert clean(node)
+        for backend in backends:
+            backend.stop()
+
+    run(test)
