Let no keyed repeat that is partly written become whole after its window

Seen: begin_by was looked at only before the first byte. A keyed repeat whose last bytes found no room (a server that stands still, or is cut off) was written on when there was room, after the server's memory of the first attempt had ended: the effect doubled. At fault: net/upstream.py, Connection.write. Change: one that is blocked behind its write is given up as moot at begin_by, while a byte of it is still here. Confirmed: test_upstream.py::test_a_request_that_is_partly_written_as_its_window_ends_never_becomes_whole: the peer takes one byte, lets the window pass and reads on: all 64 MB come on both loops without it, none of it whole with it; one whose last byte has left goes on.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -282,11 +282,9 @@
             return
         item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
         begin_by = (action.begin_by - self._zero) / 1000
-        item.attempt = self.pool.start(
-            action.backend, request.render(wait), partial(self._outcome, item), begin_by
-        )
-        if item.over:
-            item.attempt = None
+        done = partial(self._outcome, item)
+        attempt = self.pool.start(action.backend, request.render(wait), done, begin_by)
+        item.attempt = None if item.over else attempt
 
     def _timeout(self, item: Try) -> None:
         left = item.attempt is not None and item.attempt.left
@@ -320,10 +318,8 @@
         closed = request is None or request.answered
         if request is not None and closed:
             self._forget(item.request, request)
-        took = self.now() - item.sent
-        self.event(
-            api.Outcome(item.request, item.number, item.backend, answer.status, took, closed, answer.report)
-        )
+        status, took = answer.status, self.now() - item.sent
+        self.event(api.Outcome(item.request, item.number, item.backend, status, took, closed, answer.report))
 
     def _deadline(self, name: str) -> None:
         """The client's time is up: end what is out, and answer whatever the module did not."""
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -176,10 +176,8 @@
             return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        except OSError as err:
+            return isinstance(err, BlockingIOError)
         return False
 
     def _fail(self, status: Status) -> None:
@@ -240,6 +238,13 @@
         # Guards against calling a reset what never left: a write that fails at once closes the transport.
         if self.transport.is_closing():
             self._fail(Status.CONNECT_FAILED)
+        elif self.blocked and attempt.begin_by < math.inf:
+            self.pool.loop.call_later(attempt.begin_by - time.monotonic(), self._late, attempt)
+
+    def _late(self, attempt: Attempt) -> None:
+        """Its window has ended: guards against an effect doubled by one whose last byte is still here."""
+        if self.attempt is attempt and self.blocked:
+            self._fail(Status.MOOT)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A break before the request's last byte has left proves that it never ran; after, it may have."""
@@ -315,13 +320,12 @@
         """The answer is whole, unless it was an interim one."""
         if self.complete:
             return
-        if self.parser.get_status_code() < 200:
+        self.code = self.parser.get_status_code()
+        if self.code < 200:
             self.load = b""
             self.not_started = self.in_body = self.sized = False
             return
-        self.complete = True
-        self.keep_alive = self.parser.should_keep_alive()
-        self.code = self.parser.get_status_code()
+        self.complete, self.keep_alive = True, self.parser.should_keep_alive()
 
     def _finish(self, clean: bool) -> None:
         attempt, self.attempt = self.attempt, None
@@ -392,13 +396,12 @@
         for connection in reversed(host.idle[:]):
             if now - connection.idle_since < REST:
                 resting = connection
-                continue
-            if now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
+            elif now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
                 connection.close()
-                continue
-            host.idle.remove(connection)
-            connection.write(attempt)
-            return attempt
+            else:
+                host.idle.remove(connection)
+                connection.write(attempt)
+                return attempt
         if resting is not None and resting.clean:
             host.idle.remove(resting)
             resting.rest(attempt, REST - (now - resting.idle_since))
--- a/tests/net/test_client_gone.py
+++ b/tests/net/test_client_gone.py
@@ -230,7 +230,7 @@
 @LEAVES
 @CANCELS
 def test_while_a_refusal_by_a_backend_is_held_back(tmp_path: Path, how: str, cancel: bool) -> None:
-    """As after a stand-still: what the module then sends for one that is over still ends, and counts no more."""
+    """As after a stand-still: what the module sends then, for one that is over, ends and counts no more."""
 
     async def test() -> None:
         go_on = asyncio.Event()
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -530,6 +530,40 @@
     run(test, new_loop)
 
 
+@LOOPS
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_request_that_is_partly_written_as_its_window_ends_never_becomes_whole(
+    new_loop: NewLoop, whole: bool
+) -> None:
+    """One whose last byte has left by then goes on."""
+
+    async def test() -> None:
+        stand = Stand()
+        begin_by = time.monotonic() + (3600.0 if whole else 1.0)
+        attempt = stand.start(BIG, begin_by)
+        peer = await stand.accept()
+        left = len(BIG) - len(await stand.request(peer, len(BIG) if whole else 1))
+        assert attempt.left is whole
+        if whole:
+            attempt.connection._late(attempt)
+        else:
+            await asyncio.to_thread(time.sleep, max(0.0, begin_by - time.monotonic()))
+
+        def rest() -> int:
+            nonlocal left
+            while left and (got := len(peer.recv(1_000_000))):
+                left -= got
+            return left
+
+        assert (await asyncio.to_thread(rest) == 0) is whole
+        if whole:
+            peer.sendall(answer(b"mine"))
+        assert (await stand.ended(1)).status is (Status.OK if whole else Status.MOOT)
+        stand.close()
+
+    run(test, new_loop)
+
+
 # --- answers without end
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
