Hold a time-out under the rest of a connection against no backend

Seen: a request waits for up to 10 ms for a connection that has not rested. Where its time ran out in that wait, the attempt ended as one that could not connect: the backend was ejected for a wait of this node's own. At fault: net/node.py, _timeout; the rest came with. Change: moot, which never ran and says nothing of the backend. Confirmed: tests/net/test_client_gone.py::test_time_that_is_up_while_a_connection_rests_is_not_held_against_the_backend (rest held at 30 s): without it the backend counts one failure in a row and is left alone (fails 1, busy set).

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -287,9 +287,13 @@
         item.attempt = None if item.over else attempt
 
     def _timeout(self, item: Try) -> None:
-        left = item.attempt is not None and item.attempt.left
         # A connection that was still coming up when the time ran out carried nothing: it never ran.
-        self._stop(item, api.Status.TIMEOUT if left else api.Status.CONNECT_FAILED)
+        link, status = item.attempt.connection if item.attempt else None, api.Status.CONNECT_FAILED
+        if item.attempt is not None and item.attempt.left:
+            status = api.Status.TIMEOUT
+        elif link is not None and link.resting is not None:
+            status = api.Status.MOOT  # nor did one that rests: guards a backend against this node's own wait
+        self._stop(item, status)
 
     def _stop(self, item: Try, status: api.Status) -> None:
         """End an attempt from this side, if it is out."""
--- a/tests/net/test_client_gone.py
+++ b/tests/net/test_client_gone.py
@@ -14,11 +14,12 @@
 import pytest
 
 from dillport.decide.membership import Listed, Source
+from dillport.net import upstream
 from dillport.net.config import load
 from dillport.net.fleet import Fleet
 from dillport.net.front import Front
 from dillport.net.node import Node
-from tests.sockets import PATIENT, WAIT, Backend, Client, Message, answer, configuration
+from tests.sockets import CLASSES, PATIENT, WAIT, Backend, Client, Message, answer, configuration
 
 LEAVES = pytest.mark.parametrize("how", ["fin", "rst", "half"])
 CANCELS = pytest.mark.parametrize("cancel", [True, False])
@@ -261,3 +262,31 @@
             backend.stop()
 
     run(test)
+
+
+@pytest.mark.parametrize("target", ["/read", "/once"])
+def test_time_that_is_up_while_a_connection_rests_is_not_held_against_the_backend(
+    tmp_path: Path, target: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """This node held the request back: it never ran, and the backend had no part in it."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        classes = [c | {"give-up": 1000, "objective": 800} for c in CLASSES]
+        async with fronting(tmp_path, backend.member(), **{"request-classes": classes}) as front:
+            client = await ask(front, "/read")
+            assert (await client.answer()).code == 200
+            monkeypatch.setattr(upstream, "REST", 30.0)
+            method = "GET" if target == "/read" else "POST"
+            known = front.node.balancer.backends["b0"]
+            client.send(target, method=method)
+            await until(lambda: known.out)
+            assert (await client.answer()).code == 503
+            assert known.until == known.busy == known.fails == 0 and backend.got.qsize() == 1
+            monkeypatch.setattr(upstream, "REST", 0.01)
+            assert (await client.ask(target, method=method)).code == 200
+            assert backend.connections == 2  # the one that rested went with its attempt
+        backend.stop()
+
+    run(test)
