--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -184,9 +184,7 @@
         self._answer(name, lambda client: client.failed())
         self.event(api.ClientGone(name))
         for item in request.attempts:
-            if not item.over:
-                self._stop(item)
-                self._outcome(item, Answer(api.Status.CANCELLED))
+            self._stop(item, api.Status.CANCELLED)
 
     def arrival(self, event: api.Arrival, client: Client, render: Callable[[float], bytes]) -> None:
         """A client's request has come; `render` gives its bytes for a backend, told for how long."""
@@ -211,9 +209,8 @@
         # What has not left ends here, also where nothing may be called off: guards against sending it on once
         # its connection has come up, or the rest of it has found room, for a client that is not there.
         for item in request.attempts:
-            if not item.over and item.attempt is not None and not item.attempt.left:
-                self._stop(item)
-                self._outcome(item, Answer(api.Status.MOOT))
+            if item.attempt is not None and not item.attempt.left:
+                self._stop(item, api.Status.MOOT)
         self.event(api.ClientGone(name))
 
     def apply(self, change: Apply) -> None:
@@ -279,7 +276,7 @@
 
     def _send(self, action: api.Send) -> None:
         request, now = self.open.get(action.request), self.now()
-        number = len(request.attempts) if request else 0
+        number = len(request.attempts) if request else -1  # the last one, of a request that is over here
         item = Try(action.request, number, action.backend, now)
         if request is None:
             self._outcome(item, Answer(api.Status.MOOT))
@@ -292,26 +289,25 @@
             return
         item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
         begin_by = (action.begin_by - self._zero) / 1000
-        item.attempt = self.pool.start(
-            action.backend, request.render(wait), partial(self._outcome, item), begin_by
-        )
-        if item.over:
-            item.attempt = None
+        done = partial(self._outcome, item)
+        attempt = self.pool.start(action.backend, request.render(wait), done, begin_by)
+        item.attempt = None if item.over else attempt
 
     def _timeout(self, item: Try) -> None:
-        if item.over:
-            return
-        left = item.attempt is not None and item.attempt.left
-        self._stop(item)
         # A connection that was still coming up when the time ran out carried nothing: it never ran.
-        self._outcome(item, Answer(api.Status.TIMEOUT if left else api.Status.CONNECT_FAILED))
-
-    def _stop(self, item: Try) -> None:
-        if item.timer is not None:
-            item.timer.cancel()
-        if item.attempt is not None:
-            item.attempt.drop()
-            item.attempt = None
+        link, status = item.attempt.connection if item.attempt else None, api.Status.CONNECT_FAILED
+        if item.attempt is not None and item.attempt.left:
+            status = api.Status.TIMEOUT
+        elif link is not None and link.resting is not None:
+            status = api.Status.MOOT  # nor did one that rests: guards a backend against this node's own wait
+        self._stop(item, status)
+
+    def _stop(self, item: Try, status: api.Status) -> None:
+        """End an attempt from this side, if it is out."""
+        if not item.over:
+            if item.attempt is not None:
+                item.attempt.drop()
+            self._outcome(item, Answer(status))
 
     def _cancel(self, action: api.Cancel) -> None:
         request = self.open.get(action.request)
@@ -320,10 +316,7 @@
             status = api.Status.CANCELLED
             self.event(api.Outcome(action.request, action.attempt, "", status, 0.0, True))
             return
-        item = request.attempts[action.attempt]
-        if not item.over:
-            self._stop(item)
-            self._outcome(item, Answer(api.Status.CANCELLED))
+        self._stop(request.attempts[action.attempt], api.Status.CANCELLED)
 
     def _outcome(self, item: Try, answer: Answer) -> None:
         """The one outcome of an attempt; a backend's whole answer goes to the client and ends the request."""
@@ -336,10 +329,8 @@
         closed = request is None or request.answered
         if request is not None and closed:
             self._forget(item.request, request)
-        took = self.now() - item.sent
-        self.event(
-            api.Outcome(item.request, item.number, item.backend, answer.status, took, closed, answer.report)
-        )
+        status, took = answer.status, self.now() - item.sent
+        self.event(api.Outcome(item.request, item.number, item.backend, status, took, closed, answer.report))
 
     def _deadline(self, name: str) -> None:
         """The client's time is up: end what is out, and answer whatever the module did not."""
