Bind a keyed repeat to where its server was listed when the attempt was sent

Seen: a keyed request may go out again only within the zone or cell that has seen its key. The module asked for the zone of the first attempt's server as it is listed now. If that server's id comes up in another zone or cell while the attempt is out (a restart elsewhere, an id used anew), the repeat went to the new zone, whose servers know nothing of the key: the request could take effect twice (rule 2).

At fault: `_legal`, `_bound` and the side of a repeat in `_dispatch` read `attempt.backend.entry`. Now an attempt keeps the entry of its send (`Attempt.there`).

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -305,8 +305,7 @@
                 return False
             if a.status in api.NEVER_RAN or c.effect is api.Effect.SAFE:
                 continue
-            there = a.backend.entry
-            apart = here.zone != there.zone if c.group is api.Group.ZONE else here.cell != there.cell
+            apart = here.zone != a.there.zone if c.group is api.Group.ZONE else here.cell != a.there.cell
             late = self.now - a.sent > c.memory_span - 2 * self.cfg.tick
             if c.effect is api.Effect.UNSAFE or late or (apart and c.group is not api.Group.ALL):
                 return False
@@ -437,7 +436,7 @@
         # Own zone first, others as far as they are better by more than the price: hot or failing zones spill.
         far = self.spill > 0 and self.rng.random() < self.spill
         if req.attempts:  # a repeat stays on its side: it may be bound to the zone
-            far = not self._near(req.attempts[0].backend.entry)
+            far = not self._near(req.attempts[0].there)
         far = far and 0 < index.home < n
         crowd = math.inf if req.dense else self.limit / k
         # Every node takes its part of what a backend may be given after it showed idle.
@@ -505,7 +504,7 @@
             if a.status is None or c.effect is api.Effect.UNSAFE or late:
                 return None
             if c.group is not api.Group.ALL:
-                group = self.index.groups.get((c.group, part(a.backend.entry, c.group)))
+                group = self.index.groups.get((c.group, part(a.there, c.group)))
                 if group is None:
                     return None
                 out = group.items
@@ -522,18 +521,16 @@
                 b.waiting = []
                 self.acts.append(api.Probe(b.entry.backend))
             b.waiting.append(req)
-        late = req.useful - FIT * (req.hint or req.cls.usual)  # from then on it could not be served in time
-        until = min(late, self.now + PATIENCE * self.rtt + self.cfg.tick)
-        self._at(until, self._overdue, (req, req.looks))
+        end = req.useful - FIT * (req.hint or req.cls.usual)  # from then on it could not be served in time
+        self._at(min(end, self.now + PATIENCE * self.rtt + self.cfg.tick), self._overdue, (req, req.looks))
         if not req.pending:
             self._settle(req)
 
     def _overdue(self, what: tuple[Request, int]) -> None:
-        """Probes that are not back in the usual time: the backend stands still, whatever the cause."""
-        req, look = what
+        """Probes not back in the usual time, if the request has as much: the backend stands still."""
+        (req, look), known = what, self.backends
         if req.looks == look and req.pending:
-            fits = self._fits(req)  # if not, its own time was up before theirs
-            for b in [self.backends[name] for name in sorted(req.pending) if fits and name in self.backends]:
+            for b in [known[name] for name in sorted(req.pending & known.keys()) if self._fits(req)]:
                 b.until = max(b.until, self.now + req.cls.usual * self.rng.uniform(0.5, 1.5))
                 self.acts.append(api.Noted(b.entry.backend, PAUSED, 0, b.until - self.now))
             self._settle(req)
@@ -587,7 +584,7 @@
             why = COLD
         if req.attempts:
             cause = api.REPEATS.get(req.attempts[-1].status, cause)
-        req.attempts.append(Attempt(b, self.now, b.estimate == 0 or not self.looks))
+        req.attempts.append(Attempt(b, b.entry, self.now, b.estimate == 0 or not self.looks))
         req.out, b.out, self.out, b.estimate = req.out + 1, b.out + 1, self.out + 1, b.estimate + 1
         self.index.count(b)
         # An answer after the aim is worth nothing: give up just before, so that the failure is not late.
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -137,6 +137,7 @@
     """One attempt of a request."""
 
     backend: Backend
+    there: api.Entry  # as it was listed at the send: under its id it may come up elsewhere
     sent: float
     fair: bool  # its time and fate tell of the backend: it showed idle, or nobody looked
     status: api.Status | None = None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -80,6 +80,7 @@
         self.classes = {c.name: c for c in settings.classes}
         self.seen: dict[str, _Seen] = {}
         self.entries: dict[str, api.Entry] = {}
+        self.sent_to: dict[tuple[str, int], api.Entry] = {}  # what the list said of it then
         self.barred_since: dict[str, float] = {}
 
     def event(self, now: float, ev: api.Event) -> None:
@@ -136,14 +137,17 @@
             assert now <= window, "rule 2: past the memory span"
             assert now <= act.begin_by <= window, "rule 2: may be written past the memory span"
             here = self.entries[act.backend]
-            for name, _, _ in risky:
-                there = self.entries[name]
+            for number, (_, _, status) in enumerate(r.attempts):
+                if status in api.NEVER_RAN:
+                    continue
+                there = self.sent_to[act.request, number]
                 same = (
                     r.cls.group is api.Group.ALL
                     or (r.cls.group is api.Group.ZONE and there.zone == here.zone)
                     or (r.cls.group is api.Group.CELL and there.cell == here.cell)
                 )
                 assert same, "rule 2: outside the group that drops repeats"
+        self.sent_to[act.request, len(r.attempts)] = self.entries[act.backend]
         r.attempts.append((act.backend, now, None))
 
     def _answer(self, now: float, act: api.Refuse | api.Fail) -> None:
--- a/tests/policy/test_replay.py
+++ b/tests/policy/test_replay.py
@@ -4,7 +4,8 @@
 change that is meant to alter decisions sets them anew and says so; one that is not must leave them. Crowded
 servers are spared since, many nodes before few servers have lower limits, and a request whose client has left
 is held no more: no server is drawn for it (`shared`, `crowd`); nobody waits for probes past the time in which
-it could be served (`looking`); all else is as it was.
+it could be served (`looking`). A repeat is bound to where its server was listed at the send: servers move at
+every news here, so all digests differ; those of servers that stay (`STEADY`) are from before that.
 """
 
 from __future__ import annotations
@@ -32,11 +33,18 @@
     "looking": replace(LOOKING, max_attempts=4),
 }
 DIGESTS = {
-    "live": ["e1bd29b2f205b8f0", "1e9ae8d35b40d93f"],
-    "shared": ["65e119702c70b80f", "9dc1efa10d627fb0"],
-    "crowd": ["ab2463161ca15a6a", "8d7412044ee1663f"],
-    "cold": ["437bdb408798e639", "a564d7f1aa36e91b"],
-    "looking": ["11df69dae805688e", "70bcc40464262184"],
+    "live": ["c49f74dc5ce12916", "0688de16299698fc"],
+    "shared": ["9e46dab1d5a2fe16", "270e8e51cab01088"],
+    "crowd": ["9488ba18bab5d276", "341094e542af7e09"],
+    "cold": ["437bdb408798e639", "a8728509537dc288"],
+    "looking": ["6415ae8971ebd3f0", "fc925abec31406d9"],
+}
+STEADY = {
+    "live": ["66d8bbed5766083d", "9344a4acf6caf86e"],
+    "shared": ["321ca14b18a12aa1", "6b39b0b01a632a9a"],
+    "crowd": ["7661bb7b2ca2ecdb", "4f6e2b1c11298192"],
+    "cold": ["ca42aea60afd8804", "18b50e4611651e12"],
+    "looking": ["62156b7b6ac6f230", "5b640b51675196bc"],
 }
 PHASES = (*[api.Phase.UP] * 8, api.Phase.DRAINING, api.Phase.GONE)
 STATUSES = (*[api.Status.OK] * 12, *api.Status)
@@ -136,3 +144,18 @@
     monkeypatch.setattr(policy, "SPARE", (1e9, 2e9))
     monkeypatch.setattr(policy, "LIMIT_PART", 1.0)
     assert [Run(FLEETS[name], seed).play(1_500) for seed in (1, 2)] == DIGESTS[name]
+
+
+class SteadyRun(Run):
+    """The same where every server keeps its zone and cell."""
+
+    def listed(self, name: str) -> api.Entry:
+        number = int(name[1:])
+        return replace(super().listed(name), zone="ab"[number % 2], cell=number % 3)
+
+
+@pytest.mark.parametrize("name", FLEETS)
+def test_the_actions_among_servers_that_do_not_move(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(policy, "SPARE", (1e9, 2e9))
+    monkeypatch.setattr(policy, "LIMIT_PART", 1.0)
+    assert [SteadyRun(FLEETS[name], seed).play(1_500) for seed in (1, 2)] == STEADY[name]
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -177,6 +177,20 @@
         assert again and zones[again[0].backend] == zones[first.backend]
 
 
+@pytest.mark.parametrize("group", [api.Group.ZONE, api.Group.CELL])
+def test_keyed_stays_where_it_may_have_run_though_its_backend_comes_up_elsewhere(group: api.Group) -> None:
+    """Those of its new zone have not seen the key."""
+    cfg = replace(BASE, classes=(replace(KEYED, group=group),))
+    for seed in range(10):
+        b = Balancer(cfg, seed)
+        b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, [entry("old", zone="a", cell=1)]))
+        assert sends(b.handle(1000.0, api.Arrival("r", "pay", 2000.0)))[0].backend == "old"
+        rows = [entry("old", zone="b", cell=2), entry("near", cell=1), entry("far", zone="b", cell=2)]
+        b.handle(1005.0, api.ListUpdate(api.ListKind.FULL, rows))
+        again = sends(b.handle(1010.0, api.Outcome("r", 0, "old", api.Status.RESET, 10.0, False)))
+        assert [one.backend for one in again] == ["near"]
+
+
 def test_nothing_goes_to_draining_or_vanished_backends() -> None:
     b = node(BASE, ["x", "y", "z"])
     b.handle(1001.0, api.ListUpdate(api.ListKind.CHANGES, [entry("x", phase=api.Phase.DRAINING)]))
--- a/tests/policy/test_scale.py
+++ b/tests/policy/test_scale.py
@@ -141,7 +141,8 @@
 
 def attempt(b: Balancer) -> Attempt:
     """One that may have run."""
-    return Attempt(next(iter(b.backends.values())), b.now, True, api.Status.RESET)
+    backend = next(iter(b.backends.values()))
+    return Attempt(backend, backend.entry, b.now, True, api.Status.RESET)
 
 
 def test_a_change_and_a_weight_cost_the_same_at_ten_and_at_ten_thousand() -> None:
