Try any settings with streams, large fleets, as JSON, and with any class names

The same settings, worded as the platform does, have to be read as they are; and class names of any letters are found beside each other, encoded.

No text outside tests/ changed.

--- a/tests/policy/test_any_settings.py
+++ b/tests/policy/test_any_settings.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import json
 import math
 import random
 from dataclasses import replace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from dillport import interface as api
 from dillport.policy import Balancer
+from dillport.settings import read
 from tests.helpers import LOOKING, SAFE, RuleChecker, answers, entry, node
 
 ZONES = ["", "a", "b", "zürich 1", "-"]
+WORDS = {
+    api.Effect.SAFE: "retryable", api.Effect.KEYED: "dedup", api.Effect.UNSAFE: "fragile",
+    api.Reports.ANSWERS: "inline", api.Reports.PROBES: "on_probe", api.Reports.NONE: "off",
+}  # fmt: skip
 TRIES = [1, 1, 2, 3, 8]
 
 
@@ -26,7 +33,7 @@
         deadline=deadline, value=rng.choice([0.0, 0.1, 1.0, 1.0, 12.0, 1e6]),
         late_worth=rng.choice([0.0, 0.0, 0.3, 1.0]), group=rng.choice(list(api.Group)),
         memory_span=rng.choice([0.0, 1.0, deadline / 3, deadline, 10 * deadline]),
-        aim_stretch=rng.choice([0.0, 0.0, 3.0]),
+        aim_stretch=rng.choice([0.0, 0.0, 3.0]), streamed=rng.random() < 0.1,
     )  # fmt: skip
 
 
@@ -40,7 +47,7 @@
         classes=tuple(any_class(rng, number) for number in range(rng.choice([1, 2, 3, 12]))),
         me=rng.randrange(group_size), group_size=group_size, zone=rng.choice(ZONES),
         tick=rng.choice([0.1, 1.0, 5.0, 20.0]),
-        tenants=tuple(api.Tenant(f"t{i}", 50.0 * (i % 2), 0.1) for i in range(rng.choice([0, 1, 40]))),
+        tenants=tuple(api.Tenant(f"Ø {i}", 50.0 * (i % 2), 0.1) for i in range(rng.choice([0, 1, 40]))),
         charges=api.Charges(probe=rng.choice([0.0, 0.01]), cross_zone=rng.choice([0.0, 0.01, 0.02, 0.5])),
         must_ask=rng.random() < 0.3, reports=reports, probing=probing, may_cancel=rng.random() < 0.6,
         second_copies=rng.random() < 0.5, max_attempts=rng.choice(TRIES),
@@ -70,7 +77,8 @@
         self.live: list[tuple[float, str, int, str, float]] = []  # end, request, attempt, backend, sent
         self.probes: list[tuple[str, float]] = []
         self.left: set[str] = set()
-        self.names = [f"b{i}" for i in range(rng.choice([0, 1, 2, 3, 9, 40]))]
+        self.streams: set[str] = set()
+        self.names = [f"b{i}" for i in range(rng.choice([0, 1, 2, 3, 3, 9, 9, 40, 40, 400]))]
         self.serial = 0
 
     def listed(self, name: str) -> api.Entry:
@@ -104,6 +112,7 @@
             elif isinstance(act, api.Cancel):
                 out = {(rid, number) for _, rid, number, _, _ in self.live}
                 assert self.cfg.may_cancel and (act.request, act.attempt) in out
+                assert act.request not in self.streams
             elif isinstance(act, api.Refuse):
                 assert 0.0 <= act.retry_after <= self.cfg.max_retry_after
             elif isinstance(act, api.Noted):
@@ -113,7 +122,7 @@
         assert self.b.out == len(self.live)
 
     def _sent(self, act: api.Send) -> None:
-        assert act.request not in self.left
+        assert act.request not in self.left | self.streams
         seen = self.check.seen[act.request]
         assert self.now < seen.deadline and math.isfinite(act.timeout) and act.timeout >= 0.0
         assert act.begin_by >= self.now
@@ -123,7 +132,7 @@
     def resolve(self, index: int, status: api.Status) -> None:
         """An attempt ends."""
         _, rid, number, backend, sent = self.live.pop(index)
-        closed = self.check.seen[rid].ended or status is api.Status.OK
+        closed = self.check.seen[rid].ended or status is api.Status.OK or rid in self.streams
         numbers = [None, 0.0, 0.4, 7.0, 1e9]
         load = self.rng.choice([None, api.Report(self.rng.choice(numbers), self.rng.choice(numbers))])
         ev = api.Outcome(rid, number, backend, status, self.now - sent, closed, load)
@@ -163,7 +172,16 @@
             if not self.check.seen[rid].ended:
                 self.left.add(rid)
             self.tell(api.ClientGone(rid))
-        elif roll < 0.92:
+        elif roll < 0.92 and self.live:
+            at = rng.randrange(len(self.live))
+            _, rid, number, backend, sent = self.live[at]
+            seen = self.check.seen[rid]
+            if seen.cls.streamed and not seen.ended:  # the answer begins: its time has no end now
+                self.streams.add(rid)
+                self.live[at] = (self.now + 5_000.0, rid, number, backend, sent)
+                seen.deadline = math.inf
+                self.tell(api.StreamStarted(rid, number, backend, self.now - sent))
+        elif roll < 0.94:
             kept = self.b.learned(self.now)
             self.tell(api.Remembered(kept, rng.choice([0.0, -5.0, 1e4, 1e12])))
 
@@ -217,7 +235,41 @@
     assert not [call for call in asked if call.__name__ != "_ask"]
 
 
-@settings(max_examples=150, deadline=None, derandomize=True, database=None)
+def told(cfg: api.Settings) -> str:
+    """Such settings as the platform words them."""
+    classes = [
+        {"name": c.name, "effect": WORDS[c.effect], "group": c.group.value, "objective": c.aim,
+         "give-up": c.deadline, "value": c.value, "late-worth": c.late_worth, "memory-span": c.memory_span,
+         "streamed": c.streamed, "aim-stretch": c.aim_stretch}
+        for c in cfg.classes
+    ]  # fmt: skip
+    return json.dumps({
+        "request-classes": classes, "me": cfg.me, "group-size": cfg.group_size, "zone": cfg.zone,
+        "granularity": cfg.tick, "failure-domains": cfg.zones,
+        "projects": [{"name": t.name, "quota-per-s": t.quota_per_s, "share": t.share} for t in cfg.tenants],
+        "charges": {"probe": cfg.charges.probe, "cross-zone": cfg.charges.cross_zone},
+        "discovery": "subscribe" if cfg.must_ask else "automatic",
+        "load-info": {"how": WORDS[cfg.reports], "names": []},
+        "limits": {
+            "probing": cfg.probing, "cancel": cfg.may_cancel, "second-copies": cfg.second_copies,
+            "most-tries": cfg.max_attempts, "retry-after": True, "max-retry-after": cfg.max_retry_after,
+            "connect-timeout": cfg.connect_timeout, "max-open": cfg.max_open, "conn-idle": cfg.conn_idle},
+        "rules": {
+            "ask-within": cfg.ask_within, "drain-grace": cfg.drain_grace, "cold-share": cfg.cold_share,
+            "ramp-time": cfg.ramp_time, "fall": cfg.fall_window, "fall-multiple": cfg.fall_multiple,
+            "answer-slack": cfg.answer_slack},
+        "weight-source": "live" if cfg.live_weights else "rough" if cfg.weighted else "off",
+        "client-habits": {"marks-retry": cfg.retries_marked}, "family-info": {"passes-deadline": True},
+    })  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_all_that_a_site_may_say_is_read(seed: int) -> None:
+    cfg = any_settings(random.Random(seed))
+    assert read(told(cfg)) == cfg
+
+
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
 @given(st.integers(0, 10**9))
 def test_any_settings_and_any_order(seed: int) -> None:
     play(seed, 100)
--- a/tests/proto/test_class_path.py
+++ b/tests/proto/test_class_path.py
@@ -6,6 +6,8 @@
 from urllib.parse import quote
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from dillport.interface import Effect, RequestClass
 from dillport.proto.class_path import ClassPaths
@@ -26,6 +28,15 @@
     assert found.name == name
 
 
+@settings(max_examples=50, deadline=None, derandomize=True, database=None)
+@given(st.lists(st.text(min_size=1, max_size=12), min_size=1, max_size=12, unique=True), st.data())
+def test_any_names_beside_each_other(names: list[str], data: st.DataObject) -> None:
+    name, rest = data.draw(st.sampled_from(names)), data.draw(st.sampled_from(["", "/", "/x%2Fy", "//"]))
+    found = paths(*names).find(f"/{quote(name, safe='')}{rest}".encode())
+    assert found is not None
+    assert found.name == name
+
+
 def test_whatever_is_encoded_in_a_name_it_is_the_same_name() -> None:
     assert paths("read", "Øst").find(b"/%72ead/x") is not None
     for text in (b"/%c3%98st", b"/%C3%98st", b"/%C3%98%73t/x"):
