Eject no server for a connection that only came up late, and tell nothing of one that was cut short

Ruled out: the limit (8 refusals for want of room), crowds (74), probes of the list. At fault: Balancer._learn, which ejected at each failed connection; Node._timeout, which called an attempt cut short by its request's own time a failed connection, however short it was. Change: one that failed at three quarters of the time to connect or later counts as any failure does: it ejects where failures in a row are no chance at the share that fails everywhere. One that was refused or broke sooner ejects at once, as before. An attempt whose time ends before that time to connect is moot.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -294,12 +294,13 @@
         item.attempt = None if item.over else attempt
 
     def _timeout(self, item: Try) -> None:
-        # A connection that was still coming up when the time ran out carried nothing: it never ran.
-        link, status = item.attempt.connection if item.attempt else None, api.Status.CONNECT_FAILED
-        if item.attempt is not None and item.attempt.left:
-            status = api.Status.TIMEOUT
-        elif link is not None and link.resting is not None:
-            status = api.Status.MOOT  # nor did one that rests: guards a backend against this node's own wait
+        link, status = item.attempt.connection if item.attempt else None, api.Status.TIMEOUT
+        if item.attempt is None or not item.attempt.left:
+            # Nothing whole has left: it never ran. Guards a backend against being taken for out of reach
+            # where its connection still had time to come up, or waits at this node.
+            late = self.now() - item.sent >= self.settings.connect_timeout
+            late = late and (link is None or link.resting is None)
+            status = api.Status.CONNECT_FAILED if late else api.Status.MOOT
         self._stop(item, status)
 
     def _stop(self, item: Try, status: api.Status) -> None:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -42,6 +42,7 @@
 EJECT_MAX = 5  # doublings of the ejection time
 CHANCE = 0.001  # failures in a row that the whole fleet's share explains less often than this eject
 FAIL_LEAST = 0.02  # and this much of it is always allowed for
+REFUSED = 0.75  # of the time for a connection to come up: one that failed sooner did not only come up late
 RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
 RETRY_BANK = 3.0  # and how many can be saved up
 FIT = 0.9  # part of the expected time that must still fit before the aim, else sending is waste
@@ -654,8 +655,11 @@
         elif attempt.cut or not self._dropped(b, ev.status):
             self._failed(b)
             if ev.status is CONNECT_FAILED:
-                self._eject(b, b.fails - 1)
-                b.busy = b.until
+                # One that only came up late tells no more than any failure: guards against leaving most of a
+                # fleet alone where connections are slow. One that was refused, or broke, tells it by itself.
+                if ev.duration < REFUSED * self.cfg.connect_timeout:
+                    self._eject(b, b.fails - 1)
+                b.busy = max(b.busy, b.until)
 
     def _steer(self, cls: Class, ev: api.Outcome, zone: str) -> None:
         """The concurrency limit: in proportion to how near answers are to the tightest aim.
--- /dev/null
+++ b/tests/net/test_late_connections.py
@@ -0,0 +1,55 @@
+"""What the module hears of an attempt whose connection has not come up when its time is over."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+
+from dillport import interface as api
+from tests.net.test_client_gone import Gate, fronting, run
+from tests.sockets import CLASSES, Backend, Client
+
+
+class Seen:
+    """Keeps the outcomes."""
+
+    def __init__(self) -> None:
+        self.outcomes: list[api.Outcome] = []
+
+    def saw(self, now_ms: float, event: api.Event, actions: Sequence[api.Action]) -> None:
+        """Look at one event."""
+        if isinstance(event, api.Outcome):
+            self.outcomes.append(event)
+
+
+@pytest.mark.parametrize(
+    ("connect", "status"), [(3_600_000, api.Status.MOOT), (60, api.Status.CONNECT_FAILED)]
+)
+def test_an_attempt_cut_short_while_its_connection_comes_up_tells_nothing_of_the_backend(
+    tmp_path: Path, connect: int, status: api.Status
+) -> None:
+    """Guards a backend against being left alone for the little time that a request had."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        gate, seen = Gate(backend.port), Seen()
+        limits, classes = {"connect-timeout": connect, "most-tries": 1}, {"request-classes": CLASSES}
+        async with fronting(tmp_path, backend.member(), limits=limits, **classes) as front:
+            front.node.observer = seen
+            known = front.node.balancer.backends["b0"]
+            known.vouched = True  # by discovery, not by memory alone
+            client = Client(*await asyncio.open_connection(*front.address))
+            got = await client.ask("/read", "Request-Timeout: 1200m")
+            assert got.code == 503  # nothing ran
+            (end,) = seen.outcomes
+            assert end.status is status and gate.tried == 1
+            assert known.fails == (status is api.Status.CONNECT_FAILED) and known.until == 0.0
+            assert backend.got.empty()
+            client.writer.transport.abort()
+        backend.stop()
+
+    run(test)
