--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -63,9 +63,7 @@
     return number if found[2] == b"m" else number / 1000
 
 
-def render(
-    method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait: float
-) -> bytes:
+def render(method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait: float) -> bytes:
     """A request as it goes on to a backend that the node will wait `wait` milliseconds for."""
     lines = [
         b"%b %b HTTP/1.1" % (method, target),
@@ -216,7 +214,7 @@
         if line.isascii() and (not ends or whole.isascii()):
             return data
         if ends:
-            self.raw = b"".join(whole.split(b" ")[1:2])
+            self.raw = b"".join(whole.split()[1:2])  # some clients send two spaces, or no version
         return b"".join(b"%%%02X" % c if c > 127 else bytes((c,)) for c in line) + ends + rest
 
     def _read_on(self) -> None:
@@ -278,7 +276,7 @@
         if key in ONCE and key in self.headers:
             # Guards against a request that is one thing to this node and another to a backend.
             raise BadRequest(400, "header given twice")
-        if key == b"content-length" and int(value) > MOST_BODY:
+        if key == b"content-length" and (len(value) > 9 or int(value) > MOST_BODY):  # zeros may be thousands
             raise BadRequest(413, "body too large")
         self.headers[key] = value
 
@@ -523,8 +521,10 @@
 
         Guards against clients that keep a connection: others may find none left to ask on.
         """
-        now = self.loop.time()
+        now, due = self.loop.time(), self.sweeper.when()
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
+        if now - due > SWEEP:
+            return  # guards what came while this process stood still: it is read before the next look
         while self.waiting and now - next(iter(self.waiting.values())) > SLOW:
             connection = next(iter(self.waiting))
             del self.waiting[connection]
@@ -534,7 +534,6 @@
             if now - since <= (BRIEF if self.pressed else IDLE):
                 break
             connection.close()
-
         self._end_unread()
 
     def held(self, connection: ClientConnection) -> None:
@@ -573,29 +572,29 @@
         self.unread.forget(connection)
 
     def stop(self) -> None:
-        """Accept all that wait and no more; close what is idle. A request on its way is still taken."""
+        """Accept all that wait and no more. A request on its way is still taken."""
         self.listener.close()
-        for connection in list(self.idle):
-            connection.close()
 
     async def finish(self) -> None:
-        """After `stop`: wait until all is answered and its client has it, then end what is left.
+        """After `stop`: close what is idle, wait until clients have all answers, then end what is left.
 
-        Bound: the time by which all is to be answered. Looks are taken every `STEP`: what is owed is in many
-        places, and comes back to some of them.
+        Bound: the time by which all is to be answered, and one look more. Looks are taken every `STEP`: what
+        is owed is in many places, and comes back to some of them.
         """
         assert self.ends is not None
-        mute: list[ClientConnection] = []
+        mute, last = list[ClientConnection](), False
         while True:
-            # Between two looks all that had come was read: guards a first request that lies in the kernel.
-            for connection in [*self.idle, *(c for c in mute if c in self.fresh)]:
+            # Between two looks all that had come was read: guards a request that lies in the kernel.
+            for connection in [c for c in mute if c in self.idle or c in self.fresh]:
                 connection.close()
             left = (self.ends.last_ms - self.node.now()) / 1000
-            if left <= 0 or not (self.connections or self.listener.coming or self.node.open):
+            if last or not (self.connections or self.listener.coming or self.node.open):
                 break
-            now = self.loop.time()
-            mute = [c for c, since in self.fresh.items() if now - since >= FRESH_MS / 1000 or left <= STEP]
-            await asyncio.sleep(min(STEP, left))
+            now, last = self.loop.time(), left <= STEP
+            mute = [c for c, since in self.fresh.items() if last or now - since >= FRESH_MS / 1000]
+            mute += self.idle
+            await asyncio.sleep(STEP)  # where the end is late itself, too: what has come is turned away
+            await asyncio.sleep(0)  # uvloop's timers go before the sockets; these are read in between
         await self.node.finish(0)
         for connection in list(self.connections):
             connection.end()
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -124,7 +124,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self._forget()
         self.size = self.head = self.bytes = 0
-        self.in_body = False
+        self.in_body = self.sized = False
         self.load = self.content_type = b""
         self.not_started = self.complete = self.excess = self.large = False
 
@@ -183,10 +183,8 @@
             return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        except OSError as err:
+            return isinstance(err, BlockingIOError)
         return False
 
     def _fail(self, status: Status) -> None:
@@ -248,12 +246,28 @@
         # Guards against calling a reset what never left: a write that fails at once closes the transport.
         if self.transport.is_closing():
             self._fail(Status.CONNECT_FAILED)
+        elif self.blocked and attempt.begin_by < math.inf:
+            self.pool.loop.call_later(attempt.begin_by - time.monotonic(), self._late, attempt)
+
+    def _late(self, attempt: Attempt) -> None:
+        """Its window has ended: guards against an effect doubled by one whose last byte is still here."""
+        if self.attempt is attempt and self.blocked:
+            self._fail(Status.MOOT)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A break before the request's last byte has left proves that it never ran; after, it may have."""
         self.transport = None  # nothing to abort: asyncio's own would end a second time, with a traceback
         self._fail(Status.RESET if self.wrote and not self.blocked else Status.CONNECT_FAILED)
 
+    def eof_received(self) -> None:
+        """The end of an answer whose head names none (RFC 9112, 6.3); of all else it is a break."""
+        if self.attempt is None or self.blocked or self.complete or self.sized or not self.in_body:
+            return
+        # Guards against serving what was cut: a reset that has come by now may stand behind the end.
+        if not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.on_message_complete()
+            self._finish(False)
+
     def data_received(self, data: bytes) -> None:
         """Read the answer; bytes that belong to none spoil the connection."""
         if self.attempt is None or not self.wrote:
@@ -288,6 +302,7 @@
         if self.complete or self.in_body:
             return  # a second answer's, or a trailer
         key = name.lower()
+        self.sized = self.sized or key in (b"content-length", b"transfer-encoding")
         if key == b"content-length":
             self.large = int(value) > MOST_BODY  # known from the head: its body is not waited for
         elif key == b"server-load":
@@ -317,13 +332,12 @@
         """The answer is whole, unless it was an interim one."""
         if self.complete:
             return
-        if self.parser.get_status_code() < 200:
+        self.code = self.parser.get_status_code()
+        if self.code < 200:
             self.load = b""
-            self.not_started = self.in_body = False
+            self.not_started = self.in_body = self.sized = False
             return
-        self.complete = True
-        self.keep_alive = self.parser.should_keep_alive()
-        self.code = self.parser.get_status_code()
+        self.complete, self.keep_alive = True, self.parser.should_keep_alive()
 
     def _finish(self, clean: bool) -> None:
         attempt, self.attempt = self.attempt, None
@@ -334,14 +348,11 @@
                 report = parse_report(self.load.decode("latin-1"))
             except ValueError as err:
                 log.warning("backend %s:%d: %s", *self.address, err)
-        if self.large:
-            answer = Answer(Status.ERROR, report)
-        elif self.code == 200:
+        answer = Answer(Status.ERROR, report)
+        if self.code == 200 and not self.large:
             answer = Answer(Status.OK, report, b"".join(self.body), self.content_type)
-        elif self.code in (503, 504) and self.not_started:
-            answer = Answer(Status.FULL, report)
-        else:
-            answer = Answer(Status.ERROR, report)
+        elif self.code in (503, 504) and self.not_started and not self.large:
+            answer.status = Status.FULL
         self._forget()
         self.pool.release(self, clean and self.keep_alive and not self.blocked)
         attempt.end(answer)
@@ -400,13 +411,12 @@
         for connection in reversed(host.idle[:]):
             if now - connection.idle_since < REST:
                 resting = connection
-                continue
-            if now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
+            elif now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
                 connection.close()
-                continue
-            host.idle.remove(connection)
-            connection.write(attempt)
-            return attempt
+            else:
+                host.idle.remove(connection)
+                connection.write(attempt)
+                return attempt
         if resting is not None and resting.clean:
             host.idle.remove(resting)
             resting.rest(attempt, REST - (now - resting.idle_since))
