--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -13,7 +13,7 @@
 import httptools
 
 from dillport import interface as api
-from dillport.decide.admission import LEAST_BUDGET, OVER, UnreadAnswers
+from dillport.decide.admission import LEAST_BUDGET, MOST_BODY, OVER, USUAL_BODY, UnreadAnswers
 from dillport.decide.shutdown import FRESH_MS, Ends
 from dillport.interface import Effect
 from dillport.members import Address
@@ -22,7 +22,6 @@
 
 log = logging.getLogger(__name__)
 
-MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 GULP = 0.02  # s between two reads of what nobody asked for: 13 MB a second, until its request has its answer
 LINGER = 0.5  # s for a client to read its last answer before the connection is torn down
@@ -64,9 +63,7 @@
     return number if found[2] == b"m" else number / 1000
 
 
-def render(
-    method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait: float
-) -> bytes:
+def render(method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait: float) -> bytes:
     """A request as it goes on to a backend that the node will wait `wait` milliseconds for."""
     lines = [
         b"%b %b HTTP/1.1" % (method, target),
@@ -101,15 +98,22 @@
         self.parser = httptools.HttpRequestParser(self)
         self.in_line, self.line = True, b""  # what comes next is of a request line; what came of it before
         self.raw = b""  # its target as it came, where that is not what the parser was given
+        self.long = 0  # bytes of the request's body beyond the usual, until it is answered
         self._reset()
 
     def _reset(self) -> None:
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self._forget()
         self.head = self.size = 0
         self.in_body = False
 
+    def _forget(self) -> None:
+        """Hold no body: guards memory against those of all connections that rest."""
+        self.body: list[bytes] = []
+        self.node.long.give(self.long)
+        self.long = 0
+
     # --- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -121,6 +125,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has left; a request that it waited for is owed no more."""
         self.closing = True
+        self._forget()
         self.front.lost(self)
         if self.request is not None:
             name, self.request = self.request, None
@@ -168,7 +173,7 @@
             # of it is taken from the kernel, as a close over unread bytes resets; a flood is taken slowly,
             # one read (256 KiB at most) in each `GULP`: its end is the only sign that the client has left.
             self.left += len(data)
-            if self.left > MAX_BODY and self.transport is not None:
+            if self.left > USUAL_BODY and self.transport is not None:
                 self.transport.pause_reading()
                 self.front.loop.call_later(GULP, self._read_on)
             return
@@ -209,7 +214,7 @@
         if line.isascii() and (not ends or whole.isascii()):
             return data
         if ends:
-            self.raw = b"".join(whole.split(b" ")[1:2])
+            self.raw = b"".join(whole.split()[1:2])  # some clients send two spaces, or no version
         return b"".join(b"%%%02X" % c if c > 127 else bytes((c,)) for c in line) + ends + rest
 
     def _read_on(self) -> None:
@@ -271,7 +276,7 @@
         if key in ONCE and key in self.headers:
             # Guards against a request that is one thing to this node and another to a backend.
             raise BadRequest(400, "header given twice")
-        if key == b"content-length" and int(value) > MAX_BODY:
+        if key == b"content-length" and (len(value) > 9 or int(value) > MOST_BODY):  # zeros may be thousands
             raise BadRequest(413, "body too large")
         self.headers[key] = value
 
@@ -284,11 +289,15 @@
 
     def on_body(self, body: bytes) -> None:
         """A piece of the body."""
-        if not self.close_after:
-            self.size += len(body)
-            if self.size > MAX_BODY:
-                raise BadRequest(413, "body too large")
-            self.body.append(body)
+        if self.close_after:
+            return
+        self.size += len(body)
+        if self.size > MOST_BODY:
+            raise BadRequest(413, "body too large")
+        if (long := self.node.long.take(self.long, self.size)) is None:
+            raise BadRequest(503, "too many long requests")  # nothing ran: turning it away is harmless
+        self.long = long
+        self.body.append(body)
 
     def on_message_complete(self) -> None:
         """The request is whole: it is taken from here on."""
@@ -355,8 +364,8 @@
             writes=cls.effect is not Effect.SAFE,
         )
         self.request, self.until = name, max(self.until, event.deadline)
-        target = self.raw or self.target
-        node.arrival(event, self, partial(render, method, target, headers, b"".join(self.body)))
+        target, body, self.body = self.raw or self.target, b"".join(self.body), []
+        node.arrival(event, self, partial(render, method, target, headers, body))
 
     def _hint(self) -> float | None:
         value = self.headers.get(b"work-hint", b"")
@@ -390,6 +399,7 @@
         self._write(code, why.encode() + b"\n")
 
     def _write(self, code: int, body: bytes, extra: bytes = b"") -> None:
+        self._forget()
         if self.closing or self.transport is None:
             return
         close = self.close_after or self.node.stopping or not self.keep_alive
@@ -511,8 +521,10 @@
 
         Guards against clients that keep a connection: others may find none left to ask on.
         """
-        now = self.loop.time()
+        now, due = self.loop.time(), self.sweeper.when()
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
+        if now - due > SWEEP:
+            return  # guards what came while this process stood still: it is read before the next look
         while self.waiting and now - next(iter(self.waiting.values())) > SLOW:
             connection = next(iter(self.waiting))
             del self.waiting[connection]
@@ -522,7 +534,6 @@
             if now - since <= (BRIEF if self.pressed else IDLE):
                 break
             connection.close()
-
         self._end_unread()
 
     def held(self, connection: ClientConnection) -> None:
@@ -561,29 +572,29 @@
         self.unread.forget(connection)
 
     def stop(self) -> None:
-        """Accept all that wait and no more; close what is idle. A request on its way is still taken."""
+        """Accept all that wait and no more. A request on its way is still taken."""
         self.listener.close()
-        for connection in list(self.idle):
-            connection.close()
 
     async def finish(self) -> None:
-        """After `stop`: wait until all is answered and its client has it, then end what is left.
+        """After `stop`: close what is idle, wait until clients have all answers, then end what is left.
 
-        Bound: the time by which all is to be answered. Looks are taken every `STEP`: what is owed is in many
-        places, and comes back to some of them.
+        Bound: the time by which all is to be answered, and one look more. Looks are taken every `STEP`: what
+        is owed is in many places, and comes back to some of them.
         """
         assert self.ends is not None
-        mute: list[ClientConnection] = []
+        mute, last = list[ClientConnection](), False
         while True:
-            # Between two looks all that had come was read: guards a first request that lies in the kernel.
-            for connection in [*self.idle, *(c for c in mute if c in self.fresh)]:
+            # Between two looks all that had come was read: guards a request that lies in the kernel.
+            for connection in [c for c in mute if c in self.idle or c in self.fresh]:
                 connection.close()
             left = (self.ends.last_ms - self.node.now()) / 1000
-            if left <= 0 or not (self.connections or self.listener.coming or self.node.open):
+            if last or not (self.connections or self.listener.coming or self.node.open):
                 break
-            now = self.loop.time()
-            mute = [c for c, since in self.fresh.items() if now - since >= FRESH_MS / 1000 or left <= STEP]
-            await asyncio.sleep(min(STEP, left))
+            now, last = self.loop.time(), left <= STEP
+            mute = [c for c, since in self.fresh.items() if last or now - since >= FRESH_MS / 1000]
+            mute += self.idle
+            await asyncio.sleep(STEP)  # where the end is late itself, too: what has come is turned away
+            await asyncio.sleep(0)  # uvloop's timers go before the sockets; these are read in between
         await self.node.finish(0)
         for connection in list(self.connections):
             connection.end()
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from dillport import interface as api
+from dillport.decide.admission import LongBodies, long_budget
 from dillport.decide.membership import Apply
 from dillport.decide.pause import BEAT_MS, SETTLE_MS, Pause
 from dillport.decide.shutdown import Ends, ends
@@ -29,6 +30,11 @@
 MARGIN = 10.0  # ms before a client's limit at which the last answer is due: it counted from its own send
 
 
+def _nothing(wait: float) -> bytes:
+    """Of a request that is answered: it is sent no more."""
+    raise AssertionError(wait)
+
+
 class Client(Protocol):
     """Whoever waits for the answer of one request."""
 
@@ -87,7 +93,8 @@
         self.loop = asyncio.get_running_loop()
         # The clock is monotonic and set to Unix time once, at the start: it can read `up_since_ms` as it is.
         self._zero = wall_ms() - time.monotonic() * 1000
-        self.pool = Pool(config.settings, config.upstream_sockets)
+        self.long = LongBodies(long_budget(config.memory_mb))
+        self.pool = Pool(config.settings, config.upstream_sockets, self.long)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
         self.observer: Observer | None = None
@@ -177,9 +184,7 @@
         self._answer(name, lambda client: client.failed())
         self.event(api.ClientGone(name))
         for item in request.attempts:
-            if not item.over:
-                self._stop(item)
-                self._outcome(item, Answer(api.Status.CANCELLED))
+            self._stop(item, api.Status.CANCELLED)
 
     def arrival(self, event: api.Arrival, client: Client, render: Callable[[float], bytes]) -> None:
         """A client's request has come; `render` gives its bytes for a backend, told for how long."""
@@ -204,9 +209,8 @@
         # What has not left ends here, also where nothing may be called off: guards against sending it on once
         # its connection has come up, or the rest of it has found room, for a client that is not there.
         for item in request.attempts:
-            if not item.over and item.attempt is not None and not item.attempt.left:
-                self._stop(item)
-                self._outcome(item, Answer(api.Status.MOOT))
+            if item.attempt is not None and not item.attempt.left:
+                self._stop(item, api.Status.MOOT)
         self.event(api.ClientGone(name))
 
     def apply(self, change: Apply) -> None:
@@ -272,7 +276,7 @@
 
     def _send(self, action: api.Send) -> None:
         request, now = self.open.get(action.request), self.now()
-        number = len(request.attempts) if request else 0
+        number = len(request.attempts) if request else -1  # the last one, of a request that is over here
         item = Try(action.request, number, action.backend, now)
         if request is None:
             self._outcome(item, Answer(api.Status.MOOT))
@@ -285,26 +289,26 @@
             return
         item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
         begin_by = (action.begin_by - self._zero) / 1000
-        item.attempt = self.pool.start(
-            action.backend, request.render(wait), partial(self._outcome, item), begin_by
-        )
-        if item.over:
-            item.attempt = None
+        done = partial(self._outcome, item)
+        attempt = self.pool.start(action.backend, request.render(wait), done, begin_by)
+        item.attempt = None if item.over else attempt
 
     def _timeout(self, item: Try) -> None:
-        if item.over:
-            return
-        left = item.attempt is not None and item.attempt.left
-        self._stop(item)
-        # A connection that was still coming up when the time ran out carried nothing: it never ran.
-        self._outcome(item, Answer(api.Status.TIMEOUT if left else api.Status.CONNECT_FAILED))
-
-    def _stop(self, item: Try) -> None:
-        if item.timer is not None:
-            item.timer.cancel()
-        if item.attempt is not None:
-            item.attempt.drop()
-            item.attempt = None
+        link, status = item.attempt.connection if item.attempt else None, api.Status.TIMEOUT
+        if item.attempt is None or not item.attempt.left:
+            # Nothing whole has left: it never ran. Guards a backend against being taken for out of reach
+            # where its connection still had time to come up, or waits at this node.
+            late = self.now() - item.sent >= self.settings.connect_timeout
+            late = late and (link is None or link.resting is None)
+            status = api.Status.CONNECT_FAILED if late else api.Status.MOOT
+        self._stop(item, status)
+
+    def _stop(self, item: Try, status: api.Status) -> None:
+        """End an attempt from this side, if it is out."""
+        if not item.over:
+            if item.attempt is not None:
+                item.attempt.drop()
+            self._outcome(item, Answer(status))
 
     def _cancel(self, action: api.Cancel) -> None:
         request = self.open.get(action.request)
@@ -313,10 +317,7 @@
             status = api.Status.CANCELLED
             self.event(api.Outcome(action.request, action.attempt, "", status, 0.0, True))
             return
-        item = request.attempts[action.attempt]
-        if not item.over:
-            self._stop(item)
-            self._outcome(item, Answer(api.Status.CANCELLED))
+        self._stop(request.attempts[action.attempt], api.Status.CANCELLED)
 
     def _outcome(self, item: Try, answer: Answer) -> None:
         """The one outcome of an attempt; a backend's whole answer goes to the client and ends the request."""
@@ -329,10 +330,8 @@
         closed = request is None or request.answered
         if request is not None and closed:
             self._forget(item.request, request)
-        took = self.now() - item.sent
-        self.event(
-            api.Outcome(item.request, item.number, item.backend, answer.status, took, closed, answer.report)
-        )
+        status, took = answer.status, self.now() - item.sent
+        self.event(api.Outcome(item.request, item.number, item.backend, status, took, closed, answer.report))
 
     def _deadline(self, name: str) -> None:
         """The client's time is up: end what is out, and answer whatever the module did not."""
@@ -357,6 +356,7 @@
 
     def _close(self, name: str, request: Open) -> None:
         request.answered = True
+        request.render = _nothing  # guards memory against bodies of requests whose attempts go on alone
         if request.limit is not None:
             request.limit.cancel()
         self._forget(name, request)
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -15,14 +15,14 @@
 import httptools
 
 from dillport import interface as api
+from dillport.decide.admission import MOST_BODY, USUAL_BODY, LongBodies
 from dillport.interface import Status
 from dillport.members import Address, Member
 
 log = logging.getLogger(__name__)
 
-MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
-MAX_BYTES = 8 * MAX_BODY  # of one answer: a body in chunks of one byte takes six times its size
+MAX_REST = 8 * USUAL_BODY  # bytes of an answer beside its body: chunks of one byte are six times its size
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
 REST = 0.01  # s from an answer to the next request: a second answer may come some milliseconds late
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
@@ -117,16 +117,23 @@
         self.resting: asyncio.TimerHandle | None = None  # its attempt waits until it has rested
         self.closed = self.wrote = self.blocked = False
         self.idle_since = 0.0
+        self.long = 0  # bytes of its answer's body beyond the usual
         self._reset()
 
     def _reset(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
-        self.body: list[bytes] = []
+        self._forget()
         self.size = self.head = self.bytes = 0
-        self.in_body = False
+        self.in_body = self.sized = False
         self.load = self.content_type = b""
         self.not_started = self.complete = self.excess = self.large = False
 
+    def _forget(self) -> None:
+        """Hold no body: guards memory against those of all connections that rest."""
+        self.body: list[bytes] = []
+        self.pool.long.give(self.long)
+        self.long = 0
+
     # --- opening, closing
 
     async def open(self) -> None:
@@ -176,10 +183,8 @@
             return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        except OSError as err:
+            return isinstance(err, BlockingIOError)
         return False
 
     def _fail(self, status: Status) -> None:
@@ -196,6 +201,7 @@
             return
         self.closed = True
         self.pool.count -= 1
+        self._forget()
         if self.resting is not None:
             self.resting.cancel()
             self.resting = None
@@ -236,16 +242,32 @@
             self._fail(Status.MOOT)
             return
         self.transport.write(attempt.data)
-        self.wrote = True
+        self.wrote, attempt.data = True, b""  # the transport holds what has not left
         # Guards against calling a reset what never left: a write that fails at once closes the transport.
         if self.transport.is_closing():
             self._fail(Status.CONNECT_FAILED)
+        elif self.blocked and attempt.begin_by < math.inf:
+            self.pool.loop.call_later(attempt.begin_by - time.monotonic(), self._late, attempt)
+
+    def _late(self, attempt: Attempt) -> None:
+        """Its window has ended: guards against an effect doubled by one whose last byte is still here."""
+        if self.attempt is attempt and self.blocked:
+            self._fail(Status.MOOT)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A break before the request's last byte has left proves that it never ran; after, it may have."""
         self.transport = None  # nothing to abort: asyncio's own would end a second time, with a traceback
         self._fail(Status.RESET if self.wrote and not self.blocked else Status.CONNECT_FAILED)
 
+    def eof_received(self) -> None:
+        """The end of an answer whose head names none (RFC 9112, 6.3); of all else it is a break."""
+        if self.attempt is None or self.blocked or self.complete or self.sized or not self.in_body:
+            return
+        # Guards against serving what was cut: a reset that has come by now may stand behind the end.
+        if not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.on_message_complete()
+            self._finish(False)
+
     def data_received(self, data: bytes) -> None:
         """Read the answer; bytes that belong to none spoil the connection."""
         if self.attempt is None or not self.wrote:
@@ -265,7 +287,7 @@
             self._fail(Status.CONNECT_FAILED)
         elif self.complete:
             self._finish(not fault and not self.excess)
-        elif fault or self.large or self.head > MAX_HEAD or self.bytes > MAX_BYTES:
+        elif fault or self.large or self.head > MAX_HEAD or self.bytes - self.size > MAX_REST:
             log.warning("backend %s:%d: %s", *self.address, fault or "answer too large")
             self._fail(Status.RESET)
 
@@ -280,8 +302,9 @@
         if self.complete or self.in_body:
             return  # a second answer's, or a trailer
         key = name.lower()
+        self.sized = self.sized or key in (b"content-length", b"transfer-encoding")
         if key == b"content-length":
-            self.large = int(value) > MAX_BODY  # known from the head: its body is not waited for
+            self.large = int(value) > MOST_BODY  # known from the head: its body is not waited for
         elif key == b"server-load":
             self.load = value
         elif key == b"not-started":
@@ -295,23 +318,26 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body up to the limit."""
-        if not self.complete:
-            self.size += len(body)
-            self.large = self.large or self.size > MAX_BODY
-            if not self.large:
-                self.body.append(body)
+        if self.complete or self.closed:
+            return
+        self.size += len(body)
+        long = self.pool.long.take(self.long, self.size)
+        self.large = self.large or self.size > MOST_BODY or long is None
+        if long is not None:
+            self.long = long
+        if not self.large:
+            self.body.append(body)
 
     def on_message_complete(self) -> None:
         """The answer is whole, unless it was an interim one."""
         if self.complete:
             return
-        if self.parser.get_status_code() < 200:
+        self.code = self.parser.get_status_code()
+        if self.code < 200:
             self.load = b""
-            self.not_started = self.in_body = False
+            self.not_started = self.in_body = self.sized = False
             return
-        self.complete = True
-        self.keep_alive = self.parser.should_keep_alive()
-        self.code = self.parser.get_status_code()
+        self.complete, self.keep_alive = True, self.parser.should_keep_alive()
 
     def _finish(self, clean: bool) -> None:
         attempt, self.attempt = self.attempt, None
@@ -322,14 +348,12 @@
                 report = parse_report(self.load.decode("latin-1"))
             except ValueError as err:
                 log.warning("backend %s:%d: %s", *self.address, err)
-        if self.large:
-            answer = Answer(Status.ERROR, report)
-        elif self.code == 200:
+        answer = Answer(Status.ERROR, report)
+        if self.code == 200 and not self.large:
             answer = Answer(Status.OK, report, b"".join(self.body), self.content_type)
-        elif self.code in (503, 504) and self.not_started:
-            answer = Answer(Status.FULL, report)
-        else:
-            answer = Answer(Status.ERROR, report)
+        elif self.code in (503, 504) and self.not_started and not self.large:
+            answer.status = Status.FULL
+        self._forget()
         self.pool.release(self, clean and self.keep_alive and not self.blocked)
         attempt.end(answer)
 
@@ -337,7 +361,9 @@
 class Pool:
     """All connections to backends."""
 
-    def __init__(self, settings: api.Settings, limit: int) -> None:
+    def __init__(self, settings: api.Settings, limit: int, long: LongBodies | None = None) -> None:
+        """At most `limit` connections; their long bodies count into `long`."""
+        self.long = long or LongBodies()
         self.connect_timeout = settings.connect_timeout / 1000
         self.idle_limit = settings.conn_idle / 1000
         self.limit, self.count = limit, 0
@@ -385,13 +411,12 @@
         for connection in reversed(host.idle[:]):
             if now - connection.idle_since < REST:
                 resting = connection
-                continue
-            if now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
+            elif now - connection.idle_since > KEEP * self.idle_limit or not connection.clean:
                 connection.close()
-                continue
-            host.idle.remove(connection)
-            connection.write(attempt)
-            return attempt
+            else:
+                host.idle.remove(connection)
+                connection.write(attempt)
+                return attempt
         if resting is not None and resting.clean:
             host.idle.remove(resting)
             resting.rest(attempt, REST - (now - resting.idle_since))
--- a/tests/net/test_ending.py
+++ b/tests/net/test_ending.py
@@ -6,13 +6,15 @@
 import itertools
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
 from dillport.decide.shutdown import Ends
-from dillport.net.front import GULP, Front
+from dillport.net import front as front_module
+from dillport.net.front import GULP, STEP, SWEEP, Front
 from tests.net.test_front import LOOPS, Deaf, NewLoop, fronting, large, run, stuff, until
 from tests.sockets import HOUR, PATIENT, WAIT, Backend, Client, Message, echo
 
@@ -126,6 +128,64 @@
     run(test, new_loop)
 
 
+@LOOPS
+def test_a_request_on_a_resting_connection_that_came_as_the_listener_closes_is_answered(
+    tmp_path: Path, new_loop: NewLoop
+) -> None:
+    """It lies in the kernel, as a busy turn of the loop was long; a close over it resets."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            loop, sock = asyncio.get_running_loop(), connected(front, read())
+            assert b" 200 OK" in await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), WAIT)
+            await until(lambda: front.idle)
+            told(front)
+            sock.sendall(read())
+            front.stop()
+            await front.finish()
+            got = await all_of(sock)
+            assert b" 200 OK" in got and b"Connection: close" in got
+
+    run(test, new_loop)
+
+
+@LOOPS
+@pytest.mark.parametrize("used", [False, True])
+def test_a_look_that_comes_before_the_sockets_closes_over_no_request(
+    tmp_path: Path, new_loop: NewLoop, used: bool
+) -> None:
+    """The request comes while a reader holds the loop past the next look, whose timer goes before sockets."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            loop, sock, (here, there) = asyncio.get_running_loop(), connected(front), socket.socketpair()
+            await until(lambda: front.fresh)
+            if used:
+                sock.sendall(read())
+                assert b" 200 OK" in await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), WAIT)
+                await until(lambda: front.idle)
+            for connection in front.fresh:
+                front.fresh[connection] -= 1.0  # mute for long
+            told(front)
+            front.stop()
+            done = asyncio.create_task(front.finish())
+            await asyncio.sleep(0)
+
+            def hold() -> None:
+                loop.remove_reader(here)
+                sock.sendall(read())
+                time.sleep(2 * STEP)
+
+            loop.add_reader(here, hold)
+            there.send(b"x")
+            assert b" 200 OK" in await all_of(sock)
+            await done
+            here.close()
+            there.close()
+
+    run(test, new_loop)
+
+
 @LOOPS
 def test_a_connection_that_stays_mute_does_not_hold_up_the_end(tmp_path: Path, new_loop: NewLoop) -> None:
     async def test() -> None:
@@ -156,6 +216,28 @@
     run(test, new_loop)
 
 
+@LOOPS
+@pytest.mark.parametrize("up", [False, True])
+def test_an_end_that_is_late_reads_what_has_come_once_more(
+    tmp_path: Path, new_loop: NewLoop, up: bool
+) -> None:
+    """The time by which all is answered is over as the listener closes, on a core that others held."""
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            sock = connected(front)
+            if up:
+                await until(lambda: front.fresh)
+            told(front, 0.0)
+            sock.sendall(read())
+            front.stop()
+            await front.finish()
+            assert not front.listener.coming and all(c.closing for c in front.connections)
+            assert (await all_of(sock)).startswith(b"HTTP/1.1 503 ")
+
+    run(test, new_loop)
+
+
 @LOOPS
 def test_the_end_waits_for_answers_that_the_kernel_has_not_taken(
     tmp_path: Path, deaf: Callable[[Front], Deaf], new_loop: NewLoop
@@ -209,6 +291,30 @@
     run(test)
 
 
+@LOOPS
+@pytest.mark.parametrize("cut", [0, 20, -1])
+def test_what_came_while_the_process_stood_still_is_read_before_its_time_is_up(
+    tmp_path: Path, new_loop: NewLoop, cut: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The look for connections whose time is up is overdue then, and comes before the sockets."""
+    monkeypatch.setattr(front_module, "SLOW", 0.1)
+
+    async def test() -> None:
+        async with fronting(tmp_path, Backend("b0")) as front:
+            data = read()
+            sock = connected(front, data[:cut])
+            await until(lambda: front.fresh if cut == 0 else any(c.mid for c in front.connections))
+            sock.sendall(data[cut:])
+            time.sleep(3 * SWEEP)
+            front.sweeper.cancel()
+            front._sweep()
+            loop = asyncio.get_running_loop()
+            assert b" 200 OK" in await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), WAIT)
+            sock.close()
+
+    run(test, new_loop)
+
+
 # --- clients that leave
 
 
