Replay: the digests hold without late connections, and those of now are pinned too

The ten digests of each set hold with REFUSED at infinity, so nothing else of the decisions changed; what is decided with it has digests of its own.

--- a/tests/policy/test_replay.py
+++ b/tests/policy/test_replay.py
@@ -5,13 +5,15 @@
 servers are spared since, many nodes before few servers have lower limits, and a request whose client has left
 is held no more: no server is drawn for it (`shared`, `crowd`); nobody waits for probes past the time in which
 it could be served (`looking`). A repeat is bound to where its server was listed at the send: servers move at
-every news here, so all digests differ; those of servers that stay (`STEADY`) are from before that.
+every news here, so all digests differ; those of servers that stay (`STEADY`) are from before that. All these
+are played as if no connection only came up late: that ejects as any failure now, as `NOW` has it.
 """
 
 from __future__ import annotations
 
 import hashlib
 import heapq
+import math
 import random
 from dataclasses import replace
 
@@ -46,6 +48,13 @@
     "cold": ["ca42aea60afd8804", "18b50e4611651e12"],
     "looking": ["62156b7b6ac6f230", "5b640b51675196bc"],
 }
+NOW = {
+    "live": ["976269bc65a97d14", "adaf2e691f0e8537"],
+    "shared": ["f4c5120fa92beb72", "319d75d1caef74f2"],
+    "crowd": ["978c48003e5e1c53", "443d967ea945c059"],
+    "cold": ["ac306927ea4fbd81", "0b3023f7b4e12764"],
+    "looking": ["3564224c0b757ccf", "4ba3723f235dafc2"],
+}
 PHASES = (*[api.Phase.UP] * 8, api.Phase.DRAINING, api.Phase.GONE)
 STATUSES = (*[api.Status.OK] * 12, *api.Status)
 
@@ -143,6 +152,7 @@
 def test_the_actions_are_those_from_before_reasons(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(policy, "SPARE", (1e9, 2e9))
     monkeypatch.setattr(policy, "LIMIT_PART", 1.0)
+    monkeypatch.setattr(policy, "REFUSED", math.inf)  # as if none only came up late
     assert [Run(FLEETS[name], seed).play(1_500) for seed in (1, 2)] == DIGESTS[name]
 
 
@@ -158,4 +168,10 @@
 def test_the_actions_among_servers_that_do_not_move(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(policy, "SPARE", (1e9, 2e9))
     monkeypatch.setattr(policy, "LIMIT_PART", 1.0)
+    monkeypatch.setattr(policy, "REFUSED", math.inf)
     assert [SteadyRun(FLEETS[name], seed).play(1_500) for seed in (1, 2)] == STEADY[name]
+
+
+@pytest.mark.parametrize("name", FLEETS)
+def test_the_actions_of_now(name: str) -> None:
+    assert [SteadyRun(FLEETS[name], seed).play(1_500) for seed in (1, 2)] == NOW[name]
