The look for overdue connections keeps its own time, which every loop can tell

Seen: tests/system/test_crossings.py, whose timers tell no due time by call, failed in 18 orders after the change to Front._sweep. It compares with its last look now; those orders and the tests of standing still pass.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -449,7 +449,7 @@
         self.going: set[ClientConnection] = set()  # closed, their descriptors free in a turn or two
         self.ends: Ends | None = None  # once the node is told to end
         self.listener = Listener(lambda: ClientConnection(self), self._room)
-        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
+        self.sweeper, self.swept = self.loop.call_later(SWEEP, self._sweep), self.loop.time()
 
     @property
     def crowded(self) -> bool:
@@ -509,9 +509,9 @@
 
         Guards against clients that keep a connection: others may find none left to ask on.
         """
-        now, due = self.loop.time(), self.sweeper.when()
-        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
-        if now - due > SWEEP:
+        last, self.swept = self.swept, self.loop.time()
+        self.sweeper, now = self.loop.call_later(SWEEP, self._sweep), self.swept
+        if now - last > 2 * SWEEP:
             return  # guards what came while this process stood still: it is read before the next look
         while self.waiting and now - next(iter(self.waiting.values())) > SLOW:
             connection = next(iter(self.waiting))
