Begin another watch beside one that brings its head alone after an outage

What the agent gets at its return counts as told at once; the time to obey it is 2 s or less. Confirmed on sockets: an agent that resets the watch, answers further ones with a head and stays mute on them, and answers well from a moment on. The drain was known more than 2 s after it, with 500 ms as with 2 s to obey. At fault: platform_follow.Life.came, which took a head for a line. Change: while calls fail, a head that nothing follows within the patience for an answer counts as a failed call, and the next one is begun. As a quiet agent beats only 2 s after the head, the two oldest of these watches are kept beside it for their 3.5 s; the first that speaks goes on, the others end. Without failures before, a watch keeps its 3.5 s. This part is loaded only when it is needed (net/sources/doubt.py). Without it the four "head" cases of tests/net/test_platform_return.py::test_what_discovery_has_at_its_return... fail; with it they pass, as do fifteen on which of three such watches speaks, and what.

--- a/dillport/decide/platform_follow.py
+++ b/dillport/decide/platform_follow.py
@@ -62,22 +62,24 @@
         self.pace, self.patience_ms = pace, patience_ms
         self.until_ms = now_ms + min(patience_ms, MOST_CONNECT_MS)
         self.line_ms = now_ms  # when the last whole line came, or the answer began
+        self.bare = False  # a head has come, and nothing since: another call may be due beside this one
         self.since_ms: float | None = None  # when what is under way began
 
     def connected(self, now_ms: float) -> None:
         """The call is made."""
         self.until_ms = max(self.until_ms, now_ms + self.pace.answer_ms)
 
-    def came(self, now_ms: float, whole: bool, under_way: bool) -> None:
+    def came(self, now_ms: float, whole: bool, under_way: bool, bare: bool = False) -> None:
         """A piece of an answer came: with its head or a line in it (`whole`), with the rest `under_way`."""
         if whole:
             self.line_ms, self.since_ms = now_ms, None
+        self.bare = bare and not under_way and self.patience_ms < self.pace.silence_ms
         if under_way:
             self.since_ms = now_ms if self.since_ms is None else self.since_ms
             self.until_ms = min(now_ms + self.patience_ms, self.since_ms + self.pace.under_way_ms)
         else:
             self.since_ms = None
-            self.until_ms = self.line_ms + self.pace.silence_ms
+            self.until_ms = self.line_ms + (self.patience_ms if self.bare else self.pace.silence_ms)
 
     def slow(self, now_ms: float) -> bool:
         """Whether more patience may help a call that is over its time: it had begun, or this is late."""
--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -85,6 +85,11 @@
         if looks:
             self.timer = self.loop.call_later(LOOK, self._silent, looks - 1)
             return
+        if self.life.bare:
+            from dillport.net.sources.doubt import doubted
+            self.life.came(self.owner.now_ms(), False, False)
+            self._awake()
+            return doubted(self)
         self._warn("discovery is silent")
         self.close()
 
@@ -96,7 +101,8 @@
         """Read."""
         messages = self.parser.receive(data)
         if self.parser.began and not self.over:
-            self.life.came(self.owner.now_ms(), bool(messages), self.parser.under_way)
+            bare = self.owner.follow.failed > 0 and [*map(type, messages)] == [platform_list.Began]
+            self.life.came(self.owner.now_ms(), bool(messages), self.parser.under_way, bare)
             self._awake()
         self._take(messages)
 
@@ -179,15 +185,9 @@
     """Follows the list. `hand` takes what the merge has to know, `resume` is where to watch from."""
 
     def __init__(
-        self,
-        address: Address,
-        must_ask: bool,
-        drain_grace_ms: float,
-        now_ms: Callable[[], float],
-        hand: Callable[[membership.Event], None],
-        resume: Callable[[], int | None],
-        failed: Callable[[], None],
-    ) -> None:
+        self, address: Address, must_ask: bool, drain_grace_ms: float, now_ms: Callable[[], float],
+        hand: Callable[[membership.Event], None], resume: Callable[[], int | None], failed: Callable[[], None]
+    ) -> None:  # fmt: skip
         self.address, self.now_ms, self.hand, self.resume, self.failed = address, now_ms, hand, resume, failed
         self.follow = PlatformFollow(random.Random(), must_ask, drain_grace_ms)
         self.following: Call | None = None  # the watch, or the whole list that a watch goes on from
@@ -270,7 +270,6 @@
     def _drop(self) -> None:
         if self.retry is not None:
             self.retry.cancel()
-            self.retry = None
         for call in [self.following, *self.fetching]:
             if call is not None:
                 call.drop()
--- a/tests/net/test_platform_return.py
+++ b/tests/net/test_platform_return.py
@@ -50,6 +50,7 @@
         self.asked: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         self.writers: list[asyncio.StreamWriter] = []
         self.mute = False
+        self.bare = False  # watches get a head and nothing behind it
         self.list = listed(1, True, b0="in_service", b1="in_service")
         self.body: bytes | None = None  # of a watch, in place of the list
         self.address = ("127.0.0.1", 0)
@@ -74,7 +75,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         target = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode()
         self.writers.append(writer)
-        if not self.mute:
+        if self.bare and "watch" in target:
+            writer.write(HEAD)
+        elif not self.mute:
             writer.write(HEAD + chunk(self.list + b"\n" if self.body is None else self.body))
             if "watch" not in target:
                 writer.write(b"0\r\n\r\n")
@@ -131,7 +134,7 @@
 
 @pytest.mark.parametrize("loop", LOOPS)
 @pytest.mark.parametrize("grace_ms", [500.0, 2000.0])
-@pytest.mark.parametrize("shape", ["refused", "mute", "silent in mid-line", "silent in an indented object"])
+@pytest.mark.parametrize("shape", ["refused", "mute", "head", "mid-line", "indented"])
 def test_what_discovery_has_at_its_return_is_known_within_the_time_to_obey_it(
     shape: str, grace_ms: float, loop: Loop
 ) -> None:
@@ -141,14 +144,14 @@
             agent.refuse()
             await until(lambda: node.silenced() >= 6)  # waits have grown
         else:
-            agent.mute = True
-            if shape == "mute":
+            agent.mute, agent.bare = True, shape == "head"
+            if shape in ("mute", "head"):
                 agent.reset()
             else:
-                half = listed(2, indent=2 if "indented" in shape else None, b0="terminating")[:30]
+                half = listed(2, indent=2 if shape == "indented" else None, b0="terminating")[:30]
                 watch.write(chunk(half))
             await agent.watched()  # a new call is out, that is never answered
-        agent.mute, agent.list = False, DRAIN
+        agent.mute, agent.bare, agent.list = False, False, DRAIN
         if shape == "refused":
             await agent.start()
         back = node.now()
@@ -251,6 +254,50 @@
     run(test)
 
 
+@pytest.mark.parametrize("which", [0, 1, 2])
+@pytest.mark.parametrize("says", ["a beat", "a change", "half a change", "garbage", "its end"])
+def test_of_watches_that_brought_their_heads_alone_the_one_that_speaks_goes_on(which: int, says: str) -> None:
+    """Guards against several watches for good, and against none that is seen to end."""
+
+    async def test() -> None:
+        agent, node, _watch = await up(500.0)
+        agent.bare = True
+        agent.reset()
+        watches = [await agent.watched() for _ in range(3)]
+        await until(lambda: len(node.source.fetching) == 2)
+        doubts = sorted(node.source.fetching, key=lambda call: call.life.line_ms)
+        calls = [*doubts, node.source.following]
+        speaks, one = watches[which], calls[which]
+        assert one is not None
+        if says == "its end":
+            speaks.transport.abort()
+            await until(lambda: one not in (*node.source.fetching, node.source.following))
+            agent.bare, agent.list = False, DRAIN
+            await until(node.drains)
+        elif says == "garbage":
+            agent.bare, agent.list = False, DRAIN
+            speaks.write(chunk(b"{]}\n"))
+            await until(node.drains)  # the whole list was asked for
+        else:
+            line = listed(2, b0="terminating") + b"\n"
+            if says == "half a change":
+                speaks.write(chunk(line[:20]))
+                await until(lambda: one.parser.under_way)
+                line = line[20:]
+            speaks.write(chunk(b"\n" if says == "a beat" else line))
+            await until(lambda: not node.source.fetching)
+            assert node.source.following is one
+            assert node.source.retry is None or node.source.retry.cancelled() or which == 2
+            speaks.write(chunk(listed(3, b0="terminating") + b"\n"))
+            await until(lambda: node.fleet.resume(platform.NAME) == 3)
+            assert node.drains() and node.source.following is one
+        await until(lambda: not node.source.fetching)
+        assert len(node.source.tasks) <= 2
+        node.source.watch(False)
+
+    run(test)
+
+
 def test_bytes_without_a_line_are_no_beat_and_waits_grow() -> None:
     async def test() -> None:
         agent, node, _watch = await up(2000.0)
