Let calls that stall in an outage get no more patience than its end allows

Seen by reading: patience grows by half with each second call that has begun an answer and does not end it, up to 2 s, whatever the time to obey a drain is. That is meant for a starved node; but an agent that answers calls for the whole list with their heads while discovery is down, as after SIGHUP, lets it grow as well. The return was then known up to 2.0 s and a wait of 0.4 s later, where 2 s or 0.5 s are allowed. Confirmed on sockets: after six such calls at a new address the drain came more than 500 ms after the return. At fault: platform_follow._patience. Change: below 256 failures in a row patience grows by half once, to 0.68 of the time to obey; with the longest wait 0.88 of it pass. Beyond them it grows to 2 s as before. The watch's clock is set anew in net/sources/doubt.py. Without it the "head" cases of test_a_new_address_that_is_dead_at_first_is_heard_when_it_comes (net) and test_calls_that_stall_in_an_outage_get_no_more_patience_than_its_end_allows (decide) fail; with it all pass.

--- a/dillport/decide/platform_follow.py
+++ b/dillport/decide/platform_follow.py
@@ -22,8 +22,8 @@
 PATIENCE_PART, WAIT_PART = 0.45, 0.4 / 3
 LEAST_PATIENCE_MS, LEAST_WAIT_MS = 100.0, 40.0  # however short that time is: tries cost processor time
 MOST_PATIENCE_MS = 2000.0  # of a node that is starved, or whose discovery stutters
-MORE = 1.5  # as much patience, where it has to grow
-MANY = 256  # failures in a row after which it grows anyway: no list at all is worse than a late one
+MORE = 1.5  # as much patience, where it has to grow: still within the time to obey a drain, up to
+MANY = 256  # failures in a row; then it goes on growing: no list at all is worse than a late one
 MOST_CONNECT_MS = 2000.0  # for a connection to come up
 BEAT_MS = 2000.0  # an empty line comes so often on a watch where nothing changes
 
@@ -199,10 +199,11 @@
 
     def _patience(self, slow: bool) -> None:
         """Guards a node that is starved against giving up each call too soon; a mute one gets no more."""
-        least = self.pace.patience_ms
         self.failed += 1
+        least = self.pace.patience_ms
         if (slow and self.slow) or self.failed % MANY == 0:
-            self.patience_ms = max(least, min(MORE * self.patience_ms, MOST_PATIENCE_MS))
+            most = MOST_PATIENCE_MS if self.failed >= MANY else MORE * least  # an outage may stall them, too
+            self.patience_ms = max(least, min(MORE * self.patience_ms, most, MOST_PATIENCE_MS))
         elif not slow and self.failed < MANY:
             self.patience_ms = max(least, self.patience_ms / MORE)
         self.slow = slow
--- a/dillport/net/sources/doubt.py
+++ b/dillport/net/sources/doubt.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import cast
 
 from dillport.decide.platform_follow import Due
@@ -58,9 +59,11 @@
         return True
 
 
-def doubted(call: Call) -> None:
-    """A watch has brought its head alone."""
+def doubted(call: Call, awake: Callable[[], None]) -> None:
+    """A watch has brought its head alone. `awake` sets its clock anew."""
     source = call.owner
+    call.life.came(source.now_ms(), False, False)
+    awake()
     if call is not source.following or not source.follow.failed:
         return  # it is kept already, or another has spoken: this one is given its time
     source.ended(call)
--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -87,9 +87,7 @@
             return
         if self.life.bare:
             from dillport.net.sources.doubt import doubted
-            self.life.came(self.owner.now_ms(), False, False)
-            self._awake()
-            return doubted(self)
+            return doubted(self, self._awake)
         self._warn("discovery is silent")
         self.close()
 
--- a/tests/decide/test_platform_follow.py
+++ b/tests/decide/test_platform_follow.py
@@ -271,6 +271,19 @@
     assert agent.follow.patience_ms == p.MOST_PATIENCE_MS
 
 
+@pytest.mark.parametrize("grace_ms", GRACES)
+def test_calls_that_stall_in_an_outage_get_no_more_patience_than_its_end_allows(grace_ms: float) -> None:
+    """Each brings half an answer and says no more: none would be heard of the return."""
+    follow = PlatformFollow(random.Random(1), False, grace_ms)
+    follow.handle(0.0, p.Wanted(True), 7)
+    for _ in range(p.MANY - 1):
+        life = follow.life(0.0)
+        life.came(0.0, True, True)
+        assert life.until_ms + 1.5 * follow.pace.wait_ms <= 0.9 * grace_ms
+        follow.handle(life.until_ms, p.Ended(False, slow=life.slow(life.until_ms)), 7)
+        follow.handle(life.until_ms, p.Due(), 7)
+
+
 def test_where_nodes_ask_by_themselves_patience_is_as_long_as_a_watch_may_be_silent() -> None:
     follow = PlatformFollow(random.Random(1), True, 500.0)
     life = follow.life(0.0)
--- a/tests/net/test_platform_return.py
+++ b/tests/net/test_platform_return.py
@@ -50,7 +50,7 @@
         self.asked: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         self.writers: list[asyncio.StreamWriter] = []
         self.mute = False
-        self.bare = False  # watches get a head and nothing behind it
+        self.bare = False  # calls get a head and nothing behind it
         self.list = listed(1, True, b0="in_service", b1="in_service")
         self.body: bytes | None = None  # of a watch, in place of the list
         self.address = ("127.0.0.1", 0)
@@ -75,7 +75,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         target = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode()
         self.writers.append(writer)
-        if self.bare and "watch" in target:
+        if self.bare:
             writer.write(HEAD)
         elif not self.mute:
             writer.write(HEAD + chunk(self.list + b"\n" if self.body is None else self.body))
@@ -401,22 +401,24 @@
 
 
 @pytest.mark.parametrize("loop", LOOPS)
-@pytest.mark.parametrize("shape", ["dead", "mute"])
+@pytest.mark.parametrize("shape", ["dead", "mute", "head"])
 def test_a_new_address_that_is_dead_at_first_is_heard_when_it_comes(shape: str, loop: Loop) -> None:
     async def test() -> None:
         _agent, node, _watch = await up(500.0)
         new = await other()
         if shape == "dead":
             new.refuse()
-        new.mute = True
+        new.mute, new.bare = True, shape == "head"
         node.source.move(new.address)
-        if shape == "dead":
+        if shape == "head":  # some calls have begun their answers, and ended none
+            await until(lambda: new.asked.qsize() == 6)
+        elif shape == "dead":
             await until(lambda: node.silenced() >= 7)
             await new.start()
         else:
             async with asyncio.timeout(WAIT):
                 await new.asked.get()
-        new.mute, back = False, node.now()
+        new.mute, new.bare, back = False, False, node.now()
         await until(node.drains)
         assert node.now() - back <= 500.0
         node.source.watch(False)
