Tell the module that discovery works again, though nothing has changed

Seen by reading: where nodes ask by themselves, the module doubles its wait with each failed call and begins anew with the next list. A watch that is taken up again and told nothing new (a beat, or a change that was known) brought it no list: after an outage of some failures the next watch that falls silent, however much later, was opened anew only after up to 15 s. What it misses counts as told 6 s after it fell silent. Confirmed on sockets with a real node: it is vouched for, discovery refuses for three calls, then answers the watch with a beat, or an old change; Balancer.asks_failed stayed at 3 or more. At fault: membership._heard, _current. Change: a source that is in sync again is told on as a change of nothing, as a whole list of the same revision was already. Without it two of the three cases of tests/net/test_platform_return.py::test_an_answer_that_brings_nothing_new... fail; with it all pass, as does all of tests/decide.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -318,6 +318,7 @@
     def _current(self, source: Source) -> None:
         if source.state in (State.SILENT, State.REFUSED):
             self._out.append(Say(f"{source.name}: in sync again"))
+            self._apply([], ListKind.CHANGES)  # that it may be asked again soon, though nothing has changed
         source.state, source.reason, source.behind = State.IN_SYNC, "", False
 
     def _confirm(self, source: Source) -> None:
--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -268,8 +268,7 @@
     def _drop(self) -> None:
         if self.retry is not None:
             self.retry.cancel()
-        for call in [self.following, *self.fetching]:
-            if call is not None:
-                call.drop()
+        for call in filter(None, [self.following, *self.fetching]):
+            call.drop()
         self.following = None
         self.fetching.clear()
--- a/tests/net/test_platform_return.py
+++ b/tests/net/test_platform_return.py
@@ -11,6 +11,7 @@
 import logging
 import socket
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -18,6 +19,7 @@
 from dillport.decide import membership
 from dillport.decide.membership import Silenced, Source
 from dillport.interface import Phase
+from dillport.members import listing
 from dillport.net import node as real
 from dillport.net.config import load
 from dillport.net.fleet import Fleet
@@ -518,3 +520,46 @@
             backend.stop()
 
     run(test, loop)
+
+
+# --- where nodes ask by themselves, the module says when
+
+
+@pytest.mark.parametrize("says", ["a beat", "an old change", "the same list"])
+def test_an_answer_that_brings_nothing_new_ends_the_waits_that_had_grown(
+    says: str, tmp_path: Path
+) -> None:
+    """Guards against a wait of up to 15 s for a watch that falls silent long after an outage."""
+
+    async def test() -> None:
+        agent = Agent()
+        await agent.start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration([], agent.address[1])))
+        config = load({"PROXY_CONFIG": str(path)})
+        settings = replace(config.settings, must_ask=True, ask_within=320.0)
+        node = real.Node(replace(config, settings=settings))
+        fleet = Fleet(node, [Source(platform.NAME)])
+        identity = platform.identity(agent.address)
+        known = listing(json.loads(agent.list))
+        node.discovery = source = PlatformSource(
+            agent.address, True, settings.drain_grace, node.now, fleet.hand,
+            lambda: fleet.resume(platform.NAME), node.list_failed,
+        )  # fmt: skip
+        fleet.hand(membership.Listed(platform.NAME, identity, known, saved=True))
+        await agent.watched()
+        await until(lambda: not fleet.membership.sources[platform.NAME].remembered)
+        agent.refuse()
+        await until(lambda: node.balancer.asks_failed >= 3)
+        agent.body = {
+            "a beat": b"\n",
+            "an old change": listed(1, b0="in_service") + b"\n",
+            "the same list": agent.list + b"\n",
+        }[says]
+        await agent.start()
+        await agent.watched()
+        await until(lambda: source.follow.failed == 0)
+        assert node.balancer.asks_failed == 0
+        source.watch(False)
+
+    run(test)
