Tell a backend the time that is left as a request is written, not as it was decided

At fault: net/node.py, _send rendered the request before Pool.start. Change: an attempt may hold what gives its request, called in Connection.write. Confirmed: tests/net/test_client_gone.py::test_a_request_whose_connection_comes_up_late_tells_the_time_that_is_left_then: a connection held for 0.3 s, a request of 2 s: without it the backend reads more than 1.7 s.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -282,8 +282,8 @@
             return
         item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
         begin_by = (action.begin_by - self._zero) / 1000
-        done = partial(self._outcome, item)
-        attempt = self.pool.start(action.backend, request.render(wait), done, begin_by)
+        until, done = now + wait, partial(self._outcome, item)
+        attempt = self.pool.start(action.backend, lambda: request.render(until - self.now()), done, begin_by)
         item.attempt = None if item.over else attempt
 
     def _timeout(self, item: Try) -> None:
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -26,6 +26,7 @@
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
 REST = 0.01  # s from an answer to the next request: a second answer may come some milliseconds late
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
+Data = bytes | Callable[[], bytes]  # a request, or what gives it as it is written, with the time left then
 FIELDS = {
     "inflight": "in_flight", "active": "in_flight", "queue": "queue", "waiting": "queue", "util": "cpu",
     "cpu": "cpu", "latency_ms": "mean_time", "avg_ms": "mean_time", "qps": "rate", "rps": "rate",
@@ -70,7 +71,7 @@
 
     __slots__ = ("begin_by", "connection", "data", "done")
 
-    def __init__(self, data: bytes, done: Callable[[Answer], None], begin_by: float = math.inf) -> None:
+    def __init__(self, data: Data, done: Callable[[Answer], None], begin_by: float = math.inf) -> None:
         self.data, self.done, self.begin_by = data, done, begin_by
         self.connection: Connection | None = None
 
@@ -196,7 +197,6 @@
         self.pool.count -= 1
         if self.resting is not None:
             self.resting.cancel()
-            self.resting = None
         if self in self.host.idle:
             self.host.idle.remove(self)
         if not self.handed:
@@ -233,7 +233,7 @@
         if time.monotonic() > attempt.begin_by:
             self._fail(Status.MOOT)
             return
-        self.transport.write(attempt.data)
+        self.transport.write(attempt.data if isinstance(attempt.data, bytes) else attempt.data())
         self.wrote = True
         # Guards against calling a reset what never left: a write that fails at once closes the transport.
         if self.transport.is_closing():
@@ -253,10 +253,9 @@
 
     def eof_received(self) -> None:
         """The end of an answer whose head names none (RFC 9112, 6.3); of all else it is a break."""
-        if self.attempt is None or self.blocked or self.complete or self.sized or not self.in_body:
-            return
+        endless = self.in_body and not (self.attempt is None or self.blocked or self.complete or self.sized)
         # Guards against serving what was cut: a reset that has come by now may stand behind the end.
-        if not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        if endless and not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.on_message_complete()
             self._finish(False)
 
@@ -382,7 +381,7 @@
             connection.close()
 
     def start(
-        self, name: str, data: bytes, done: Callable[[Answer], None], begin_by: float = math.inf
+        self, name: str, data: Data, done: Callable[[Answer], None], begin_by: float = math.inf
     ) -> Attempt:
         """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once.
 
@@ -445,12 +444,11 @@
 
     def _sweep(self) -> None:
         """Close what has been idle for long, well before the backend does so under a request."""
-        self.sweeper, stale, left = None, time.monotonic() - KEEP * self.idle_limit, False
+        self.sweeper, stale = None, time.monotonic() - KEEP * self.idle_limit
         for host in self.hosts.values():
             for connection in [c for c in host.idle if c.idle_since < stale]:
                 connection.close()
-            left = left or bool(host.idle)
-        if left:
+        if any(host.idle for host in self.hosts.values()):
             self.sweeper = self.loop.call_later(max(SWEEP * self.idle_limit, 0.05), self._sweep)
 
     def close(self) -> None:
--- a/tests/net/test_client_gone.py
+++ b/tests/net/test_client_gone.py
@@ -287,6 +287,29 @@
             monkeypatch.setattr(upstream, "REST", 0.01)
             assert (await client.ask(target, method=method)).code == 200
             assert backend.connections == 2  # the one that rested went with its attempt
+            client.writer.transport.abort()
+        backend.stop()
+
+    run(test)
+
+
+def test_a_request_whose_connection_comes_up_late_tells_the_time_that_is_left_then(tmp_path: Path) -> None:
+    """Guards a backend against work for a node that has given up by then."""
+
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        gate = Gate(backend.port)
+        classes = [c | {"give-up": 2000, "objective": 2000} for c in CLASSES]
+        async with fronting(tmp_path, backend.member(), **{"request-classes": classes}) as front:
+            client = await ask(front, "/read")
+            await until(lambda: gate.tried)
+            await asyncio.sleep(0.3)  # longer does no harm
+            gate.open.set()
+            assert (await client.answer()).code == 200
+            told = int((await backend.got.get()).headers["request-timeout"].removesuffix("u"))
+            assert 0 < told <= 1_700_000
+            client.writer.transport.abort()
         backend.stop()
 
     run(test)
--- a/tests/system/crossings.py
+++ b/tests/system/crossings.py
@@ -451,7 +451,8 @@
         write = Connection.write
 
         def noted(connection: Connection, attempt: Attempt) -> None:
-            found = re.search(rb"Request-Id: (\S+)", attempt.data)
+            data = attempt.data if isinstance(attempt.data, bytes) else attempt.data()
+            found = re.search(rb"Request-Id: (\S+)", data)
             assert found is not None
             self.wrote.setdefault(found[1].decode(), []).append(self.clock.ms)
             write(connection, attempt)
