Write nothing on a connection that rested while the process stood still

Seen: a request that waits for a connection to rest is written by a timer. After a stand-still of over a second the timer comes, under uvloop, before what lies in the sockets is read: the request went to a backend whose drain had been told meanwhile. What else waits is held back in that moment (decide/pause.py); this went past it. At fault: net/upstream.py, Connection._begin; the rest came with. Confirmed: test_upstream.py::test_a_request_that_rests_while_the_process_stands_still_waits_for_what_it_missed: a reader that holds the loop, the drain in the kernel meanwhile: written under uvloop without it, moot on both loops.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -306,8 +306,7 @@
         request = self.open.get(action.request)
         if request is None or action.attempt >= len(request.attempts):
             # Never made, as the decision failed half-way: guards the module's counts of what is out.
-            status = api.Status.CANCELLED
-            self.event(api.Outcome(action.request, action.attempt, "", status, 0.0, True))
+            self.event(api.Outcome(action.request, action.attempt, "", api.Status.CANCELLED, 0.0, True))
             return
         self._stop(request.attempts[action.attempt], api.Status.CANCELLED)
 
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -15,6 +15,7 @@
 import httptools
 
 from dillport import interface as api
+from dillport.decide.pause import STOOD_MS
 from dillport.interface import Status
 from dillport.members import Address, Member
 
@@ -155,10 +156,12 @@
     def _begin(self) -> None:
         """Write the attempt that waits."""
         attempt = self.attempt
+        stood = self.resting is not None and time.monotonic() > self.idle_since + REST + STOOD_MS / 1000
         if attempt is None:
             self.close()
-        elif not self.host.up or self.host.address != self.address:
-            # Guards against sending to a backend that was taken off the list while the attempt waited.
+        elif not self.host.up or self.host.address != self.address or stood:
+            # Guards against sending to a backend that was taken off the list while the attempt waited, and,
+            # where the process stood still, may have been: the timer can come before that is read.
             self.resting = None
             self._fail(Status.MOOT)
         elif not self.clean:
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -16,6 +16,7 @@
 import pytest
 import uvloop
 
+from dillport.decide.pause import STOOD_MS
 from dillport.interface import Effect, Settings, Status
 from dillport.interface import RequestClass as Class
 from dillport.members import listing
@@ -489,6 +490,46 @@
     run(test, new_loop)
 
 
+@LOOPS
+def test_a_request_that_rests_while_the_process_stands_still_waits_for_what_it_missed(
+    new_loop: NewLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The server drains meanwhile; under uvloop its time is up before that is read."""
+    monkeypatch.setattr(upstream, "REST", 0.2)
+
+    async def test() -> None:
+        stand, loop = Stand(), asyncio.get_running_loop()
+        stand.start(b"one")
+        peer = await stand.accept()
+        await stand.request(peer, 3)
+        peer.sendall(answer(b"x"))
+        await stand.ended(1)
+        near, far = socket.socketpair()
+        news, told = socket.socketpair()
+
+        def stands_still() -> None:
+            loop.remove_reader(far)
+            news.send(b"x")
+            time.sleep(0.2 + STOOD_MS / 1000)
+
+        def learns() -> None:
+            loop.remove_reader(told)
+            stand.pool.update(members(stand.port, phase="terminating"))
+
+        loop.add_reader(far, stands_still)
+        loop.add_reader(told, learns)
+        await turns(3)
+        stand.start(b"two")
+        near.send(b"x")
+        assert (await stand.ended(2)).status is Status.MOOT
+        assert await asyncio.to_thread(peer.recv, 10) == b""
+        for sock in (near, far, news, told):
+            sock.close()
+        stand.close()
+
+    run(test, new_loop)
+
+
 # --- a repeat that comes too late
 
 
