--- a/dillport/decide/platform_follow.py
+++ b/dillport/decide/platform_follow.py
@@ -22,8 +22,8 @@
 PATIENCE_PART, WAIT_PART = 0.45, 0.4 / 3
 LEAST_PATIENCE_MS, LEAST_WAIT_MS = 100.0, 40.0  # however short that time is: tries cost processor time
 MOST_PATIENCE_MS = 2000.0  # of a node that is starved, or whose discovery stutters
-MORE = 1.5  # as much patience, where it has to grow
-MANY = 256  # failures in a row after which it grows anyway: no list at all is worse than a late one
+MORE = 1.5  # as much patience, where it has to grow: still within the time to obey a drain, up to
+MANY = 256  # failures in a row; then it goes on growing: no list at all is worse than a late one
 MOST_CONNECT_MS = 2000.0  # for a connection to come up
 BEAT_MS = 2000.0  # an empty line comes so often on a watch where nothing changes
 
@@ -42,14 +42,15 @@
 def pace(must_ask: bool, drain_grace_ms: float) -> Pace:
     """What the settings allow.
 
-    Where lists are pushed, a watch that fell silent is given up 3.5 s after its last line. What it missed
-    counts as told 6 s after it fell silent: that leaves 2.5 s, and the time to obey a drain, for more calls.
+    A watch that fell silent is given up 3.5 s after its last line. What it missed counts as told 6 s after
+    it fell silent: that leaves 2.5 s, and the time to obey a drain, for more calls.
     """
+    silence = 1.75 * BEAT_MS
     if must_ask:
-        return Pace(5000.0, 5000.0, 5000.0, 5000.0, MOST_MS)
+        return Pace(5000.0, 5000.0, silence, 5000.0, MOST_MS)
     patience = max(LEAST_PATIENCE_MS, min(PATIENCE_PART * drain_grace_ms, MOST_PATIENCE_MS))
     wait = max(LEAST_WAIT_MS, min(WAIT_PART * drain_grace_ms, MOST_MS))
-    return Pace(patience, 0.0, 1.75 * BEAT_MS, BEAT_MS, wait)
+    return Pace(patience, 0.0, silence, BEAT_MS, wait)
 
 
 class Life:
@@ -62,22 +63,24 @@
         self.pace, self.patience_ms = pace, patience_ms
         self.until_ms = now_ms + min(patience_ms, MOST_CONNECT_MS)
         self.line_ms = now_ms  # when the last whole line came, or the answer began
+        self.bare = False  # a head has come, and nothing since: another call may be due beside this one
         self.since_ms: float | None = None  # when what is under way began
 
     def connected(self, now_ms: float) -> None:
         """The call is made."""
         self.until_ms = max(self.until_ms, now_ms + self.pace.answer_ms)
 
-    def came(self, now_ms: float, whole: bool, under_way: bool) -> None:
+    def came(self, now_ms: float, whole: bool, under_way: bool, bare: bool = False) -> None:
         """A piece of an answer came: with its head or a line in it (`whole`), with the rest `under_way`."""
         if whole:
             self.line_ms, self.since_ms = now_ms, None
+        self.bare = bare and not under_way and self.patience_ms < self.pace.silence_ms
         if under_way:
             self.since_ms = now_ms if self.since_ms is None else self.since_ms
             self.until_ms = min(now_ms + self.patience_ms, self.since_ms + self.pace.under_way_ms)
         else:
             self.since_ms = None
-            self.until_ms = self.line_ms + self.pace.silence_ms
+            self.until_ms = self.line_ms + (self.patience_ms if self.bare else self.pace.silence_ms)
 
     def slow(self, now_ms: float) -> bool:
         """Whether more patience may help a call that is over its time: it had begun, or this is late."""
@@ -197,10 +200,11 @@
 
     def _patience(self, slow: bool) -> None:
         """Guards a node that is starved against giving up each call too soon; a mute one gets no more."""
-        least = self.pace.patience_ms
         self.failed += 1
+        least = self.pace.patience_ms
         if (slow and self.slow) or self.failed % MANY == 0:
-            self.patience_ms = max(least, min(MORE * self.patience_ms, MOST_PATIENCE_MS))
+            most = MOST_PATIENCE_MS if self.failed >= MANY else MORE * least  # an outage may stall them, too
+            self.patience_ms = max(least, min(MORE * self.patience_ms, most, MOST_PATIENCE_MS))
         elif not slow and self.failed < MANY:
             self.patience_ms = max(least, self.patience_ms / MORE)
         self.slow = slow
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -32,7 +32,7 @@
 
 def _nothing(wait: float) -> bytes:
     """Of a request that is answered: it is sent no more."""
-    raise AssertionError(wait)
+    return b""
 
 
 class Client(Protocol):
@@ -102,7 +102,7 @@
         self.ready = self.stopping = False
         self._events: deque[api.Event] = deque()
         self._busy = False
-        self._pause = Pause(self.now())
+        self._pause = Pause(self.now(), config.settings.drain_grace)
         self._held: list[api.Event] = []  # while it is in doubt, or what it had kept is being read
         self._waits = False
         self._beat()
@@ -289,8 +289,8 @@
             return
         item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
         begin_by = (action.begin_by - self._zero) / 1000
-        done = partial(self._outcome, item)
-        attempt = self.pool.start(action.backend, request.render(wait), done, begin_by)
+        until, done = now + wait, partial(self._outcome, item)
+        attempt = self.pool.start(action.backend, lambda: request.render(until - self.now()), done, begin_by)
         item.attempt = None if item.over else attempt
 
     def _timeout(self, item: Try) -> None:
@@ -314,8 +314,7 @@
         request = self.open.get(action.request)
         if request is None or action.attempt >= len(request.attempts):
             # Never made, as the decision failed half-way: guards the module's counts of what is out.
-            status = api.Status.CANCELLED
-            self.event(api.Outcome(action.request, action.attempt, "", status, 0.0, True))
+            self.event(api.Outcome(action.request, action.attempt, "", api.Status.CANCELLED, 0.0, True))
             return
         self._stop(request.attempts[action.attempt], api.Status.CANCELLED)
 
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -16,6 +16,7 @@
 
 from dillport import interface as api
 from dillport.decide.admission import MOST_BODY, USUAL_BODY, LongBodies
+from dillport.decide.pause import STOOD_MS
 from dillport.interface import Status
 from dillport.members import Address, Member
 
@@ -26,6 +27,7 @@
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
 REST = 0.01  # s from an answer to the next request: a second answer may come some milliseconds late
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
+Data = bytes | Callable[[], bytes]  # a request, or what gives it as it is written, with the time left then
 FIELDS = {
     "inflight": "in_flight", "active": "in_flight", "queue": "queue", "waiting": "queue", "util": "cpu",
     "cpu": "cpu", "latency_ms": "mean_time", "avg_ms": "mean_time", "qps": "rate", "rps": "rate",
@@ -70,7 +72,7 @@
 
     __slots__ = ("begin_by", "connection", "data", "done")
 
-    def __init__(self, data: bytes, done: Callable[[Answer], None], begin_by: float = math.inf) -> None:
+    def __init__(self, data: Data, done: Callable[[Answer], None], begin_by: float = math.inf) -> None:
         self.data, self.done, self.begin_by = data, done, begin_by
         self.connection: Connection | None = None
 
@@ -161,10 +163,12 @@
     def _begin(self) -> None:
         """Write the attempt that waits."""
         attempt = self.attempt
+        stood = self.resting is not None and time.monotonic() > self.idle_since + REST + STOOD_MS / 1000
         if attempt is None:
             self.close()
-        elif not self.host.up or self.host.address != self.address:
-            # Guards against sending to a backend that was taken off the list while the attempt waited.
+        elif not self.host.up or self.host.address != self.address or stood:
+            # Guards against sending to a backend that was taken off the list while the attempt waited, and,
+            # where the process stood still, may have been: the timer can come before that is read.
             self.resting = None
             self._fail(Status.MOOT)
         elif not self.clean:
@@ -204,7 +208,6 @@
         self._forget()
         if self.resting is not None:
             self.resting.cancel()
-            self.resting = None
         if self in self.host.idle:
             self.host.idle.remove(self)
         if not self.handed:
@@ -241,8 +244,13 @@
         if time.monotonic() > attempt.begin_by:
             self._fail(Status.MOOT)
             return
-        self.transport.write(attempt.data)
-        self.wrote, attempt.data = True, b""  # the transport holds what has not left
+        data, attempt.data = attempt.data, b""
+        # The transport alone holds what has not left: guards memory, as bodies may be long.
+        if not (data := data if isinstance(data, bytes) else data()):
+            self._fail(Status.MOOT)  # its request is over
+            return
+        self.transport.write(data)
+        self.wrote = True
         # Guards against calling a reset what never left: a write that fails at once closes the transport.
         if self.transport.is_closing():
             self._fail(Status.CONNECT_FAILED)
@@ -261,10 +269,9 @@
 
     def eof_received(self) -> None:
         """The end of an answer whose head names none (RFC 9112, 6.3); of all else it is a break."""
-        if self.attempt is None or self.blocked or self.complete or self.sized or not self.in_body:
-            return
+        endless = self.in_body and not (self.attempt is None or self.blocked or self.complete or self.sized)
         # Guards against serving what was cut: a reset that has come by now may stand behind the end.
-        if not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        if endless and not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.on_message_complete()
             self._finish(False)
 
@@ -397,7 +404,7 @@
             connection.close()
 
     def start(
-        self, name: str, data: bytes, done: Callable[[Answer], None], begin_by: float = math.inf
+        self, name: str, data: Data, done: Callable[[Answer], None], begin_by: float = math.inf
     ) -> Attempt:
         """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once.
 
@@ -460,12 +467,11 @@
 
     def _sweep(self) -> None:
         """Close what has been idle for long, well before the backend does so under a request."""
-        self.sweeper, stale, left = None, time.monotonic() - KEEP * self.idle_limit, False
+        self.sweeper, stale = None, time.monotonic() - KEEP * self.idle_limit
         for host in self.hosts.values():
             for connection in [c for c in host.idle if c.idle_since < stale]:
                 connection.close()
-            left = left or bool(host.idle)
-        if left:
+        if any(host.idle for host in self.hosts.values()):
             self.sweeper = self.loop.call_later(max(SWEEP * self.idle_limit, 0.05), self._sweep)
 
     def close(self) -> None:
--- a/tests/decide/test_platform_follow.py
+++ b/tests/decide/test_platform_follow.py
@@ -271,6 +271,19 @@
     assert agent.follow.patience_ms == p.MOST_PATIENCE_MS
 
 
+@pytest.mark.parametrize("grace_ms", GRACES)
+def test_calls_that_stall_in_an_outage_get_no_more_patience_than_its_end_allows(grace_ms: float) -> None:
+    """Each brings half an answer and says no more: none would be heard of the return."""
+    follow = PlatformFollow(random.Random(1), False, grace_ms)
+    follow.handle(0.0, p.Wanted(True), 7)
+    for _ in range(p.MANY - 1):
+        life = follow.life(0.0)
+        life.came(0.0, True, True)
+        assert life.until_ms + 1.5 * follow.pace.wait_ms <= 0.9 * grace_ms
+        follow.handle(life.until_ms, p.Ended(False, slow=life.slow(life.until_ms)), 7)
+        follow.handle(life.until_ms, p.Due(), 7)
+
+
 def test_where_nodes_ask_by_themselves_patience_is_as_long_as_a_watch_may_be_silent() -> None:
     follow = PlatformFollow(random.Random(1), True, 500.0)
     life = follow.life(0.0)
@@ -279,3 +292,11 @@
     assert life.until_ms == 5100.0
     follow.handle(0.0, p.Ended(False, slow=True), 7)
     assert follow.life(0.0).patience_ms == 5000.0
+
+
+def test_where_nodes_ask_by_themselves_a_watch_that_falls_silent_leaves_time_to_ask_anew() -> None:
+    """The module's first wait comes behind it, which may last for 3/32 of the time between two asks."""
+    life = PlatformFollow(random.Random(1), True, 500.0).life(0.0)
+    life.connected(0.0)
+    life.came(0.0, True, False)
+    assert life.until_ms > p.BEAT_MS and life.until_ms + 20_000.0 * 3 / 32 < 6000.0
