Eject for late connections in a row sooner than for other failures

Change: late connections in a row eject at a chance of 3 in 100, other failures at 1 in 1,000 as before.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -41,6 +41,7 @@
 CHOOSY = 0.1  # share turned away from which a backend gets no more requests of high worth
 EJECT_MAX = 5  # doublings of the ejection time
 CHANCE = 0.001  # failures in a row that the whole fleet's share explains less often than this eject
+LATE_CHANCE = 0.03  # the same of connections that did not come up: most that are out of reach show it so
 FAIL_LEAST = 0.02  # and this much of it is always allowed for
 REFUSED = 0.75  # of the time for a connection to come up: one that failed sooner did not only come up late
 RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
@@ -320,7 +321,7 @@
         self.panicked = True
         return self._draw(req, count, *self._some(count, 0, stop, far), crowd, panic=True)
 
-    def _failed(self, b: Backend) -> None:
+    def _failed(self, b: Backend, chance: float = CHANCE) -> None:
         """Outlier ejection: failures in a row that are no chance at the share that fails everywhere.
 
         Guards against noise that any backend alike may bring (spoilt answers, cut links, costly requests):
@@ -330,7 +331,7 @@
         if b.until > self.now:  # it was sent before: one cause, however many were out
             return
         b.fails += 1
-        more = b.fails - math.log(CHANCE) / math.log(min(0.5, max(FAIL_LEAST, self.failing)))
+        more = b.fails - math.log(chance) / math.log(min(0.5, max(FAIL_LEAST, self.failing)))
         if more > 0:
             self._eject(b, int(more))
 
@@ -653,9 +654,9 @@
             b.busy = self.now + cls.usual * self.rng.uniform(0.5, 1.5)
             self.acts.append(api.Noted(b.entry.backend, PAUSED, 0, b.busy - self.now))
         elif attempt.cut or not self._dropped(b, ev.status):
-            self._failed(b)
+            self._failed(b, LATE_CHANCE if ev.status is CONNECT_FAILED else CHANCE)
             if ev.status is CONNECT_FAILED:
-                # One that only came up late tells no more than any failure: guards against leaving most of a
+                # Those that only come up late eject where that is no chance: guards against leaving most of a
                 # fleet alone where connections are slow. One that was refused, or broke, tells it by itself.
                 if ev.duration < REFUSED * self.cfg.connect_timeout:
                     self._eject(b, b.fails - 1)
