An interim answer that names a large length no longer spoils the real one

A 1xx answer has no body, but its Content-Length over the longest set `large`, and the attempt ended as reset. The length counts where the status is final. Seen to fail before (the attempt waits, then breaks); whole and byte by byte now.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -311,7 +311,8 @@
         key = name.lower()
         self.sized = self.sized or key in (b"content-length", b"transfer-encoding")
         if key == b"content-length":
-            self.large = int(value) > MOST_BODY  # known from the head: its body is not waited for
+            # Known from the head: its body is not waited for. An interim answer has none, whatever it says.
+            self.large = int(value) > MOST_BODY and self.parser.get_status_code() >= 200
         elif key == b"server-load":
             self.load = value
         elif key == b"not-started":
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -391,6 +391,7 @@
         (answer(b"mine") + answer(b"mine again"), Status.OK, False),
         (b"HTTP/1.1 102 P\r\nNot-Started: 1\r\n\r\n" * 3 + answer(b"mine"), Status.OK, True),
         (b"HTTP/1.1 102 P\r\n\r\n" + answer(b"", "503 Busy", "Not-Started: 1"), Status.FULL, True),
+        (b"HTTP/1.1 103 E\r\nContent-Length: 9000000\r\n\r\n" + answer(b"mine"), Status.OK, True),
         (b"HTTP/1.1 102 P\r\nNot-Started: 1\r\n\r\n" + answer(b"", "503 Busy"), Status.ERROR, True),
         (b"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nNot-Started: 1\r\n\r\n",
          Status.ERROR, True),
