A client that sent 4 MB behind its request is seen to go within 0.2 s

What nobody asked for is read 256 KiB at a time, and the client's end lies behind all that the kernels hold of it: 16 reads, each 0.02 s after the last, so 0.31 to 0.34 s (0.40 to 0.41 after 16 MB), where 0.3 s are allowed. A flood is read at 26 MB a second in place of 13. The test counts the reads until its end is seen; it fails with 0.02 s.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -23,7 +23,7 @@
 log = logging.getLogger(__name__)
 
 MAX_HEAD = 16 * 1024
-GULP = 0.02  # s between two reads of what nobody asked for: 13 MB a second, until its request has its answer
+GULP = 0.01  # s between two reads of what nobody asked for: 26 MB a second, so 4 MB hide no leaving for 0.3 s
 LINGER = 0.5  # s for a client to read its last answer before the connection is torn down
 HIGH = 64 * 1024  # unread bytes behind which requests in a packet that was already read are left
 SAY = 10.0  # s between two lines on clients that do not read
--- a/tests/net/test_ending.py
+++ b/tests/net/test_ending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import socket
 import struct
@@ -14,7 +15,7 @@
 
 from dillport.decide.shutdown import Ends
 from dillport.net import front as front_module
-from dillport.net.front import GULP, STEP, SWEEP, Front
+from dillport.net.front import GULP, STEP, SWEEP, ClientConnection, Front
 from tests.net.test_front import LOOPS, Deaf, NewLoop, fronting, large, run, stuff, until
 from tests.sockets import HOUR, PATIENT, WAIT, Backend, Client, Message, echo
 
@@ -334,17 +335,32 @@
 @LOOPS
 @WAYS
 def test_the_leaving_of_a_client_that_sent_much_is_seen_while_its_request_waits(
-    tmp_path: Path, new_loop: NewLoop, leave: Callable[[socket.socket], None]
+    tmp_path: Path, new_loop: NewLoop, leave: Callable[[socket.socket], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against sending on for one that has gone: its reading stopped for good over 64 KiB."""
+    """Guards against sending on for one that has gone: its reading stopped for good over 64 KiB.
+
+    All that the kernels hold, some 4 MB, is read within what may pass until then.
+    """
+    gulps, read_on = list[float](), ClientConnection._read_on
+
+    def counted(self: ClientConnection) -> None:
+        gulps.append(GULP)
+        read_on(self)
+
+    monkeypatch.setattr(ClientConnection, "_read_on", counted)
 
     async def test() -> None:
         async with fronting(tmp_path, Backend("b0", never), settings=PATIENT) as front:
             sock = connected(front, read())
             await until(lambda: front.node.open)
             await asyncio.get_running_loop().sock_sendall(sock, b"GET /up HTTP/1.1\r\n\r\n" * 50_000)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    sock.send(b"x" * (1 << 16))
+            gulps.clear()
             leave(sock)
             await until(lambda: not front.node.open and not front.connections)
+            assert sum(gulps) < 0.25
             sock.close()
 
     run(test, new_loop)
