An id of a request whose events are held back is in use until they are acted on

After a stand-still, or while what was kept is read, events wait. A request whose client left meanwhile was forgotten at once; a second one under its id took its place, and the first one's repeat, made of the held refusal, was written with the second one's bytes, before the second one's own: a request that may run once went out twice (seen: bodies 1, 2, 2). Such an id gets 409 now, as any that is in use. Clients that use each id once never meet it.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -340,7 +340,7 @@
         name = headers.get(b"request-id", b"").decode("latin-1")
         if not name:
             raise BadRequest(400, "no Request-Id")
-        if name in node.open:
+        if name in node.open or name in node.named:
             raise BadRequest(409, "Request-Id is in use")
         wait = cls.deadline
         if b"request-timeout" in headers:
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -104,6 +104,7 @@
         self._busy = False
         self._pause = Pause(self.now(), config.settings.drain_grace)
         self._held: list[api.Event] = []  # while it is in doubt, or what it had kept is being read
+        self.named: set[str] = set()  # the requests of these: guards against mixing two of one id
         self._waits = False
         self._beat()
         self._drained: Callable[[], None] = lambda: None
@@ -136,7 +137,7 @@
             self._go_on()
 
     def _go_on(self) -> None:
-        held, self._held = self._held, []
+        held, self._held, self.named = self._held, [], set()
         for event in held:
             self.event(event)
 
@@ -145,6 +146,7 @@
         self._turned()
         if (self._pause.hold or self._waits) and not isinstance(event, (api.ListUpdate, api.Remembered)):
             self._held.append(event)
+            self.named.add(getattr(event, "request", ""))
             return
         self._events.append(event)
         if self._busy:
--- a/tests/net/test_client_gone.py
+++ b/tests/net/test_client_gone.py
@@ -264,6 +264,44 @@
     run(test)
 
 
+def test_the_id_of_a_request_whose_events_are_held_back_is_in_use(tmp_path: Path) -> None:
+    """Guards against two sends of the second one: the repeat of the first was written with its bytes."""
+
+    async def test() -> None:
+        go_on, got = asyncio.Event(), list[bytes]()
+
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            got.append(message.body)
+            await go_on.wait()
+            writer.write(answer(b"", "503 Busy", "Not-Started: 1") if message.body == b"1" else answer(b"ok"))
+
+        backends = [Backend(f"b{n}", respond) for n in range(2)]
+        for backend in backends:
+            await backend.start()
+        async with fronting(tmp_path, *(backend.member() for backend in backends)) as front:
+            node, request = front.node, b"POST /once HTTP/1.1\r\nRequest-Id: x\r\nContent-Length: 1\r\n\r\n"
+            first, second, third = [Client(*await asyncio.open_connection(*front.address)) for _ in range(3)]
+            first.writer.write(request + b"1")
+            await until(lambda: got)
+            node.wait(True)
+            go_on.set()
+            await until(lambda: node._held)
+            await go(front, first, "rst")
+            second.writer.write(request + b"2")
+            answered = asyncio.create_task(second.answer())
+            await until(lambda: answered.done() or "x" in node.open)
+            node.wait(False)
+            assert ((await answered).code, got) == (409, [b"1"])
+            third.writer.write(request + b"3")  # they are through: it may be used again
+            assert ((await third.answer()).code, got) == (200, [b"1", b"3"])
+            for client in (second, third):
+                client.writer.transport.abort()
+        for backend in backends:
+            backend.stop()
+
+    run(test)
+
+
 @pytest.mark.parametrize("target", ["/read", "/once"])
 def test_time_that_is_up_while_a_connection_rests_is_not_held_against_the_backend(
     tmp_path: Path, target: str, monkeypatch: pytest.MonkeyPatch
