An overdue timer no longer drops an answer that already lies in the kernel

Where the loop stood still its timers may come before its sockets. An attempt whose request has left and whose socket has something to read is given 1 ms more, once, in which the loop reads it; an answer that is not whole then times out as before. A request's own deadline is left as it was. Seen without: 502 in place of 200, on both loops.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -27,6 +27,7 @@
 
 log = logging.getLogger(__name__)
 
+READ = 0.001  # s: the loop reads its sockets at least once meanwhile
 MARGIN = 10.0  # ms before a client's limit at which the last answer is due: it counted from its own send
 
 
@@ -295,7 +296,7 @@
         attempt = self.pool.start(action.backend, lambda: request.render(until - self.now()), done, begin_by)
         item.attempt = None if item.over else attempt
 
-    def _timeout(self, item: Try) -> None:
+    def _timeout(self, item: Try, last: bool = False) -> None:
         link, status = item.attempt.connection if item.attempt else None, api.Status.TIMEOUT
         if item.attempt is None or not item.attempt.left:
             # Nothing whole has left: it never ran. Guards a backend against being taken for out of reach
@@ -303,6 +304,10 @@
             late = self.now() - item.sent >= self.settings.connect_timeout
             late = late and (link is None or link.resting is None)
             status = api.Status.CONNECT_FAILED if late else api.Status.MOOT
+        elif link is not None and not (last or link.clean):
+            # Guards an answer that lies in the kernel: where the loop stood still its timers may come first.
+            item.timer = self.loop.call_later(READ, self._timeout, item, True)
+            return
         self._stop(item, status)
 
     def _stop(self, item: Try, status: api.Status) -> None:
@@ -340,7 +345,7 @@
         if request is None or request.answered:
             return
         for item in request.attempts:
-            self._timeout(item)
+            self._timeout(item, True)
         if name in self.open and not request.answered:
             self._answer(name, lambda client: client.failed())
             self.event(api.ClientGone(name))
--- a/tests/net/test_client_gone.py
+++ b/tests/net/test_client_gone.py
@@ -19,6 +19,8 @@
 from dillport.net.fleet import Fleet
 from dillport.net.front import Front
 from dillport.net.node import Node
+from tests.net.test_front import LOOPS, NewLoop
+from tests.net.test_front import run as run_on
 from tests.sockets import CLASSES, PATIENT, WAIT, Backend, Client, Message, answer, configuration
 
 LEAVES = pytest.mark.parametrize("how", ["fin", "rst", "half"])
@@ -302,6 +304,32 @@
     run(test)
 
 
+@LOOPS
+@pytest.mark.parametrize(("text", "code"), [(answer(b"mine"), 200), (answer(b"mine")[:-1], 502)])
+def test_time_that_is_up_as_an_answer_lies_in_the_kernel(
+    tmp_path: Path, new_loop: NewLoop, text: bytes, code: int
+) -> None:
+    """As after a stand-still, where the loop's timers may come before its sockets; a cut one is none."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            member = Backend("b0", port=server.getsockname()[1]).member()
+            async with fronting(tmp_path, member) as front:
+                client = await ask(front, "/once")
+                peer, _ = await loop.sock_accept(server)
+                with peer:
+                    assert await loop.sock_recv(peer, 4096)
+                    (request,) = front.node.open.values()
+                    peer.send(text)
+                    front.node._timeout(request.attempts[0])
+                    assert (await client.answer()).code == code
+                client.writer.transport.abort()
+
+    run_on(test, new_loop)
+
+
 @pytest.mark.parametrize("target", ["/read", "/once"])
 def test_time_that_is_up_while_a_connection_rests_is_not_held_against_the_backend(
     tmp_path: Path, target: str, monkeypatch: pytest.MonkeyPatch
