--- a/tests/net/test_client_gone.py
+++ b/tests/net/test_client_gone.py
@@ -19,6 +19,8 @@
 from dillport.net.fleet import Fleet
 from dillport.net.front import Front
 from dillport.net.node import Node
+from tests.net.test_front import LOOPS, NewLoop
+from tests.net.test_front import run as run_on
 from tests.sockets import CLASSES, PATIENT, WAIT, Backend, Client, Message, answer, configuration
 
 LEAVES = pytest.mark.parametrize("how", ["fin", "rst", "half"])
@@ -264,6 +266,70 @@
     run(test)
 
 
+def test_the_id_of_a_request_whose_events_are_held_back_is_in_use(tmp_path: Path) -> None:
+    """Guards against two sends of the second one: the repeat of the first was written with its bytes."""
+
+    async def test() -> None:
+        go_on, got = asyncio.Event(), list[bytes]()
+
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            got.append(message.body)
+            await go_on.wait()
+            writer.write(answer(b"", "503 Busy", "Not-Started: 1") if message.body == b"1" else answer(b"ok"))
+
+        backends = [Backend(f"b{n}", respond) for n in range(2)]
+        for backend in backends:
+            await backend.start()
+        async with fronting(tmp_path, *(backend.member() for backend in backends)) as front:
+            node, request = front.node, b"POST /once HTTP/1.1\r\nRequest-Id: x\r\nContent-Length: 1\r\n\r\n"
+            first, second, third = [Client(*await asyncio.open_connection(*front.address)) for _ in range(3)]
+            first.writer.write(request + b"1")
+            await until(lambda: got)
+            node.wait(True)
+            go_on.set()
+            await until(lambda: node._held)
+            await go(front, first, "rst")
+            second.writer.write(request + b"2")
+            answered = asyncio.create_task(second.answer())
+            await until(lambda: answered.done() or "x" in node.open)
+            node.wait(False)
+            assert ((await answered).code, got) == (409, [b"1"])
+            third.writer.write(request + b"3")  # they are through: it may be used again
+            assert ((await third.answer()).code, got) == (200, [b"1", b"3"])
+            for client in (second, third):
+                client.writer.transport.abort()
+        for backend in backends:
+            backend.stop()
+
+    run(test)
+
+
+@LOOPS
+@pytest.mark.parametrize(("text", "code"), [(answer(b"mine"), 200), (answer(b"mine")[:-1], 502)])
+def test_time_that_is_up_as_an_answer_lies_in_the_kernel(
+    tmp_path: Path, new_loop: NewLoop, text: bytes, code: int
+) -> None:
+    """As after a stand-still, where the loop's timers may come before its sockets; a cut one is none."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            member = Backend("b0", port=server.getsockname()[1]).member()
+            async with fronting(tmp_path, member) as front:
+                client = await ask(front, "/once")
+                peer, _ = await loop.sock_accept(server)
+                with peer:
+                    assert await loop.sock_recv(peer, 4096)
+                    (request,) = front.node.open.values()
+                    peer.send(text)
+                    front.node._timeout(request.attempts[0])
+                    assert (await client.answer()).code == code
+                client.writer.transport.abort()
+
+    run_on(test, new_loop)
+
+
 @pytest.mark.parametrize("target", ["/read", "/once"])
 def test_time_that_is_up_while_a_connection_rests_is_not_held_against_the_backend(
     tmp_path: Path, target: str, monkeypatch: pytest.MonkeyPatch
