A start with an operators' file loads no command line

`[--settings FILE] [run]` is told apart in __main__ by now, the command line reads all else and the same; `run` without a file is the platform's way in.

A test bounds such a start: 55 modules of the project, 92 data classes, none of click.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -6,6 +6,9 @@
 import os
 import signal
 import sys
+import time
+
+BEGAN = time.monotonic()  # before what follows is loaded: a start is measured by part
 
 
 def held_hangups() -> list[int]:
@@ -18,18 +21,42 @@
     return hung_up
 
 
+def node_words(words: list[str]) -> tuple[bool, str]:
+    """Whether these words start a node and no more than that, and the operators' file that they name.
+
+    They are `[--settings FILE] [run [--settings FILE]]`, of which the last counts. All else is left to the
+    command line, which understands this, too, and says what makes no sense.
+    """
+    run, settings, rest = False, "", iter(words)
+    for word in rest:
+        if word == "run" and not run:
+            run = True
+        elif word == "--settings" and (file := next(rest, ""))[:1] not in ("", "-"):
+            settings = file
+        else:
+            return False, ""
+    return True, settings
+
+
 def main() -> int:
     """Carry out the command line; the exit code.
 
-    The platform's own way in, without a word or an operators' file, loads neither the command line nor what
-    reads that file: a node is killed and started under load, with most of its fleet.
+    A node is killed and started under load, with most of its fleet: its way in loads no command line, and
+    the platform's own, without an operators' file, nothing that reads one.
     """
-    if len(sys.argv) > 1 or os.environ.get("DILLPORT_SETTINGS"):
+    starts, settings = node_words(sys.argv[1:])
+    if not starts:
         from dillport.cli import main as words
 
         return words()
     hung_up = held_hangups()
     gc.disable()  # what is loaded stays: looking through it again and again finds nothing
+    if settings or os.environ.get("DILLPORT_SETTINGS"):
+        from pathlib import Path
+
+        from dillport.net.start import start
+
+        return start(Path(settings) if settings else None, BEGAN, hung_up)
     from dillport.net import assemble
     from dillport.net.config import read
 
--- a/dillport/cli/__init__.py
+++ b/dillport/cli/__init__.py
@@ -27,8 +27,9 @@
 import click
 
 import dillport
-from dillport.cli.common import SETTINGS, Trouble, settings_option
+from dillport.cli.common import Trouble, settings_option
 from dillport.net.config import CONFIG
+from dillport.net.start import SETTINGS
 
 MODULES = {  # of each word, in the order of the help
     "run": "node", "check": "node", "members": "members", "timeline": "timeline", "events": "timeline",
@@ -98,9 +99,9 @@
     ctx.obj = settings
     if ctx.invoked_subcommand is not None:
         return 0
-    from dillport.cli.node import start
+    from dillport.cli.node import started
 
-    return start(settings)
+    return started(settings)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/dillport/cli/common.py
+++ b/dillport/cli/common.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -10,10 +9,8 @@
 import click
 
 from dillport.members import Address
-from dillport.operators import Operators, OperatorsError
-from dillport.operators import load as load_operators
+from dillport.net.start import SETTINGS
 
-SETTINGS = "DILLPORT_SETTINGS"
 PATH: click.Path = click.Path(path_type=Path)
 
 Wrapped = Callable[..., Any]
@@ -48,16 +45,6 @@
     return click.option("--json", "as_json", is_flag=True, help="Print JSON, one object a line.")(command)
 
 
-def read_operators(settings: Path | None) -> tuple[Path | None, Operators, list[str]]:
-    """Where the operators' settings are, what they are, and what is wrong with them."""
-    named = settings or os.environ.get(SETTINGS)
-    path = Path(named).absolute() if named else None
-    try:
-        return path, load_operators(path) if path else Operators(), []
-    except OperatorsError as err:
-        return path, Operators(), [f"{path}: {line}" for line in str(err).splitlines()]
-
-
 # --- tables -------------------------------------------------------------------------------------------
 
 
--- a/dillport/cli/members.py
+++ b/dillport/cli/members.py
@@ -10,8 +10,9 @@
 
 import click
 
-from dillport.cli.common import PATH, Trouble, at, cell, columns, count, read_operators, settings_option
+from dillport.cli.common import PATH, Trouble, at, cell, columns, count, settings_option
 from dillport.net.config import read
+from dillport.net.start import read_operators
 
 MEMBERS = "Show which servers the sources list, as a running node sees it."
 
--- a/dillport/cli/node.py
+++ b/dillport/cli/node.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import os
-import time
 from pathlib import Path
 
 import click
 
-from dillport.cli.common import SETTINGS, Trouble, at, cell, count, read_operators, settings_option
+from dillport.cli.common import Trouble, at, cell, count, settings_option
 from dillport.net.config import CONFIG, read
+from dillport.net.start import SETTINGS, read_operators, start
 
 RUN = "Run one node until SIGTERM or SIGINT."
 CHECK = "Check the settings and the configuration, and say what is on."
@@ -19,38 +19,15 @@
 @settings_option
 def run(settings: Path | None) -> int:
     """The word."""
-    return start(settings)
+    return started(settings)
 
 
-def start(settings: Path | None) -> int:
+def started(settings: Path | None) -> int:
     """Run a node to its end; the exit code."""
     from dillport.__main__ import held_hangups
     from dillport.cli import BEGAN
 
-    hung_up = held_hangups()
-    begun = time.monotonic()
-    path, operators, wrong = read_operators(settings)
-    config, faults = read(os.environ)
-    if config is None or wrong:
-        raise Trouble(2, *(["; ".join(faults)] if faults else []), *wrong)
-    files = time.monotonic()
-    from dillport.net import assemble
-
-    now = time.monotonic()
-    began = {"interpreter": age_ms() - 1000 * (now - BEGAN)}
-    began["imports"] = 1000 * (now - files + begun - BEGAN)
-    began["files"] = 1000 * (files - begun)
-    return assemble.run(config, path, None if path is None else operators, hung_up, began)
-
-
-def age_ms() -> float:
-    """For how long this process has been there, by the kernel's word, to 10 ms (proc(5), `starttime`)."""
-    try:
-        told = Path("/proc/self/stat").read_bytes().rpartition(b")")[2].split()
-        began = int(told[19]) / os.sysconf("SC_CLK_TCK")
-        return max(0.0, 1000 * (time.clock_gettime(time.CLOCK_BOOTTIME) - began))
-    except (OSError, ValueError, IndexError, AttributeError):
-        return 1000 * time.process_time()
+    return start(settings, BEGAN, held_hangups())
 
 
 @click.command(help=CHECK, short_help=CHECK)
--- a/dillport/cli/state.py
+++ b/dillport/cli/state.py
@@ -9,17 +9,8 @@
 
 import click
 
-from dillport.cli.common import (
-    PATH,
-    Trouble,
-    Wrapped,
-    cell,
-    columns,
-    count,
-    json_option,
-    read_operators,
-    settings_option,
-)
+from dillport.cli.common import PATH, Trouble, Wrapped, cell, columns, count, json_option, settings_option
+from dillport.net.start import read_operators
 
 if TYPE_CHECKING:
     from dillport.store.files import StoreFault
--- a/dillport/cli/timeline.py
+++ b/dillport/cli/timeline.py
@@ -17,18 +17,9 @@
 
 import click
 
-from dillport.cli.common import (
-    PATH,
-    Trouble,
-    Wrapped,
-    cell,
-    columns,
-    count,
-    json_option,
-    read_operators,
-    settings_option,
-)
+from dillport.cli.common import PATH, Trouble, Wrapped, cell, columns, count, json_option, settings_option
 from dillport.net.control import ControlError, ask
+from dillport.net.start import read_operators
 
 FOLLOW_S = 0.5  # between two questions of `events --follow`
 
--- a/dillport/decide/keeping.py
+++ b/dillport/decide/keeping.py
@@ -16,7 +16,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -37,8 +36,7 @@
 # --- events
 
 
-@dataclass(slots=True, frozen=True)
-class Started:
+class Started(msgspec.Struct, frozen=True):
     """The store is open: what it holds, and who this start is. `order` is the highest in it."""
 
     me: Kept
@@ -47,8 +45,7 @@
     wall_ms: int
 
 
-@dataclass(slots=True, frozen=True)
-class Changed:
+class Changed(msgspec.Struct, frozen=True):
     """The view changed: servers as they are now (a drain is one of them), servers that are gone.
 
     `source` at `revision` of `identity` brought it. At most some hundred in one event: the loop waits.
@@ -62,8 +59,7 @@
     gone: tuple[str, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
-class Confirmed:
+class Confirmed(msgspec.Struct, frozen=True):
     """A source showed that what it said last is current."""
 
     source: str
@@ -72,29 +68,25 @@
     wall_ms: int
 
 
-@dataclass(slots=True, frozen=True)
-class Learned:
+class Learned(msgspec.Struct, frozen=True):
     """What the module learned, after `AskLearned`: rows of its tables; None takes one away."""
 
     rows: Mapping[Key, Kept | None]
 
 
-@dataclass(slots=True, frozen=True)
-class Ticked:
+class Ticked(msgspec.Struct, frozen=True):
     """Time went by."""
 
     wall_ms: int
 
 
-@dataclass(slots=True, frozen=True)
-class Written:
+class Written(msgspec.Struct, frozen=True):
     """A write is durable."""
 
     number: int
 
 
-@dataclass(slots=True, frozen=True)
-class TurnedAway:
+class TurnedAway(msgspec.Struct, frozen=True):
     """The store could not take a write: nothing of it is written."""
 
     number: int
@@ -106,26 +98,22 @@
 # --- actions
 
 
-@dataclass(slots=True, frozen=True)
-class Write:
+class Write(msgspec.Struct, frozen=True):
     """Make all of these durable in one commit, and tell `Written` or `TurnedAway` by this number."""
 
     number: int
     changes: tuple[tuple[Key, Kept | None], ...]
 
 
-@dataclass(slots=True, frozen=True)
-class AskLearned:
+class AskLearned(msgspec.Struct, frozen=True):
     """Ask the module what it learned."""
 
 
-@dataclass(slots=True, frozen=True)
-class BeginGeneration:
+class BeginGeneration(msgspec.Struct, frozen=True):
     """Have the store write all tables anew."""
 
 
-@dataclass(slots=True, frozen=True)
-class Say:
+class Say(msgspec.Struct, frozen=True):
     """Tell the log."""
 
     text: str
@@ -134,17 +122,16 @@
 Action = Write | AskLearned | BeginGeneration | Say
 
 
-@dataclass(slots=True)
-class KeepingState:
+class KeepingState(msgspec.Struct):
     """All that the decider holds."""
 
-    servers: dict[str, int] = field(default_factory=dict)  # order of each one's row, as it was last decided
-    ends: dict[str, End] = field(default_factory=dict)
-    sources: dict[str, Source] = field(default_factory=dict)
-    heard: set[str] = field(default_factory=set)  # sources that spoke since they were last written
-    dirty: dict[Key, Kept | None] = field(default_factory=dict)
-    urgent: dict[Key, Kept | None] = field(default_factory=dict)
-    out: dict[int, tuple[tuple[Key, Kept | None], ...]] = field(default_factory=dict)
+    servers: dict[str, int] = {}  # order of each one's row, as it was last decided
+    ends: dict[str, End] = {}
+    sources: dict[str, Source] = {}
+    heard: set[str] = set()  # sources that spoke since they were last written
+    dirty: dict[Key, Kept | None] = {}
+    urgent: dict[Key, Kept | None] = {}
+    out: dict[int, tuple[tuple[Key, Kept | None], ...]] = {}
     normal: int = 0  # the number of the one write that is not urgent, 0: none
     urgent_out: int = 0
     number: int = 0
@@ -154,7 +141,7 @@
     next_learned_ms: float = 0.0
     next_generation_ms: float = 0.0
     retry_ms: float = 0.0
-    learned: dict[Key, Kept] = field(default_factory=dict)  # as they were last handed over
+    learned: dict[Key, Kept] = {}  # as they were last handed over
     lags: bool = False
     left_out: int = 0
 
--- a/dillport/decide/kept.py
+++ b/dillport/decide/kept.py
@@ -21,7 +21,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -118,16 +117,14 @@
 S = TypeVar("S", Server, End, Source, Usual, Limit, Weight, Ejection)
 
 
-@dataclass(slots=True, frozen=True)
-class Remembered:
+class Remembered(msgspec.Struct, frozen=True):
     """A server out of memory, and how long ago a source last vouched for it, in ms, at the least."""
 
     server: Server
     age_ms: float
 
 
-@dataclass(slots=True)
-class Recalled:
+class Recalled(msgspec.Struct):
     """What a start may believe.
 
     `memory` is `none` (nothing was there), `kept`, `older` (a newer generation was there and is not believed)
@@ -140,15 +137,15 @@
     foreign: bool = False
     clock_behind_ms: float = 0.0  # the wall clock is this much behind what was written
     order: int = 0  # the highest
-    view: dict[str, Remembered] = field(default_factory=dict)
-    ends: dict[str, End] = field(default_factory=dict)
-    sources: dict[str, Source] = field(default_factory=dict)
-    usual: dict[str, Usual] = field(default_factory=dict)
+    view: dict[str, Remembered] = {}
+    ends: dict[str, End] = {}
+    sources: dict[str, Source] = {}
+    usual: dict[str, Usual] = {}
     limit: Limit | None = None
-    weights: dict[str, Weight] = field(default_factory=dict)
-    ejections: dict[str, float] = field(default_factory=dict)  # ms that are left of each
-    rows: dict[str, dict[str, Kept]] = field(default_factory=dict)  # the tables as they are kept
-    said: list[str] = field(default_factory=list)
+    weights: dict[str, Weight] = {}
+    ejections: dict[str, float] = {}  # ms that are left of each
+    rows: dict[str, dict[str, Kept]] = {}  # the tables as they are kept
+    said: list[str] = []
 
 
 def recall(
--- a/dillport/net/operators.py
+++ b/dillport/net/operators.py
@@ -1,15 +1,16 @@
 """What follows from the operators' file while a node runs: a list of parts, each on where its table is there.
 
-It is loaded where there is such a file, and each part by the first settings that switch it on. A new part is
-a class with the shape of `Part` and a line in `KINDS`.
+It is loaded where there is such a file, and each part by the first settings that switch it on (those of the
+start by `load`). A new part is a class with the shape of `Part` and a line in `KINDS`.
 """
 
 from __future__ import annotations
 
+import contextlib
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from pathlib import Path
+from typing import NamedTuple
 
 from dillport.net.part import Part, Running
 from dillport.net.reload import reread
@@ -17,54 +18,58 @@
 
 log = logging.getLogger(__name__)
 
+Make = Callable[[Running], Part]
 
-@dataclass(slots=True, frozen=True)
-class Kind:
-    """One kind of part: whether settings have it on, and how it is made, which loads its modules."""
+
+class Kind(NamedTuple):
+    """One kind of part: whether settings have it on, and what loads its modules and says how it is made."""
 
     name: str
     on: Callable[[Operators], bool]
-    make: Callable[[Running], Part]
+    load: Callable[[], Make]
 
 
-def _recovery(running: Running) -> Part:
+def _recovery() -> Make:
     from dillport.net.recovery import RecoveryPart
 
-    return RecoveryPart(running)
+    return RecoveryPart
 
 
-def _state(running: Running) -> Part:
+def _state() -> Make:
     from dillport.net.state import StatePart
 
-    return StatePart(running)
+    return StatePart
 
 
-def _etcd(running: Running) -> Part:
+def _etcd() -> Make:
     from dillport.net.etcd import EtcdPart
     from dillport.net.sources.etcd import EtcdSource
 
-    fleet = running.fleet
-    return EtcdPart(
-        fleet, running.listed, lambda settings, seen: EtcdSource(settings, fleet.hand, seen=seen)
-    )
+    def make(running: Running) -> Part:
+        hand = running.fleet.hand
+        return EtcdPart(
+            running.fleet, running.listed, lambda settings, seen: EtcdSource(settings, hand, seen=seen)
+        )
+
+    return make
 
 
-def _timeline(running: Running) -> Part:
+def _timeline() -> Make:
     from dillport.net.timeline import TimelinePart
 
-    return TimelinePart(running)
+    return TimelinePart
 
 
-def _metrics(running: Running) -> Part:
+def _metrics() -> Make:
     from dillport.net.metrics import MetricsPart
 
-    return MetricsPart(running)
+    return MetricsPart
 
 
-def _control(running: Running) -> Part:
+def _control() -> Make:
     from dillport.net.control import ControlPart
 
-    return ControlPart(running.control)
+    return lambda running: ControlPart(running.control)
 
 
 KINDS = (  # in the order in which they change; they are closed the other way round
@@ -77,6 +82,14 @@
 )
 
 
+def load(settings: Operators) -> None:
+    """Load what these settings switch on, before the loop is there."""
+    for kind in KINDS:
+        if kind.on(settings):
+            with contextlib.suppress(Exception):  # `Parts` says it, and goes on without that part
+                kind.load()
+
+
 class Parts:
     """All parts of a running node. `path` is the operators' file, None where there is none to read again."""
 
@@ -101,7 +114,7 @@
                 if kind.name not in self.made:
                     if not kind.on(new):
                         continue
-                    self.made[kind.name] = kind.make(self.running)
+                    self.made[kind.name] = kind.load()(self.running)
                 self.made[kind.name].apply(new)
             except ValueError as err:  # the file was well when it was checked, a moment ago
                 log.error("%s: %s; what was there before goes on", kind.name, err)
--- a/dillport/net/recovery.py
+++ b/dillport/net/recovery.py
@@ -16,7 +16,6 @@
 from dillport import interface as api
 from dillport.decide import membership
 from dillport.decide import recovery as r
-from dillport.decide.departure import Scope, Signal, Step, Told
 from dillport.decide.pause import STOOD_MS
 from dillport.net.part import Running
 from dillport.operators import Operators
@@ -46,7 +45,7 @@
         self._sees = self._stood = False
         self._view = (0, 0)
         self._turned_ms = now
-        self._told: deque[Told] = deque(maxlen=BEFORE)
+        self._told: deque[tuple[int, float, str, dict[str, object]]] = deque(maxlen=BEFORE)
         self._count = 0
         self._timer: asyncio.TimerHandle | None = None
         running.recovery = self
@@ -154,9 +153,13 @@
         self._viewed()
         self._tell(r.Due())
         self._see(self.recovery.state is not r.State.FULL)
-        if self.running.watch is not None:
+        if self.running.watch is not None and self._told:
+            from dillport.decide.departure import Scope, Signal, Step, Told  # there with the time line
+
             while self._told:
-                self.running.watch.tell(self._told.popleft())
+                number, at, state, about = self._told.popleft()
+                told = Told(Step.BECAME, -number, at, at, Scope.NODE, state, Signal.RECOVERY, about)
+                self.running.watch.tell(told)
 
     def _viewed(self) -> None:
         up = [b for b in self.node.balancer.backends.values() if b.entry.phase is api.Phase.UP]
@@ -171,9 +174,6 @@
             if isinstance(action, r.Say):
                 log.log(logging.WARNING if action.loud else logging.INFO, "recovery: %s", action.text)
             elif isinstance(action, r.Became):
-                self._count += 1  # below 0: the departures' own numbers begin at 1
-                about = {"why": action.reason, "memory": self.recovery.memory.value}
-                self._told.append(
-                    Told(Step.BECAME, -self._count, now, now, Scope.NODE, action.state.value, Signal.RECOVERY,
-                         dict[str, object](about))
-                )  # fmt: skip
+                self._count += 1  # told below 0: the departures' own numbers begin at 1
+                about: dict[str, object] = {"why": action.reason, "memory": self.recovery.memory.value}
+                self._told.append((self._count, now, action.state.value, about))
--- /dev/null
+++ b/dillport/net/start.py
@@ -0,0 +1,65 @@
+"""The start of a node with an operators' file: both files read, every fault told, its parts timed.
+
+Without such a file nothing of this is loaded (`__main__`). What the file switches on is loaded here, before
+the loop is there and with the collector off: what is loaded stays, so looking through it finds nothing.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+from dillport.net.config import read
+from dillport.operators import Operators, OperatorsError
+from dillport.operators import load as load_operators
+
+SETTINGS = "DILLPORT_SETTINGS"
+
+
+def read_operators(settings: Path | None) -> tuple[Path | None, Operators, list[str]]:
+    """Where the operators' settings are, what they are, and what is wrong with them."""
+    named = settings or os.environ.get(SETTINGS)
+    path = Path(named).absolute() if named else None
+    try:
+        return path, load_operators(path) if path else Operators(), []
+    except OperatorsError as err:
+        return path, Operators(), [f"{path}: {line}" for line in str(err).splitlines()]
+
+
+def start(settings: Path | None, began: float, hung_up: Sequence[int]) -> int:
+    """Run a node to its end; the exit code. `began` is when its program did, by the monotonic clock."""
+    files = time.monotonic()
+    path, operators, wrong = read_operators(settings)
+    config, faults = read(os.environ)
+    if config is None or wrong:
+        for line in [*(["; ".join(faults)] if faults else []), *wrong]:
+            print(f"dillport: {line}", file=sys.stderr)
+        return 2
+    imports = time.monotonic()
+    gc.disable()
+    from dillport.net import assemble
+
+    if path is not None:
+        from dillport.net.operators import load
+
+        load(operators)
+    gc.enable()
+    now = time.monotonic()
+    parts = {"interpreter": age_ms() - 1000 * (now - began)}
+    parts["imports"] = 1000 * (now - imports + files - began)
+    parts["files"] = 1000 * (imports - files)
+    return assemble.run(config, path, None if path is None else operators, hung_up, parts)
+
+
+def age_ms() -> float:
+    """For how long this process has been there, by the kernel's word, to 10 ms (proc(5), `starttime`)."""
+    try:
+        told = Path("/proc/self/stat").read_bytes().rpartition(b")")[2].split()
+        began = int(told[19]) / os.sysconf("SC_CLK_TCK")
+        return max(0.0, 1000 * (time.clock_gettime(time.CLOCK_BOOTTIME) - began))
+    except (OSError, ValueError, IndexError, AttributeError):
+        return 1000 * time.process_time()
--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -15,7 +15,7 @@
 import asyncio
 import contextlib
 import logging
-import secrets
+import os
 import threading
 import time
 from collections.abc import Callable
@@ -247,7 +247,7 @@
             raise StoreFault(Trouble.FOREIGN, self.store.engine.directory, recalled.said[-1])
         for fault in found.faults:
             log.warning("state: not believed: %s", fault)
-        me = successor(recalled, self.running.name, secrets.token_hex(16), found.generation, _wall())
+        me = successor(recalled, self.running.name, os.urandom(16).hex(), found.generation, _wall())
         self._tell(k.Started(me, recalled.rows, recalled.order, _wall()))
         self._rows = {key: _plain(row) for key, row in recalled.rows.get("view", {}).items()
                       if isinstance(row, Server)} | {key: _plain(one.server) for key, one
--- a/dillport/operators/checks.py
+++ b/dillport/operators/checks.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import contextlib
-import hashlib
 import importlib.util
 import ipaddress
 import os
@@ -216,6 +215,8 @@
 
 def digest(paths: Iterable[Path | None]) -> str:
     """What is in the files, as a text of no use to anybody else; empty without a file."""
+    import hashlib  # three packages of the standard library, for a file that has certificates alone
+
     out, found = hashlib.sha256(), False
     for path in paths:
         if path is not None:
--- a/dillport/operators/table.py
+++ b/dillport/operators/table.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import difflib
 from collections.abc import Iterator, Mapping, Set
 from dataclasses import fields
 from pathlib import Path
@@ -89,6 +88,8 @@
     if at.faults.full():  # guards against a file of thousands of them: the nearest name is costly to find
         at.key(name).fault("", "")
         return
+    import difflib
+
     near = difflib.get_close_matches(name[:100], known, 1, 0.0)[0]
     at.key(name).fault("an unknown key", f'{", ".join(known)} (the nearest is "{near}")')
 
--- a/dillport/store/engine.py
+++ b/dillport/store/engine.py
@@ -28,7 +28,6 @@
 import os
 import re
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
 from functools import reduce
 from itertools import chain
 from typing import NamedTuple
@@ -80,8 +79,7 @@
     value: bytes | None
 
 
-@dataclass(slots=True)
-class Opened:
+class Opened(msgspec.Struct):
     """What was found at the start.
 
     `older`: a newer generation was there than the one that could be believed, so what was durable may be
@@ -92,12 +90,11 @@
     found: int = 0  # that believed; 0: none
     older: bool = False
     wrote_ms: int = 0  # wall clock of the last commit that is believed
-    faults: list[StoreFault] = field(default_factory=list)
+    faults: list[StoreFault] = []
 
 
-@dataclass(slots=True)
-class _Journal:
-    firsts: list[int] = field(default_factory=list)  # of its segments, rising
+class _Journal(msgspec.Struct):
+    firsts: list[int] = []  # of its segments, rising
     piece: Piece | None = None
     next: int = 1
 
--- a/dillport/store/store.py
+++ b/dillport/store/store.py
@@ -18,7 +18,6 @@
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from typing import Protocol
 
 import msgspec
@@ -61,8 +60,7 @@
         """Up to `count` records from `position` on, as they are durable."""
 
 
-@dataclass(slots=True, frozen=True)
-class StoreState:
+class StoreState(msgspec.Struct, frozen=True):
     """How the store does, for pages and logs. `trouble` is None while all is well."""
 
     trouble: Trouble | None
@@ -75,8 +73,7 @@
     slow_ms: int  # how long the commit at work takes by now, where that is over SLOW; else 0
 
 
-@dataclass(slots=True)
-class _Work:
+class _Work(msgspec.Struct):
     changes: Sequence[Change] = ()
     journal: str = ""
     record: bytes = b""
@@ -86,9 +83,8 @@
     count: int = 1
 
 
-@dataclass(slots=True)
-class _Lane:
-    work: deque[_Work] = field(default_factory=deque)
+class _Lane(msgspec.Struct):
+    work: deque[_Work] = msgspec.field(default_factory=deque)
     count: int = 0
     size: int = 0
 
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -46,7 +46,7 @@
         self.said: list[str] = []
         self.spies = {name: Spy(name, self.said) for name in "abc"}
         self.broken = broken
-        kinds = [Kind(n, lambda s: s.control is not None, partial(self.make, n)) for n in "abc"]
+        kinds = [Kind(n, lambda s: s.control is not None, partial(partial, self.make, n)) for n in "abc"]
         node: Any = None
         running = Running(node, cast(Any, self), (), Control())
         self.parts = Parts(path, Operators(), running, kinds)
@@ -123,7 +123,7 @@
 
     async def test() -> None:
         running = Running(cast(Any, None), cast(Any, None), (), Control())
-        part: Any = metrics.make(running)
+        part: Any = metrics.load()(running)
         part.apply(whole)
         assert part._target is None, "no time line is on"
         for _ in range(2):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,8 +19,10 @@
 import pytest
 
 import dillport
+from dillport import __main__ as program
 from dillport import cli
 from dillport.cli import SETTINGS, main
+from dillport.cli import node as node_word
 from dillport.net.config import CONFIG
 from tests.sockets import ROOT, WAIT, Backend, configuration, running
 
@@ -85,7 +87,7 @@
     assert says("--version").stdout == f"dillport {dillport.__version__}\n"
     project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))
     assert project["tool"]["setuptools"]["dynamic"]["version"] == {"attr": "dillport.__version__"}
-    assert project["project"]["scripts"] == {"dillport": "dillport.cli:main"}
+    assert project["project"]["scripts"] == {"dillport": "dillport.__main__:main"}
 
 
 def test_words_that_need_no_node_import_none() -> None:
@@ -110,6 +112,34 @@
     assert got.returncode == 2 and "usage: dillport" in got.stderr and words[-1] in got.stderr
 
 
+@pytest.mark.parametrize(
+    ("words", "node"),
+    [
+        ("", ""), ("run", ""), ("--settings a", "a"), ("run --settings a", "a"), ("--settings a run", "a"),
+        ("--settings a run --settings b", "b"), ("--settings run", "run"), ("check", None), ("run run", None),
+        ("--settings", None), ("--settings --json", None), ("run --help", None), ("--settings=a", None),
+        ("--settings a check", None), ("run a", None), ("--version", None),
+    ],
+)  # fmt: skip
+def test_a_start_is_told_from_the_other_words_as_the_command_line_does(
+    words: str, node: str | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """`node` is the file it is started with; None: these words are left to the command line."""
+    starts, settings = program.node_words(words.split())
+    assert (settings if starts else None) == node
+    if starts:
+        started: list[Path | None] = []
+
+        def start(settings: Path | None, began: float, hung_up: list[int]) -> int:
+            started.append(settings)
+            return 0
+
+        monkeypatch.setattr(node_word, "start", start)
+        monkeypatch.setattr(program, "held_hangups", list)
+        monkeypatch.delenv(SETTINGS, raising=False)
+        assert main(words.split()) == 0 and started == [Path(node) if node else None]
+
+
 def test_demo_gets_its_words(monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
     demo: Any = types.ModuleType("demo")
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -18,12 +18,16 @@
 MODULES = 28  # of the project, packages too
 LINES = 6_050  # of their sources; 550 of them against what comes between two lines
 DATACLASSES = 69  # made while they load: each costs as much as some hundred lines of byte code
+MEMORY = 55, 10_600, 92  # the same of a start with [state] and [control]
 SPARED = {  # what only a word, the operators' file or another program needs
     "argparse", "click", "tomllib", "difflib", "pathlib", "dillport.cli", "dillport.operators",
     "dillport.net.operators", "dillport.net.control", "dillport.net.etcd", "dillport.net.sources.etcd",
     "dillport.decide.etcd_follow", "dillport.proto.etcd_watch", "dillport.timeline", "dillport.observe",
     "dillport.wire", "msgspec",
 }  # fmt: skip
+SWITCHED_ON = {  # of these, what a node with a memory and a control socket needs
+    "tomllib", "pathlib", "dillport.operators", "dillport.net.operators", "dillport.net.control", "msgspec",
+}  # fmt: skip
 
 
 async def loaded(path: Path, *words: str) -> set[str]:
@@ -51,9 +55,8 @@
     return found
 
 
-def test_a_platform_node_loads_what_it_needs_and_no_more(tmp_path: Path) -> None:
-    found = asyncio.run(loaded(tmp_path / "c.json"))
-    assert "dillport.policy" in found and not found & SPARED
+def weight(found: set[str]) -> tuple[int, int, int]:
+    """Modules of the project among these, lines of their sources, data classes in them."""
     ours = sorted(name for name in found if name.split(".")[0] == "dillport")
     lines = classes = 0
     for name in ours:
@@ -62,15 +65,28 @@
         text = Path(spec.origin).read_text()
         lines += len(text.splitlines())
         classes += text.count("\n@dataclass")
-    assert len(ours) <= MODULES and lines <= LINES, (len(ours), lines, ours)
-    assert classes <= DATACLASSES, classes
+    return len(ours), lines, classes
+
+
+@pytest.mark.parametrize("words", [(), ("run",)])
+def test_a_platform_node_loads_what_it_needs_and_no_more(tmp_path: Path, words: tuple[str, ...]) -> None:
+    found = asyncio.run(loaded(tmp_path / "c.json", *words))
+    assert "dillport.policy" in found and not found & SPARED
+    modules, lines, classes = weight(found)
+    assert modules <= MODULES and lines <= LINES and classes <= DATACLASSES, (modules, lines, classes, found)
 
 
-def test_the_operators_file_loads_what_it_switches_on_alone(tmp_path: Path) -> None:
+@pytest.mark.parametrize("words", ["--settings FILE", "run --settings FILE"])
+def test_the_operators_file_loads_what_it_switches_on_alone(tmp_path: Path, words: str) -> None:
+    """A node with a memory pays for it in each start, and its whole fleet at once."""
     settings = tmp_path / "s.toml"
-    settings.write_text(f'[control]\nsocket = "{tmp_path}/c.sock"\n')
-    found = asyncio.run(loaded(tmp_path / "c.json", "--settings", str(settings)))
-    assert "dillport.net.control" in found and "dillport.decide.etcd_follow" not in found
+    (tmp_path / "state").mkdir()
+    settings.write_text(f'[control]\nsocket = "{tmp_path}/c.sock"\n[state]\ndirectory = "state"\n')
+    found = asyncio.run(loaded(tmp_path / "c.json", *words.replace("FILE", str(settings)).split()))
+    assert {"dillport.net.control", "dillport.net.state"} <= found
+    assert not found & (SPARED - SWITCHED_ON | {"hashlib", "secrets", "dillport.decide.departure"})
+    got = weight(found)
+    assert all(there <= most for there, most in zip(got, MEMORY, strict=True)), (got, found)
 
 
 @pytest.mark.parametrize(("words", "begun"), [([], "dillport.interface"), (["run"], "uvloop")])
