Whole lists of etcd at a turn of the node's own, sized by what the cluster bears

The golden-ratio turns of decide/spread were measured and no source asked them: 1,000 nodes that start together ask one etcd for 1,000 whole lists at once. `bears` in [membership.etcd] now lays first lists, those after a compaction or a wrong count, and repeats over as long as all nodes need; a watch that lives, or a new one from the present on, carries the news until then. A refusal (429, 503 of a proxy, RESOURCE_EXHAUSTED) is honoured with its Retry-After. Unset nothing changes. The model of etcd with faults runs with turns, too.

--- a/dillport/decide/etcd_follow.py
+++ b/dillport/decide/etcd_follow.py
@@ -29,6 +29,12 @@
 revision, or the watch is a whole check behind, the list is read anew. Where that shows nothing new the next
 count is twice as far off: a gateway that cannot count must not have all nodes read all of it for good.
 
+Where the operators say how many whole lists their cluster bears, each is asked for at the node's *turn*
+(`decide/spread`). Before its first list of a cluster a node does not even connect until then. Later, after a
+compaction or a count that does not fit, it goes on by a watch: from the present on where the old one is of
+no use, so that only what fell into the *gap* waits for the list. What was asked for in vain is asked for at a
+later turn, and one that was refused not at the next endpoint before that.
+
 Bounds: MAX_ENTRIES of a whole list; RESTARTS of one listing at one endpoint; FORMER cluster ids.
 """
 
@@ -44,6 +50,7 @@
 from dillport import interface as api
 from dillport.decide.backoff import Backoff
 from dillport.decide.membership import Heard, Listed, Refused, Silenced
+from dillport.decide.spread import Turns
 from dillport.members import Fault, Listing, Member
 
 CHECK_MS = 1000.0  # between two checks of the endpoint in use
@@ -60,12 +67,17 @@
 MAX_ENTRIES = 100_000
 RESTARTS = 5
 FORMER = 8
+MOST_ADVICE_MS = 60_000.0  # of a refusal, that is believed
+SOON_MS = 1.0  # before its turn a list is asked for all the same: a clock's timers are no finer
 LOUD_LEAST = 4  # members ended at once, over half of all, that are worth a line
 
 
 @dataclass(slots=True, frozen=True)
 class EtcdConfig:
-    """What the operators say of their etcd. Paths are of files; `epoch` begins a new order, see above."""
+    """What the operators say of their etcd. Paths are of files; `epoch` begins a new order, see above.
+
+    `bears`: whole lists a second of all nodes together, None where nobody says.
+    """
 
     endpoints: tuple[str, ...]
     prefix: str
@@ -76,6 +88,7 @@
     user: str | None = None
     password: str | None = field(default=None, repr=False)
     epoch: int = 0
+    bears: int | None = None
 
 
 def endpoint(url: str) -> tuple[str, int, bool]:
@@ -109,6 +122,7 @@
     DENIED = "denied"
     SPOILED = "spoiled"  # an answer that cannot be read
     TOO_LONG = "too long"
+    BUSY = "busy"  # it refused, as it has more to do than it can
 
 
 # --- events
@@ -214,11 +228,15 @@
 
 @dataclass(slots=True, frozen=True)
 class CallFailed:
-    """A check, a page or a watch has ended with nothing more to come."""
+    """A check, a page or a watch has ended with nothing more to come.
+
+    `advice_ms` is how long one that is busy wants to be left alone, 0 if it did not say.
+    """
 
     call: int
     trouble: Trouble
     reason: str
+    advice_ms: float = 0.0
 
 
 Event = (
@@ -342,7 +360,10 @@
 
 
 class EtcdFollow:
-    """Follows one etcd cluster for `source`; `seen` is an identity and a revision not to go behind."""
+    """Follows one etcd cluster for `source`; `seen` is an identity and a revision not to go behind.
+
+    `turns` says when this node may ask for whole lists; without it that is whenever one is needed.
+    """
 
     def __init__(
         self,
@@ -353,6 +374,7 @@
         epoch: int = 0,
         seen: tuple[str, int] | None = None,
         names: Sequence[str] = (),
+        turns: Turns | None = None,
     ) -> None:
         if endpoints < 1:
             raise ValueError("no endpoint to ask")
@@ -360,6 +382,9 @@
         self.names = tuple(names) or tuple(f"endpoint {i + 1}" for i in range(endpoints))
         self.order = rng.sample(range(endpoints), endpoints)  # so that nodes spread over the endpoints
         self.backoff = Backoff(FIRST_MS, MOST_MS, rng)
+        self.turns = turns
+        self.list_ms: float | None = None  # this node's turn for the list that is needed
+        self.gap = False  # the watch is on behind something that may be lost
         self.phase = Phase.IDLE
         # what was delivered
         self.cluster: str | None = None  # whose order is in force
@@ -367,6 +392,7 @@
         self.whole = 0  # up to here all of it was: a watch goes on behind it
         self.term = 0  # the raft term of a linearizable read
         self.need_list = True
+        self.listed = False  # a whole list was delivered
         self.members: set[str] = set()
         self.keys: set[str] = set()  # what is there below the prefix, readable or not
         self.unnamed = 0  # keys of the list beyond those, whose names could not be told apart
@@ -406,7 +432,7 @@
         self.back_rounds = 0
         self.back_since_ms = 0.0
         self.now_ms = 0.0
-        self._check_token = self._phase_token = self._count = 0
+        self._check_token = self._phase_token = self._turn_token = self._count = 0
         self._out: list[Action] = []
 
     def __repr__(self) -> str:
@@ -433,7 +459,11 @@
         self.now_ms, self._out = now_ms, []
         match event:
             case Started() if self.phase is Phase.IDLE:
-                self._ask()
+                if self.listed or not (wait_ms := self._turn_wait()):
+                    self._ask()
+                else:
+                    self._say("info", f"the whole list has its turn in {wait_ms / 1000:.1f} s")
+                    self._rest(wait_ms)
             case Stopped() if self.phase is not Phase.IDLE:
                 self._clear()
                 self.phase = Phase.IDLE
@@ -468,7 +498,7 @@
         self.check_call, self.check_ms = self._next(), self.now_ms
         # What is seen while the answer is on its way may be newer than the answer.
         self.check_floor = self.floor
-        count = self.phase is Phase.WATCHING and self.now_ms >= self.audit_ms
+        count = self.phase is Phase.WATCHING and self.now_ms >= self.audit_ms and not self.gap
         self._out.append(Check(self.check_call, self.endpoint, count))
         self._check_token = self._timer(CHECK_WAIT_MS)
 
@@ -488,7 +518,9 @@
                 self._out.append(CloseWatch(self.endpoint))
                 self._open()
             elif self.counted is not None and self._lost(self.counted[1], len(self.keys)):
-                pass  # a whole check later the watch has still not said what makes the difference
+                # A whole check later the watch has still not said what makes the difference.
+                if self.phase is Phase.WATCHING:
+                    self._tick()
             else:
                 self.counted = None
                 self._tick()
@@ -559,7 +591,62 @@
 
     # --- the whole list
 
+    def _turn_wait(self) -> float:
+        """The time until the list that is needed may be asked for."""
+        if self.turns is None:
+            return 0.0
+        if self.list_ms is None:
+            self.list_ms = self.now_ms + self.turns.first_ms()
+        return 0.0 if self.list_ms <= self.now_ms + SOON_MS else self.list_ms - self.now_ms
+
+    def _next_turn(self, refused: bool, advice_ms: float = 0.0) -> None:
+        """The list was asked for in vain. Counted from the turn that it had, so that all stay evenly laid."""
+        if self.turns is not None:
+            had_ms = self.now_ms if self.list_ms is None else min(self.list_ms, self.now_ms)
+            advice_ms = min(advice_ms, MOST_ADVICE_MS) + self.now_ms - had_ms
+            self.list_ms = had_ms + self.turns.again_ms(refused, advice_ms)
+
+    def _put_off(self, wait_ms: float) -> None:
+        """It is not this node's turn yet: news is followed until then, as far as a watch makes sense."""
+        if not self.listed or self.talking != self.cluster:
+            # A cluster that is new is looked for once more then: the present one may be back.
+            self._clear()
+            self.adopting = ""
+            if self.listed and self.told is Told.WELL:
+                self.told = Told.SILENCED
+                reason = f"the whole list of cluster {self.talking} has its turn in {wait_ms / 1000:.1f} s"
+                self._out.append(Deliver(Silenced(self.source, reason)))
+            self._rest(wait_ms)
+            return
+        self.need_list = True
+        if not self.watch_call and self.phase is not Phase.ASKING:
+            self._ask()  # from which revision on the watch is to be
+            return
+        if not self.gap:
+            self._say("info", f"the whole list has its turn in {wait_ms / 1000:.1f} s, news goes on")
+        if not self.watch_call:
+            self.whole = self.whole if self.gap else max(self.whole, self.checked)
+            self._open()
+        self.gap = True
+        self._turn_token = self._timer(wait_ms)
+
+    def _busy(self, event: CallFailed) -> None:
+        """The list was refused. Another endpoint of the same cluster may do better, at a later turn."""
+        self._next_turn(True, event.advice_ms)
+        wait_ms, name = self._turn_wait(), self.names[self.endpoint]
+        text = f"{name} refused the whole list ({event.reason}), its next turn is in {wait_ms / 1000:.1f} s"
+        self._say("warning", text)
+        self._clear()
+        self.turn = (self.turn + 1) % len(self.order)
+        if self.listed:
+            self._ask()
+        else:
+            self._rest(wait_ms)
+
     def _list(self) -> None:
+        if wait_ms := self._turn_wait():
+            self._put_off(wait_ms)
+            return
         self.phase = Phase.LISTING
         self._close_watch()
         self.check_call = self._check_token = 0
@@ -596,7 +683,7 @@
         revision = self.page_revision
         listing = _listing(revision, True, rows)
         told_of = self.talking == self.cluster and revision == self.seen
-        if told_of and (self.seen > self.whole or self.again_whole):
+        if told_of and (self.seen > self.whole or self.again_whole or self.gap):
             # The rest of a revision that was cut between fragments, or what a watch lost on the way to it: a
             # whole list of a revision that was seen says nothing new to the membership, changes of it do.
             gone = self.members - {m.id for m in listing.members} - {f.key for f in listing.faults}
@@ -615,6 +702,9 @@
         self._audit_later()
         self.seen = self.whole = revision
         self.need_list, self.again_whole, self.adopting = False, False, ""
+        self.listed, self.gap, self.list_ms, self._turn_token = True, False, None, 0
+        if self.turns is not None:
+            self.turns.done()
         self._deliver(Listed(self.source, self.identity, listing))
         self._open()
 
@@ -701,7 +791,7 @@
         """The watch has ended. Only a new whole list will do where something may be lost."""
         self._close_watch()
         if trouble is Trouble.COMPACTED:
-            self.need_list = True
+            self.need_list, self.gap = True, False
             self._again(reason or "the watch's revision was compacted")
         elif trouble is Trouble.STALE_TOKEN and not self.token_renewed:
             self.token_renewed = True
@@ -740,6 +830,8 @@
         elif event.trouble is Trouble.TOO_LONG and self.limit > 1:
             self.limit = max(1, self.limit // 4)
             self._ask_page()
+        elif event.trouble is Trouble.BUSY and self.turns is not None:
+            self._busy(event)
         elif event.trouble is Trouble.STALE_TOKEN and not self.token_renewed:
             self.token_renewed = True
             self._ask_page()
@@ -752,6 +844,8 @@
             self.token_renewed = True
             self._check()
             return
+        if event.trouble is Trouble.BUSY and not self.listed:
+            self._next_turn(True, event.advice_ms)
         self.checks_failed += 1
         if self.phase is Phase.ASKING or self.checks_failed >= CHECKS_FAILED:
             self._leave(_verdict(event.trouble), event.reason)
@@ -764,6 +858,10 @@
                 self._leave(Verdict.DEAD, f"no answer to a read in {CHECK_WAIT_MS:.0f} ms")
             else:
                 self._check()
+        elif token == self._turn_token:
+            self._turn_token = 0
+            if self.phase in (Phase.OPENING, Phase.WATCHING):
+                self._list()
         elif token == self._phase_token:
             if self.phase is Phase.RESTING:
                 self._ask()
@@ -775,7 +873,7 @@
         if self.phase not in (Phase.IDLE, Phase.RESTING):
             self._out.append(Drop(self.endpoint))
         self.check_call = self.page_call = self.watch_call = 0
-        self._check_token = self._phase_token = 0
+        self._check_token = self._phase_token = self._turn_token = 0
         self.rows, self.chain, self.counted = [], None, None
         self.checks_failed, self.restarts, self.token_renewed = 0, 0, False
         self.limit = PAGE
@@ -786,6 +884,8 @@
         met = "" if self.phase is Phase.ASKING else self.talking
         if self.told is Told.WELL and self.phase is not Phase.ASKING:
             self._say("warning", f"{self.names[left]} is left: {reason}")
+        if self.phase is Phase.LISTING:
+            self._next_turn(False)
         self._clear()
         self.adopting = ""
         self.turn = (self.turn + 1) % len(self.order)
@@ -837,7 +937,10 @@
         elif self.told is Told.WELL:
             self.told = Told.SILENCED
             self._out.append(Deliver(Silenced(self.source, reason)))
-        self._rest(self.backoff.wait_ms())
+        wait_ms = self.backoff.wait_ms()
+        if self.need_list and not self._turn_wait():
+            self._next_turn(False, wait_ms)
+        self._rest(wait_ms if self.listed else max(wait_ms, self._turn_wait()))
 
     def _refuse(self, reason: str) -> None:
         if self.told is not Told.REFUSED:
@@ -848,7 +951,8 @@
     # --- helpers
 
     def _heard(self) -> None:
-        self._deliver(Heard(self.source))
+        if not self.gap:  # else what was said last need not be current
+            self._deliver(Heard(self.source))
 
     def _deliver(self, event: Listed | Heard) -> None:
         self.told = Told.WELL
--- a/dillport/net/etcd.py
+++ b/dillport/net/etcd.py
@@ -86,4 +86,5 @@
         user=settings.user,
         password=settings.password if settings.user is not None else None,
         epoch=settings.epoch,
+        bears=settings.bears,
     )
--- a/dillport/net/operators.py
+++ b/dillport/net/operators.py
@@ -10,11 +10,15 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from dillport.net.part import Part, Running
 from dillport.net.reload import reread
 from dillport.operators import Operators
 
+if TYPE_CHECKING:
+    from dillport.decide.etcd_follow import EtcdConfig
+
 log = logging.getLogger(__name__)
 
 
@@ -43,10 +47,12 @@
     from dillport.net.etcd import EtcdPart
     from dillport.net.sources.etcd import EtcdSource
 
-    fleet = running.fleet
-    return EtcdPart(
-        fleet, running.listed, lambda settings, seen: EtcdSource(settings, fleet.hand, seen=seen)
-    )
+    fleet, told = running.fleet, running.node.settings
+
+    def make(config: EtcdConfig, seen: tuple[str, int] | None) -> EtcdSource:
+        return EtcdSource(config, fleet.hand, seen=seen, me=told.me, nodes=told.group_size)
+
+    return EtcdPart(fleet, running.listed, make)
 
 
 def _timeline(running: Running) -> Part:
--- a/dillport/net/sources/etcd.py
+++ b/dillport/net/sources/etcd.py
@@ -19,6 +19,7 @@
 from dillport.decide import etcd_follow as ef
 from dillport.decide.etcd_follow import EtcdConfig, Trouble
 from dillport.decide.membership import Heard, Listed, Refused, Silenced
+from dillport.decide.spread import Turns
 from dillport.members import Fault
 from dillport.proto import etcd_watch as ew
 from dillport.proto.etcd_entry import entry
@@ -147,6 +148,7 @@
     """Follows the members below a prefix; `emit` gets what the membership has to know.
 
     `start` and `stop` may follow each other; new settings are a new source, given `seen` of the old one.
+    `me` is this node's number among `nodes`, for its turn where the settings say what etcd bears.
     Raises ValueError if an endpoint is none, or a TLS file cannot be read.
     """
 
@@ -158,6 +160,8 @@
         name: str = "etcd",
         seen: tuple[str, int] | None = None,
         rng: random.Random | None = None,
+        me: int = 0,
+        nodes: int = 1,
     ) -> None:
         self.config, self.emit, self.name = config, emit, name
         self.prefix = config.prefix.encode()
@@ -166,6 +170,7 @@
         self.asks = [Asks(_host(host, port), self.prefix) for host, port, _ in self.peers]
         self.rng = rng or random.Random()
         self.started_with = seen
+        self.me, self.nodes = me, nodes
         self.follow = self._begin()
         self.running = False
         self._token: str | None = None  # "" where etcd has its auth off
@@ -177,8 +182,11 @@
 
     def _begin(self) -> ef.EtcdFollow:
         count, epoch = len(self.peers), self.config.epoch
-        names = self.config.endpoints
-        return ef.EtcdFollow(self.name, count, self.rng, epoch=epoch, seen=self.started_with, names=names)
+        names, bears = self.config.endpoints, self.config.bears
+        turns = None if bears is None or self.nodes == 1 else Turns(self.me, self.nodes, bears)
+        return ef.EtcdFollow(
+            self.name, count, self.rng, epoch=epoch, seen=self.started_with, names=names, turns=turns
+        )
 
     @property
     def seen(self) -> tuple[str, int] | None:
@@ -336,8 +344,9 @@
 
     def _failed(self, call: int, message: ew.Message) -> ef.CallFailed:
         match message:
-            case ew.GatewayError(_, text, status):
-                return ef.CallFailed(call, self._trouble(message), text or f"HTTP status {status}")
+            case ew.GatewayError(text=text, status=status):
+                advice_ms = 1000.0 * message.after_s
+                return ef.CallFailed(call, self._trouble(message), text or f"HTTP status {status}", advice_ms)
             case ew.Broken(why, _):
                 trouble = {ew.Why.TOO_LONG: Trouble.TOO_LONG, ew.Why.CUT_SHORT: Trouble.FAILED}
                 text = message.text if why is ew.Why.CUT_SHORT else str(message)
@@ -351,7 +360,9 @@
         if self.config.user and (error.stale_token or (self._token == "" and error.denied)):
             self._token = None  # the next call logs in first
             return Trouble.STALE_TOKEN
-        return Trouble.DENIED if error.stale_token or error.denied else Trouble.FAILED
+        if error.stale_token or error.denied:
+            return Trouble.DENIED
+        return Trouble.BUSY if error.busy else Trouble.FAILED
 
     async def _request(self, endpoint: int, make: Callable[[str], bytes]) -> ew.Message:
         """A call of a range, behind a log-in where one is needed. Never raises."""
--- a/dillport/operators/membership.py
+++ b/dillport/operators/membership.py
@@ -17,7 +17,8 @@
     """`[membership.etcd]`: app servers learned from etcd v3. `password` is the first line of its file.
 
     `epoch` is raised by the operators once etcd was restored from a backup; `role` says whether etcd's word
-    may add servers, remove them, or both.
+    may add servers, remove them, or both. `bears` is how many whole lists a second etcd bears of all nodes
+    together, whose number the platform's settings tell: each then asks at its turn.
     """
 
     endpoints: Annotated[tuple[str, ...], array(url, 16)] = ("http://127.0.0.1:2379",)
@@ -30,6 +31,7 @@
     password_file: Annotated[Path | None, readable] = None
     epoch: Annotated[int, whole(0)] = 0
     role: Annotated[str, choice("full", "add", "remove")] = "full"
+    bears: Annotated[int | None, whole(1)] = None
     password: str = field(default="", repr=False)
     certificates: str = field(default="", repr=False)  # a digest: they are renewed in their place
 
@@ -59,9 +61,10 @@
         clear = " WITHOUT TLS, so the password crosses the network in the clear" if (
             login and self.endpoints[0].startswith("http:")
         ) else ""  # fmt: skip
+        turns = "" if self.bears is None else f"; all nodes ask for {self.bears} whole lists a second at most"
         return (
             f"etcd at {', '.join(self.endpoints)}{login}{clear}; keys under {self.prefix} in the form "
-            f"{self.format}; it may {does[self.role]}; epoch {self.epoch}"
+            f"{self.format}; it may {does[self.role]}; epoch {self.epoch}{turns}"
         )
 
 
--- a/dillport/proto/etcd_watch.py
+++ b/dillport/proto/etcd_watch.py
@@ -124,11 +124,15 @@
 
 @dataclass(slots=True, frozen=True)
 class GatewayError:
-    """etcd refused the call, or ended a watch. `code` is gRPC's, or 0 where none was told."""
+    """etcd refused the call, or ended a watch. `code` is gRPC's, or 0 where none was told.
+
+    `after_s` is its `Retry-After` in seconds, 0 for none.
+    """
 
     code: int
     text: str
     status: int = 200
+    after_s: int = 0
 
     @property
     def compacted(self) -> bool:
@@ -145,6 +149,14 @@
         """A new log-in may help: the token ran out, or etcd was started anew, or auth was turned on."""
         return self.code == 16 or self.status == 401 or _any(self.text, "auth token", "auth store is old")
 
+    @property
+    def busy(self) -> bool:
+        """There is more to do than it can: gRPC's RESOURCE_EXHAUSTED, or a proxy's word for that.
+
+        etcd's own 503 is gRPC's UNAVAILABLE: it has no leader, or no quorum.
+        """
+        return self.code == 8 or self.status == 429 or (self.status == 503 and self.code != 14)
+
     @property
     def denied(self) -> bool:
         """Whoever asked is not let in."""
@@ -393,6 +405,7 @@
         self._size = 0
         self._since = 0  # bytes since the last one of a body: of a head, of trailers, of chunk sizes
         self._status = 0
+        self._after_s = 0
         self._complete = False
         self._lines: deque[bytes] = deque()
         self._events = _Rows([])  # of a line that was begun
@@ -483,6 +496,11 @@
         if self._complete:
             self.reusable = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A date needs a clock that both agree on: of `Retry-After` only seconds are taken, five digits."""
+        if name.lower() == b"retry-after" and value.strip().isdigit() and not self._complete:
+            self._after_s = int(value.strip()[:5])
+
     def on_headers_complete(self) -> None:
         """The status is known."""
         if self._complete:
@@ -578,7 +596,7 @@
         try:
             return self._error(_object(json.loads(line)))
         except (ValueError, RecursionError, _Shape):
-            return GatewayError(0, f"HTTP status {self._status}", self._status)
+            return GatewayError(0, f"HTTP status {self._status}", self._status, self._after_s)
 
     def _error(self, raw: dict[str, Any]) -> GatewayError:
         """A stream's error is an object, a call's is a text beside its code."""
@@ -588,7 +606,7 @@
         text = about.get("message") or (inner if isinstance(inner, str) else "")
         if not isinstance(text, str) or (code is not None and not isinstance(code, int)):
             raise _Shape(f"no error of etcd's: {raw!r:.60}")
-        return GatewayError(code or 0, _plain(text), self._status)
+        return GatewayError(code or 0, _plain(text), self._status, self._after_s)
 
     def _page(self, raw: dict[str, Any]) -> RangePage:
         header, kvs, unreadable = _header(raw.get("header")), [], []
--- a/tests/decide/test_etcd_follow.py
+++ b/tests/decide/test_etcd_follow.py
@@ -15,6 +15,7 @@
 from dillport.decide import etcd_follow as ef
 from dillport.decide.etcd_follow import CallFailed, Deliver, EtcdFollow, Phase, Position, Trouble
 from dillport.decide.membership import Heard, Listed, Refused, Silenced
+from dillport.decide.spread import Turns
 from dillport.members import Fault, Member
 
 
@@ -61,7 +62,7 @@
 
     def tick(self) -> None:
         """The next timer that the follower still waits for."""
-        live = {self.follow._check_token, self.follow._phase_token} - {0}
+        live = {self.follow._check_token, self.follow._phase_token, self.follow._turn_token} - {0}
         token = min(live, key=lambda t: self.timers[t])
         self.now = max(self.now, self.timers[token])
         self.do(ef.TimerFired(token))
@@ -814,6 +815,204 @@
     assert isinstance(rig.out[-1], Refused) and "lets this node in" in rig.out[-1].reason
 
 
+# --- turns
+
+NODES, BEARS = 100, 50.0
+STRETCH = 2_500.0  # what they come to
+
+
+def one_of_many(endpoints: int = 1, me: int = 1) -> Rig:
+    return Rig(endpoints, turns=Turns(me, NODES, BEARS))
+
+
+def on(rig: Rig) -> Rig:
+    """It has waited for its turn, and its watch is on."""
+    rig.do(ef.Started())
+    rig.tick()
+    rig.check(5)
+    rig.page(5, A, B)
+    rig.created(5)
+    rig.settled()
+    return rig
+
+
+def lists(rig: Rig) -> int:
+    return sum(isinstance(a, ef.Range) for a in rig.asked)
+
+
+def ticked_until_listing(rig: Rig, revision: int) -> None:
+    while not rig.at(Phase.LISTING):
+        rig.tick()
+        if rig.follow.check_call:
+            rig.check(revision)
+
+
+@pytest.mark.parametrize("me", [0, 1, 2, 63])
+def test_the_first_list_and_the_first_connection_wait_for_the_turn(me: int) -> None:
+    rig, turn = one_of_many(me=me), Turns(me, NODES, BEARS).first_ms()
+    rig.do(ef.Started())
+    if turn:
+        assert rig.at(Phase.RESTING) and not rig.asked
+        rig.tick()
+    assert rig.now == turn and rig.at(Phase.ASKING)
+    rig.check(5)
+    assert rig.at(Phase.LISTING)
+
+
+def test_after_a_compaction_news_is_followed_and_the_list_read_at_the_turn() -> None:
+    rig = on(one_of_many())
+    at, turn = rig.now, rig.follow.turns.turn * STRETCH  # type: ignore[union-attr]
+    rig.do(ef.WatchCanceled(rig.call(ef.Watch), 30, Trouble.FAILED, "compacted"))
+    rig.check(40)  # of b nothing is known any more: it ended at 20
+    assert rig.start_of_watch() == 40 and lists(rig) == 1
+    rig.created(40)
+    rig.say((41, "a"))
+    assert rig.view == {"b": B}, "a drain or an end that comes now is heeded now"
+    heard = len(rig.out)
+    ticked_until_listing(rig, 41)
+    assert rig.now - at == pytest.approx(turn) and len(rig.out) == heard, "nothing vouches for the gap"
+    rig.page(41, C)
+    # A whole list of a revision that was told of, as changes.
+    assert rig.view == {"c": C} and not rig.listed[-1].listing.complete
+    assert rig.at(Phase.OPENING) and rig.start_of_watch() == 41
+    rig.created(41)
+    rig.settled()
+    assert isinstance(rig.out[-1], Heard) and lists(rig) == 2
+
+
+def test_a_count_that_does_not_fit_leaves_the_watch_that_lives() -> None:
+    rig = on(one_of_many())
+    watch, asked = rig.call(ef.Watch), rig.follow.turns.first_ms()  # type: ignore[union-attr]
+    rig.audit(5, 1)
+    at = rig.now
+    assert rig.at(Phase.WATCHING) and rig.call(ef.Watch) == watch and lists(rig) == 1
+    rig.say((6, C))
+    assert rig.view == {"a": A, "b": B, "c": C}
+    ticked_until_listing(rig, 6)
+    assert rig.now - at == pytest.approx(asked)
+    rig.page(6, A, C)
+    assert rig.view == {"a": A, "c": C}
+
+
+def test_checks_go_on_and_count_no_more_until_the_list_is_read() -> None:
+    rig = on(one_of_many())
+    rig.audit(9, 3)  # of a revision that the watch has not told of
+    rig.tick()
+    rig.check(9)
+    assert rig.follow.counted is None and rig.follow.gap and rig.at(Phase.WATCHING)
+    assert rig.timers[rig.follow._check_token] > rig.now
+    rig.follow.audit_ms = checks = 0
+    while not rig.at(Phase.LISTING):
+        rig.tick()
+        if rig.follow.check_call:
+            checks += 1
+            assert not rig.last(ef.Check).count  # type: ignore[union-attr]
+            rig.check(9)
+    assert checks == 1
+
+
+def test_a_watch_that_breaks_over_the_gap_is_taken_up_where_it_was() -> None:
+    rig = on(one_of_many(2))
+    rig.do(ef.WatchCanceled(rig.call(ef.Watch), 30, Trouble.FAILED, "compacted"))
+    rig.check(40)
+    rig.created(40)
+    rig.say((41, C))
+    rig.fail(ef.Watch)
+    while not rig.at(Phase.ASKING):
+        rig.tick()
+    rig.check(50)
+    assert (rig.start_of_watch(), lists(rig)) == (41, 1) and rig.follow.turn == 1
+    # Nothing is there that could be taken up where that was compacted, too.
+    rig.do(ef.WatchCanceled(rig.call(ef.Watch), 45, Trouble.FAILED, "compacted"))
+    rig.check(52)
+    assert (rig.start_of_watch(), lists(rig)) == (52, 1)
+
+
+@pytest.mark.parametrize(("advice", "least"), [(0.0, STRETCH), (7_000.0, 7_000.0), (9e9, 60_000.0)])
+def test_a_refusal_is_honoured_and_no_other_endpoint_asked_before_the_turn(
+    advice: float, least: float
+) -> None:
+    rig = one_of_many(3)
+    rig.do(ef.Started())
+    rig.tick()
+    rig.check(5)
+    at, turn, before = rig.now, rig.follow.turns.turn, rig.follow.endpoint  # type: ignore[union-attr]
+    rig.do(CallFailed(rig.call(ef.Range), Trouble.BUSY, "too many", advice))
+    assert rig.at(Phase.RESTING)
+    rig.tick()
+    wait = (1 - turn + 2 * turn) * STRETCH if advice < STRETCH else least + 2 * turn * STRETCH
+    assert rig.now - at == pytest.approx(wait) and rig.now - at >= least
+    rig.check(5)
+    assert lists(rig) == 2 and rig.follow.endpoint != before and "refused the whole list" in rig.said[-1]
+    # Once there is a view a refused list does not keep the news from it.
+    rig.page(5, A)
+    assert rig.follow.turns.stretch_ms == STRETCH  # type: ignore[union-attr]
+    rig.created(5)
+    rig.settled()
+    rig.do(ef.WatchCanceled(rig.call(ef.Watch), 30, Trouble.FAILED, "compacted"))
+    rig.check(40)
+    rig.created(40)
+    ticked_until_listing(rig, 40)
+    rig.fail(ef.Range, Trouble.BUSY)
+    rig.check(44)
+    assert rig.at(Phase.OPENING) and (rig.start_of_watch(), lists(rig)) == (40, 3)
+
+
+def test_a_check_that_is_refused_puts_the_first_list_off() -> None:
+    rig = one_of_many()
+    rig.do(ef.Started())
+    rig.tick()
+    at = rig.now
+    rig.fail(ef.Check, Trouble.BUSY)
+    rig.tick()
+    assert rig.now - at >= STRETCH and rig.follow.turns.refusals == 1  # type: ignore[union-attr]
+
+
+def test_an_etcd_that_is_away_is_asked_turn_by_turn_and_no_faster_than_the_back_off() -> None:
+    rig = one_of_many(2)
+    rig.do(ef.Started())
+    rig.tick()
+    first, waits = rig.now, []
+    for _ in range(8):
+        at = rig.now
+        rig.fail(ef.Check)
+        rig.fail(ef.Check)
+        assert rig.at(Phase.RESTING)
+        rig.tick()
+        waits.append(rig.now - at)
+    assert all(wait >= 0.99 * STRETCH for wait in waits) and max(waits) > STRETCH
+    assert (rig.now - first) / 8 < STRETCH + 1.5 * ef.MOST_MS
+    # A list that dies on the way is asked for at the next endpoint, but at the next turn.
+    rig.check(5)
+    at = rig.now
+    rig.fail(ef.Range)
+    rig.check(5)
+    assert rig.at(Phase.RESTING) and lists(rig) == 1
+    rig.tick()
+    assert rig.now - at >= 0.99 * STRETCH
+    rig.check(5)
+    assert lists(rig) == 2
+
+
+@pytest.mark.parametrize("back", [False, True])
+def test_a_new_cluster_is_taken_at_the_turn_if_the_old_one_is_still_away(back: bool) -> None:
+    rig = on(one_of_many(2))
+    rig.fail(ef.Watch)
+    rig.tick()
+    for _ in range(3):  # both are of another one; it is gone over to
+        rig.check(1, cluster="2")
+    assert rig.at(Phase.RESTING) and lists(rig) == 1 and isinstance(rig.out[-1], Silenced)
+    rig.tick()
+    rig.check(1, cluster="2")
+    rig.check(6 if back else 1, cluster="1" if back else "2")
+    if back:
+        assert rig.at(Phase.OPENING) and rig.start_of_watch() == 5
+        return
+    rig.check(1, cluster="2")
+    rig.page(1, C, cluster="2")
+    assert rig.view == {"c": C} and rig.follow.identity == "2/0"
+
+
 # --- a model of etcd, with faults
 
 
@@ -878,11 +1077,11 @@
 class World:
     """Carries out a follower's actions on model endpoints, some simulated milliseconds later."""
 
-    def __init__(self, seed: int, endpoints: int) -> None:
+    def __init__(self, seed: int, endpoints: int, turns: Turns | None = None) -> None:
         self.rng = random.Random(seed)
         self.clusters = [Cluster("1")]
         self.endpoints = [Endpoint(self.clusters[0]) for _ in range(endpoints)]
-        self.follow = EtcdFollow("etcd", endpoints, random.Random(seed))
+        self.follow = EtcdFollow("etcd", endpoints, random.Random(seed), turns=turns)
         self.now = 0.0
         self.queue: list[tuple[float, int, Callable[[], ef.Event | None]]] = []
         self.count = 0
@@ -1023,6 +1222,8 @@
         self.swallowed = {
             n: m for n, m in self.swallowed.items() if self.view.get(n) is m and now.get(n) is not m
         }
+        if self.follow.gap:
+            return  # what fell into it comes with the list
         view = {n: m for n, m in self.view.items() if n not in self.swallowed}
         if self.follow.whole >= listing.revision or listing.complete:
             assert view == now and not (listing.complete and self.swallowed)
@@ -1077,7 +1278,18 @@
 def test_what_is_delivered_is_a_state_that_etcd_had(
     seed: int, endpoints: int, steps: list[tuple[int, int]]
 ) -> None:
-    world = World(seed, endpoints)
+    follows_through(World(seed, endpoints), steps)
+
+
+@settings(max_examples=150, deadline=None)
+@given(*CASES, st.integers(0, 99))
+def test_nor_does_it_where_lists_wait_for_turns(
+    seed: int, endpoints: int, steps: list[tuple[int, int]], me: int
+) -> None:
+    follows_through(World(seed, endpoints, Turns(me, NODES, BEARS)), steps)
+
+
+def follows_through(world: World, steps: list[tuple[int, int]]) -> None:
     world.handle(ef.Started())
     for kind, wait in steps:
         world.fault(kind)
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -18,6 +18,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dillport.net.etcd import etcd_config
 from dillport.operators import (
     ControlSettings,
     EtcdSettings,
@@ -110,15 +111,16 @@
     told = etcd(
         endpoints=["https://Etcd-1:2379/", "https://[::1]:2380"], prefix="svc/", format="grpc-naming",
         ca="tls.crt", cert=str(folder / "tls.crt"), key="tls.key", user="node", password_file="password",
-        epoch=3, role="remove",
+        epoch=3, role="remove", bears=50,
     )  # fmt: skip
     whole = parse(told, folder)
     got = whole.membership.etcd
     assert got is not None
     assert got.endpoints == ("https://etcd-1:2379", "https://[::1]:2380") and got.prefix == "svc/"
     assert got.ca == got.cert == folder / "tls.crt" and got.key == folder / "tls.key"
-    assert (got.format, got.user, got.password, got.epoch, got.role) == (
-        "grpc-naming", "node", SECRET, 3, "remove")  # fmt: skip
+    assert (got.format, got.user, got.password, got.epoch, got.role, got.bears) == (
+        "grpc-naming", "node", SECRET, 3, "remove", 50)  # fmt: skip
+    assert etcd_config(got).bears == 50 and "50 whole lists a second" in got.says()
     assert SECRET not in repr(whole) + str(whole) + "".join(whole.on())
 
 
@@ -145,11 +147,13 @@
     ],
     "epoch": [(-1, "found -1; allowed: a whole number from 0 on"), (1.0, "found 1.0"), (True, "found True"),
               (2**400, "a number of 401 bits")],
+    "bears": [(0, "found 0; allowed: a whole number from 1 on"), (2.5, "found 2.5"), ("50", "found '50'")],
     "role": [("both", '"full" or "add" or "remove"'), (datetime.date(2026, 1, 1), "found datetime.date")],
 }  # fmt: skip
 GOOD: dict[str, object] = HTTPS | {
     "prefix": "p/", "format": "member", "ca": "tls.crt", "cert": "tls.crt", "key": "tls.key", "user": "u",
     "password_file": "password", "epoch": 1, "role": "add",
+    "bears": 50,
 }  # fmt: skip
 
 
@@ -241,7 +245,7 @@
 
 KNOWN = {
     "control": "membership, control, timeline, metrics, state", "etcd": "etcd",
-    "endpoints": "endpoints, prefix, format, ca, cert, key, user, password_file, epoch, role",
+    "endpoints": "endpoints, prefix, format, ca, cert, key, user, password_file, epoch, role, bears",
 }  # fmt: skip
 
 
