--- a/dillport/decide/etcd_follow.py
+++ b/dillport/decide/etcd_follow.py
@@ -30,7 +30,7 @@
 count is twice as far off: a gateway that cannot count must not have all nodes read all of it for good.
 
 Where the operators say how many whole lists their cluster bears, each is asked for at the node's *turn*
-(`decide/spread`). Before its first list of a cluster a node does not even connect until then. Later, after a
+(`decide/spread`). Before its first list a node does not even connect until then. Later, after a
 compaction or a count that does not fit, it goes on by a watch: from the present on where the old one is of
 no use, so that only what fell into the *gap* waits for the list. What was asked for in vain is asked for at a
 later turn, and one that was refused not at the next endpoint before that.
@@ -402,6 +402,8 @@
             cluster, _, of = seen[0].rpartition("/")
             if of == str(epoch) and cluster:
                 self.cluster, self.seen, self.whole = cluster, seen[1], seen[1]
+                # In place of a source that was followed: until the list is here no news of it counts.
+                self.list_ms = 0.0
         # the endpoint in use
         self.turn = 0  # its place in the order
         self.talking = ""  # its cluster
--- a/dillport/lab/etcd/gateway.py
+++ b/dillport/lab/etcd/gateway.py
@@ -231,6 +231,9 @@
             await self.awake()
         if one.key:
             self.shared.auth.check(asked.token, one.key, one.end, write=False)
+        first_page = one.end and not one.count_only and not one.revision
+        if first_page and not self.shared.lets_in(self.index):
+            raise StoreError("etcdserver: too many requests", 8)
         found = self.shared.store.range(one, self.view())
         value = wire.found(found, self.header())
         if self.shared.garbled and found.kvs:
--- a/dillport/lab/etcd/shared.py
+++ b/dillport/lab/etcd/shared.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -11,6 +12,7 @@
 from dillport.lab.etcd.store import Store
 
 MAX_RECORDS = 1_000_000
+MAX_LISTS = 10_000
 
 
 class Garbage(Enum):
@@ -48,7 +50,8 @@
 
 @dataclass(slots=True)
 class Shared:
-    """What the endpoints of a cluster have in common."""
+    """What the endpoints of a cluster have in common. `lists`: whole ones that were asked for, when, at which
+    endpoint, and whether it was let in."""
 
     store: Store
     auth: Auth
@@ -63,8 +66,17 @@
     records: list[Record] = field(default_factory=list)
     lost: int = 0  # records that were one too many
     garbled: dict[bytes, Garbage] = field(default_factory=dict)  # keys whose values make no sense
+    bears: int | None = None  # whole lists in any 100 ms, from where on they are refused; None: any number
+    lists: deque[tuple[float, int, bool]] = field(default_factory=lambda: deque(maxlen=MAX_LISTS))
     heard_by: Callable[[Record], None] | None = None  # gets each record as it is made
 
+    def lets_in(self, endpoint: int) -> bool:
+        """Whether one more whole list is not too much; the first pages of them are counted."""
+        at_ms = now_ms()
+        now = sum(let_in and at_ms - then < 100.0 for then, _, let_in in self.lists)
+        self.lists.append((at_ms, endpoint, self.bears is None or now < self.bears))
+        return self.lists[-1][2]
+
     def record(self, record: Record) -> None:
         """Keep it, and let it be known."""
         if self.heard_by is not None:
--- a/dillport/lab/fleet_world.py
+++ b/dillport/lab/fleet_world.py
@@ -196,17 +196,18 @@
 class FleetWorld(World):
     """`endpoints` a node; `platform` and `in_etcd` say which servers a source is told of, by their names.
 
+    `bears` is what the nodes' settings say of it, what it really bears is `etcd.shared.bears`.
     `etcd` is the stand-in, `writer` who writes to it. An endpoint's number is `world.member(node, place)`.
     """
 
     def __init__(
         self, directory: Path, *, endpoints: int = 2, role: str = "full",
-        platform: Callable[[str], bool] = lambda name: True,
+        bears: int | None = None, platform: Callable[[str], bool] = lambda name: True,
         in_etcd: Callable[[str], bool] = lambda name: True, **more: Any,
     ) -> None:  # fmt: skip
         self._next = more.pop("prepare", None)
         super().__init__(directory, prepare=self._prepare, **more)
-        self.per_node, self.role = endpoints, role
+        self.per_node, self.role, self.bears = endpoints, role, bears
         self._platform = platform
         self.etcd = StandIn(endpoints * self.node_count, seed=self.seed, quorum_wait_ms=5_400)
         self.writer = Writer(self.etcd, in_etcd)
@@ -310,6 +311,7 @@
             urls = [f"http://{host}:{port}" for host, port in self._reached(node.name)]
             lines += ["[membership.etcd]", f"endpoints = {json.dumps(urls)}", f'prefix = "{PREFIX}"',
                       f"epoch = {epoch}", f'role = "{self.role}"']  # fmt: skip
+            lines += [] if self.bears is None else [f"bears = {self.bears}"]
         self.settings_of(node).write_text("\n".join(lines) + "\n", encoding="utf-8")
         if self.role == "add":
             self.scribe.adds_only.add(node.name)
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from benchmarks.coming_back import CASES, RULES, Returning, lists
+from benchmarks.coming_back import CASES, RULES, Returning, etcd, lists
 from benchmarks.decide import Subject
 from benchmarks.herd import crowd, herd
 from benchmarks.little import DAYS, QUESTIONS, other
@@ -142,6 +142,16 @@
     assert calls["turns"] == 1.0 < calls["watches"], rows
 
 
+def test_the_follower_of_etcd_asks_in_turn_where_it_is_told_what_that_bears() -> None:
+    for row in list(etcd(60, 1))[1:]:
+        what, rule, calls, refused, *_, news = row
+        if rule == "`bears = 50`":
+            assert (calls, refused) == ("1.0", "0.0"), row
+            assert what != "watches compacted" or news == "0.3 (0.3)", row
+        elif rule == "`bears left out`":
+            assert float(calls) > 1.0 or "away" in what, row
+
+
 def test_nodes_with_a_list_half_wrong_come_back_without_a_breach() -> None:
     wrong = next(case for case in CASES if case.wrong)
     runs = {new: Returning(Scenario(24, 12, 16.0, 0.5, seed=3), wrong, new) for new in (False, True)}
