--- a/dillport/net/operators.py
+++ b/dillport/net/operators.py
@@ -10,12 +10,15 @@
 import logging
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from dillport.net.part import Part, Running
 from dillport.net.reload import reread
 from dillport.operators import Operators
 
+if TYPE_CHECKING:
+    from dillport.decide.etcd_follow import EtcdConfig
+
 log = logging.getLogger(__name__)
 
 Make = Callable[[Running], Part]
@@ -46,10 +49,12 @@
     from dillport.net.sources.etcd import EtcdSource
 
     def make(running: Running) -> Part:
-        hand = running.fleet.hand
-        return EtcdPart(
-            running.fleet, running.listed, lambda settings, seen: EtcdSource(settings, hand, seen=seen)
-        )
+        fleet, told = running.fleet, running.node.settings
+
+        def source(config: EtcdConfig, seen: tuple[str, int] | None) -> EtcdSource:
+            return EtcdSource(config, fleet.hand, seen=seen, me=told.me, nodes=told.group_size)
+
+        return EtcdPart(fleet, running.listed, source)
 
     return make
 
