--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -31,7 +31,8 @@
 from dillport.members import Address, Fault, Listing, Member
 
 SLICE = 500  # entries of a whole list that are looked at in one go
-NEWS = 125  # the same, where each is a change
+NEWS = 125  # the same, where each is a change, or there are so many:
+LARGE = 1_000  # servers of one list, up to which it is looked at as it always was
 MAX_REMOVED = 20_000  # removals remembered a source beside those of whom another source lists
 MAX_SAID = 20  # lines on entries left out, of one listing or slice: the log is bounded, others need it too
 MAX_FAULTS = 1000  # unreadable entries shown a source; further ones are counted
@@ -173,7 +174,8 @@
     state: State = State.UNHEARD
     spoiled: bool = False  # a line was lost: only a whole list will do
     remembered: bool = False  # memory alone vouches for some of what it lists
-    confirms: bool = False  # what waits in `pending` is news to whoever is told, all of it
+    confirms: bool = False  # what waits in `pending` is news to whoever is told, all of it, or is much
+    aged_ms: float | None = None  # by memory alone, and how old it is, what waits in `pending` is listed
     behind: bool = False  # it went back: that it lives does not show that its last word is current
     heard_ms: float | None = None
     reason: str = ""  # why it is silent or refused
@@ -190,10 +192,10 @@
         return self.revision is not None and not self.spoiled
 
 
-def vouched(member: Member) -> Member:
-    """The same, by a source's word and not by memory."""
+def vouched(member: Member, age_ms: float | None = None) -> Member:
+    """The same, by a source's word (None) or by a memory of that age."""
     entry = member.entry
-    return member if entry.age_ms is None else Member(replace(entry, age_ms=None), member.address)
+    return member if entry.age_ms == age_ms else Member(replace(entry, age_ms=age_ms), member.address)
 
 
 def _by_name(sources: Sequence[Source]) -> dict[str, Source]:
@@ -216,6 +218,7 @@
         self._contested: dict[Address, None] = {}  # where that changed, and others are or were up
         self._fresh: dict[str, Member] = {}  # changes of a whole list that are not told yet
         self._first = False  # the whole list that is looked at is the first
+        self._large = False  # and is of over LARGE servers: nobody who is up is told of before its end
         self.now_ms = 0.0
         self._out: list[Action] = []
 
@@ -324,7 +327,7 @@
     def _confirm(self, source: Source) -> None:
         """Nothing has changed since: the source vouches for all that only memory did, in slices."""
         if source.remembered:
-            source.remembered, source.confirms = False, True
+            source.remembered, source.confirms, source.aged_ms = False, True, None
             source.pending = source.members | source.pending
             self._continue()
 
@@ -340,10 +343,12 @@
     def _whole(self, source: Source, listing: Listing, saved: bool, age_ms: float) -> None:
         """Removals and drains at once; the rest in slices, as one of thousands would hold the loop."""
         named = {m.entry.backend: m for m in listing.members}
-        if saved:
-            age_ms = min(max(0.0, age_ms), MOST_AGE_MS)
-            named = {name: Member(replace(m.entry, age_ms=age_ms), m.address) for name, m in named.items()}
-        source.confirms, source.remembered = source.remembered, saved
+        large = len(named) > LARGE
+        first = not self._where
+        source.aged_ms = min(max(0.0, age_ms), MOST_AGE_MS) if saved else None
+        if saved and not large:
+            named = {name: vouched(m, source.aged_ms) for name, m in named.items()}
+        source.confirms, source.remembered = source.remembered or large, saved
         unread = {fault.key for fault in listing.faults}
         listed = source.members | source.pending
         gone = [name for name in listed if name not in named and name not in unread]
@@ -357,24 +362,31 @@
         touched += self._unreadable(source, listing.faults)
         for name, member in named.items():
             if member.entry.phase is not Phase.UP:
-                source.members[name] = member
+                source.members[name] = vouched(member, source.aged_ms)
                 source.removed.pop(name, None)
                 touched.append(name)
         self._mass(source, len(gone), before)
         if not saved:
             self._current(source)
+            if touched:
+                self._apply(touched, ListKind.CHANGES)
         else:
             source.state = State.UNHEARD
             source.spoiled = bool(listing.faults)  # whoever was left out may be readable at the source
-            self._take(source, named.values())
             # A whole list for whoever is told: of several that are remembered the first alone can be one.
-            self._apply([*touched, *named], ListKind.CHANGES if self.view else ListKind.SAVED)
-            return
-        if touched:
-            self._apply(touched, ListKind.CHANGES)
-        self._first = self._first or not self.view
+            kind = ListKind.CHANGES if self.view else ListKind.SAVED
+            if not large:
+                self._take(source, named.values())
+                self._apply([*touched, *named], kind)
+                return
+            self._apply(touched, kind)  # it is one in which nobody is up yet
+        self._first = self._first or (first if large else not self.view)
+        self._large = self._large or large
         source.pending = named
-        self._continue()
+        if large:
+            self._out.append(Continue())  # this turn has had its part
+        else:
+            self._continue()
 
     def _continue(self) -> None:
         """Look at the next slice of whatever whole list waits, and apply what changed in it.
@@ -386,16 +398,18 @@
             if not source.pending:
                 continue
             names = list(islice(source.pending, NEWS if source.confirms else SLICE))
-            self._take(source, [vouched(source.pending.pop(name)) for name in names])
+            self._take(source, [vouched(source.pending.pop(name), source.aged_ms) for name in names])
             for name in names:
                 self._settle(name, self._fresh)
-            self._share(self._fresh)
+            if not (self._first and self._large):  # else once, at its end
+                self._share(self._fresh)
             if any(source.pending for source in self.sources.values()):
                 if self._fresh and not self._first:
                     self._flush()
                 self._out.append(Continue())
                 return
-        self._first = False
+        self._first = self._large = False
+        self._share(self._fresh)
         self._flush()
 
     def _take(self, source: Source, members: Iterable[Member]) -> None:
@@ -425,6 +439,7 @@
             self._apply(touched, ListKind.CHANGES)
         if later:
             source.pending |= {m.entry.backend: m for m in later}
+            source.confirms = source.confirms or len(later) > LARGE
             self._continue()
         self._confirm(source)
 
@@ -570,6 +585,9 @@
         self._share(changes)
         for name in changes.keys() & self._fresh.keys():
             del self._fresh[name]
+        if self._first and self._large:
+            self._fresh |= {name: now for name, now in changes.items() if now.entry.phase is Phase.UP}
+            changes = {name: now for name, now in changes.items() if now.entry.phase is not Phase.UP}
         self._tell(changes, kind)
 
     def _flush(self) -> None:
--- /dev/null
+++ b/dillport/laying.py
@@ -0,0 +1,69 @@
+"""A first list of thousands, laid out in steps: what `Balancer` does with it in one go, in the same order.
+
+`handle` with a first list lays the node's part of the fleet out over all of it: 6 us a server, 60 ms for
+10,000. `lay` takes SLICE servers a step and ends in the very state that `handle` would have left, the random
+numbers drawn included; a test holds the two against one another. Until it has ended nothing else may go
+to the module, which knows some of the servers and feeds none: `net/laying` holds back what comes meanwhile.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Generator, Sequence
+
+from dillport import interface as api
+from dillport.policy import FEEDERS, GOLDEN, ROUNDS, SAMPLE, SUBSET_MIN, Balancer
+from dillport.state import Backend
+
+SLICE = 250  # servers in one step, 1 to 2 ms
+
+
+def lay(balancer: Balancer, entries: Sequence[api.Entry]) -> Generator[None, None, list[api.Action]]:
+    """Take the entries of a first list; returns what is noted of it. `handle` of no changes has to follow.
+
+    Of a saved list `handle` is told before, without the entries.
+    """
+    backends, index = balancer.backends, balancer.index
+    for at, entry in enumerate(entries, 1):
+        b = backends.get(entry.backend)
+        if b is None and entry.phase is not api.Phase.GONE:
+            b = backends[entry.backend] = Backend(entry, vouched=entry.age_ms is None)
+        if b is not None:
+            balancer._entry(b, entry, True)
+        if not at % SLICE:
+            yield
+    names = sorted(name for name, b in backends.items() if b.entry.phase is api.Phase.UP)
+    if not names:
+        return []
+    yield
+    found = [backends[name] for name in names]
+    near = [b for b in found if b.near] or found
+    n = len(found)
+    wanted = max(SUBSET_MIN, math.ceil(FEEDERS * n / balancer.cfg.group_size))
+    k = min(n, wanted)
+    turn = balancer.cfg.me * GOLDEN % 1.0
+    parts = min(k, len(near))
+    places = ((j + (turn + j * GOLDEN) % 1.0) / parts for j in range(parts))
+    chosen = {b.entry.backend: b for b in (near[int(at * len(near)) % len(near)] for at in places)}
+    rest = [b for b in found if b.entry.backend not in chosen]
+    yield
+    order = list(chosen.values())
+    # `rng.sample` of all of them, to the letter.
+    for left in range(len(rest), 0, -1):
+        at = balancer.rng.randrange(left)
+        order.append(rest[at])
+        rest[at] = rest[left - 1]
+        if not left % (4 * SLICE):
+            yield
+    for at, b in enumerate(order):
+        b.rank, b.listed = (at + 0.5) / n, True
+        index.insert(b, balancer.now)
+        if not at % SLICE:
+            yield
+    balancer.spill = 1.0 - len(near) / n
+    balancer.width = min(n, SAMPLE * ROUNDS if balancer.looks else wanted)
+    size = 0 if balancer.looks else max(balancer.width, balancer.out)
+    while index.size < min(n, size):
+        index.resize(min(size, index.size + SLICE), balancer.now)
+        yield
+    return [api.Noted("", api.What.JOINED_SUBSET, balancer.width)]  # `handle` finds that nobody has joined
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -6,7 +6,7 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
@@ -16,6 +16,7 @@
 from dillport.decide.membership import Apply
 from dillport.decide.pause import BEAT_MS, SETTLE_MS, Pause
 from dillport.decide.shutdown import Ends, ends
+from dillport.members import Member
 from dillport.net.clock import wall_ms
 from dillport.net.config import Config
 from dillport.net.upstream import Answer, Attempt, Pool
@@ -23,11 +24,14 @@
 from dillport.proto.class_path import ClassPaths
 
 if TYPE_CHECKING:
+    from dillport.net.laying import Laying
     from dillport.relay.ports import Observer
 
 log = logging.getLogger(__name__)
 
 MARGIN = 10.0  # ms before a client's limit at which the last answer is due: it counted from its own send
+LARGE = 1_000  # servers of a first list that are taken in one turn of the loop, 6 ms; more go in slices
+FIRST = api.ListUpdate, api.Remembered  # what goes ahead of all else
 
 
 def _nothing(wait: float) -> bytes:
@@ -105,6 +109,7 @@
         self._pause = Pause(self.now(), config.settings.drain_grace)
         self._held: list[api.Event] = []  # while it is in doubt, or what it had kept is being read
         self._waits = False
+        self.laying: Laying | None = None  # a large first list that is on its way into the module
         self._beat()
         self._drained: Callable[[], None] = lambda: None
 
@@ -137,13 +142,13 @@
 
     def _go_on(self) -> None:
         held, self._held = self._held, []
-        for event in held:
+        for event in sorted(held, key=lambda event: not isinstance(event, FIRST)):
             self.event(event)
 
     def event(self, event: api.Event) -> None:
         """Hand an event to the module and do what it says. Events made meanwhile wait for their turn."""
         self._turned()
-        if (self._pause.hold or self._waits) and not isinstance(event, (api.ListUpdate, api.Remembered)):
+        if self.laying or ((self._pause.hold or self._waits) and not isinstance(event, FIRST)):
             self._held.append(event)
             return
         self._events.append(event)
@@ -160,8 +165,7 @@
         now = self.now()
         try:
             actions = self.balancer.handle(now, event)
-            if self.observer is not None:
-                self._show(now, event, actions)
+            self.show(now, event, actions)
             for action in actions:
                 self._act(action)
         except Exception:  # guards against one bad request ending the node with all the others
@@ -170,10 +174,11 @@
             if name in self.open:
                 self._abandon(name)
 
-    def _show(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
+    def show(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
+        """Show whoever watches what was decided."""
         try:
-            assert self.observer is not None
-            self.observer.saw(now, event, actions)
+            if self.observer is not None:
+                self.observer.saw(now, event, actions)
         except Exception:  # guards requests against whoever only watches
             log.exception("the observer failed on %s and is taken off", type(event).__name__)
             self.observer = None
@@ -215,15 +220,35 @@
 
     def apply(self, change: Apply) -> None:
         """A change of the view: what leaves first, then who drains, then the rest."""
+        if self.laying:
+            self.laying.later.append(change)
+        elif len(change.members) > LARGE and not self.balancer.index.order:
+            from dillport.net.laying import Laying
+
+            self.laying = Laying(self, change)
+        else:
+            self.update(change.members, change.removed)
+            entries = [m.entry for m in (*change.removed, *change.members)]
+            self.laid(api.ListUpdate(change.kind, entries, change.revision))
+
+    def update(self, members: Sequence[Member], removed: Sequence[Member]) -> None:
+        """Tell the pool of a change, and whoever has to know of those that have moved."""
         if self.moved is not None:
-            for member in change.members:
+            for member in members:
                 host = self.pool.hosts.get(member.entry.backend)
                 if host is not None and host.address != member.address:
                     self.moved(member.entry.backend)
-        self.pool.update(change.members, [m.entry.backend for m in change.removed])
-        entries = [m.entry for m in (*change.removed, *change.members)]
-        self.event(api.ListUpdate(change.kind, entries, change.revision))
+        self.pool.update(members, [m.entry.backend for m in removed])
+
+    def laid(self, event: api.ListUpdate) -> None:
+        """The pool knows of all: the module's turn, or the last word of a list that was laid out for it."""
+        done, self.laying = self.laying, None
+        self.event(event)
         self.ready = self.ready or any(host.up for host in self.pool.hosts.values())
+        if done is not None:
+            for change in done.later:
+                self.apply(change)
+            self._go_on()
 
     def list_failed(self) -> None:
         """A call that the module asked for has failed."""
--- a/dillport/net/sources/platform.py
+++ b/dillport/net/sources/platform.py
@@ -8,7 +8,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 from dillport.decide import membership, platform_follow
 from dillport.decide.platform_follow import PlatformFollow
@@ -16,11 +16,15 @@
 from dillport.proto import platform_list
 from dillport.proto.platform_list import ListCall
 
+if TYPE_CHECKING:
+    from dillport.proto.long_list import LongList
+
 log = logging.getLogger(__name__)
 
 NAME = "platform"
 LOOKS, LOOK = 3, 0.001  # turns of the loop, and s between them, before a call is given up
 SLICE = 500  # entries of a list that are checked in one turn of the loop
+LONG = 256 * 1024  # bytes of a line, some 1,600 backends, up to which it is parsed in one go
 
 
 def identity(address: Address) -> str:
@@ -28,6 +32,14 @@
     return f"{address[0]}:{address[1]}"
 
 
+def _builder(line: bytes) -> ListingBuilder | LongList:
+    if len(line) <= LONG:
+        return ListingBuilder(json.loads(line))
+    from dillport.proto.long_list import LongList
+
+    return LongList(line)
+
+
 class Call(asyncio.Protocol):
     """One call: a watch that goes on until its connection ends, or the whole list once."""
 
@@ -37,7 +49,7 @@
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.lines: deque[bytes] = deque()
-        self.builder: ListingBuilder | None = None  # of a long list that is read over several turns
+        self.builder: ListingBuilder | LongList | None = None  # of a list read over several turns
         self.whole = self.over = self.dropped = self.slow = False
         self.loop = asyncio.get_running_loop()
         self.life = owner.follow.life(owner.now_ms())
@@ -133,7 +145,7 @@
         while not self.dropped and (self.builder is not None or self.lines):
             try:
                 if self.builder is None:
-                    self.builder = ListingBuilder(json.loads(self.lines.popleft()))
+                    self.builder = _builder(self.lines.popleft())
                 if not self.builder.read(SLICE):
                     self.loop.call_soon(self._read)
                     return
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -18,6 +18,7 @@
     "state": {"interface"},
     "index": {"state", "interface"},
     "policy": {"state", "index", "interface"},
+    "laying": {"policy", "state", "interface"},
     "settings": {"interface"},
     "wire": {"settings", "interface"},
     "simhost": {"wire", "settings", "policy", "interface"},
@@ -27,15 +28,15 @@
     "relay": CORE | {"relay", "policy", "decide"},
     "timeline": CORE | {"timeline", "decide"},
     "observe": CORE | {"observe", "timeline", "decide"},
-    "net": CORE | {"net", "relay", "policy", "settings", "operators", "decide", "proto", "store",
+    "net": CORE | {"net", "relay", "policy", "laying", "settings", "operators", "decide", "proto", "store",
             "timeline", "observe"},
     "store": CORE | {"decide", "store"},
     "grpcplug": CORE | {"grpcplug", "relay", "settings", "decide", "proto", "operators"},
     "client": CORE | {"client", "proto"},
 }
 PURE = (
-    "interface", "members", "messages", "state", "index", "policy", "settings", "wire", "decide", "proto",
-    "relay", "timeline",
+    "interface", "members", "messages", "state", "index", "policy", "laying", "settings", "wire", "decide",
+    "proto", "relay", "timeline",
 )  # fmt: skip
 FILES = sorted(ROOT.rglob("*.py"))
 
