--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -2,7 +2,8 @@
 
     python -m benchmarks.membership [--quick] [--part NAME] ...
 
-The tables are those of docs/operate/membership.md. Parts: `drain`, `start`, `stall`, `change`, `herd`.
+Parts: `drain`, `start`, `stall`, `turns`, `change`, `herd`; most tables are those of
+docs/operate/membership.md, that of `turns` is in docs/design/coming-back.md.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 
 import uvloop
 
-from benchmarks import changes, drains, fleet, herd
+from benchmarks import changes, drains, fleet, herd, turns
 from benchmarks.report import Row, cores, on, table
 from dillport.lab.etcd.standin import StandIn
 
@@ -60,6 +61,12 @@
             rows = await fleet.stalls(servers, self.node, self.runs)
         self.show(f"{self.servers:,} servers: stalls of the loop ({self.runs} runs)", rows)
 
+    async def turns(self) -> None:
+        """The same in one process, by part."""
+        with on(self.node):
+            rows = await turns.lists([200, 1_000] if self.quick else [200, 1_000, 10_000], self.runs)
+        self.show(f"A list, turn by turn ({self.runs} runs)", rows)
+
     async def change(self) -> None:
         """What a change costs."""
         with on(self.node):
@@ -78,7 +85,7 @@
     """The command; its exit code."""
     parts: dict[str, Callable[[Benchmark], Coroutine[Any, Any, None]]] = {
         "drain": Benchmark.drain, "start": Benchmark.start, "stall": Benchmark.stall,
-        "change": Benchmark.change, "herd": Benchmark.herd,
+        "turns": Benchmark.turns, "change": Benchmark.change, "herd": Benchmark.herd,
     }  # fmt: skip
     parser = argparse.ArgumentParser(prog="benchmarks.membership", description=__doc__.partition("\n")[0])
     parser.add_argument("--quick", action="store_true", help="smaller and once: to see that it runs")
--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -342,7 +342,12 @@
 
     def _whole(self, source: Source, listing: Listing, saved: bool, age_ms: float) -> None:
         """Removals and drains at once; the rest in slices, as one of thousands would hold the loop."""
-        named = {m.entry.backend: m for m in listing.members}
+        named, leaving, up = dict[str, Member](), list[str](), Phase.UP
+        for member in listing.members:
+            entry = member.entry
+            named[entry.backend] = member
+            if entry.phase is not up:
+                leaving.append(entry.backend)
         large = len(named) > LARGE
         first = not self._where
         source.aged_ms = min(max(0.0, age_ms), MOST_AGE_MS) if saved else None
@@ -360,11 +365,10 @@
         touched = [last.entry.backend for last in kept]
         touched += self._remove(source, gone)
         touched += self._unreadable(source, listing.faults)
-        for name, member in named.items():
-            if member.entry.phase is not Phase.UP:
-                source.members[name] = vouched(member, source.aged_ms)
-                source.removed.pop(name, None)
-                touched.append(name)
+        for name in leaving:
+            source.members[name] = vouched(named[name], source.aged_ms)
+            source.removed.pop(name, None)
+            touched.append(name)
         self._mass(source, len(gone), before)
         if not saved:
             self._current(source)
@@ -596,7 +600,8 @@
 
     def _tell(self, changes: dict[str, Member], kind: ListKind) -> None:
         self.revision += bool(changes)
-        gone = tuple(m for m in changes.values() if m.entry.phase is Phase.GONE)
-        drain = [m for m in changes.values() if m.entry.phase is Phase.DRAINING]
-        rest = [m for m in changes.values() if m.entry.phase is Phase.UP]
-        self._out.append(Apply(kind, (*drain, *rest), gone, self.revision))
+        gone, drain, rest = list[Member](), list[Member](), list[Member]()
+        to = {Phase.GONE: gone, Phase.DRAINING: drain, Phase.UP: rest}
+        for member in changes.values():
+            to[member.entry.phase].append(member)
+        self._out.append(Apply(kind, (*drain, *rest), tuple(gone), self.revision))
--- a/dillport/net/laying.py
+++ b/dillport/net/laying.py
@@ -43,8 +43,8 @@
         else:
             self.node.loop.call_soon(self._step)
             return
-        # Guards the loop against collections that look through all that the list has made: it stays.
-        gc.freeze()
+        finally:
+            gc.freeze()  # guards the loop against collections that look through all that a list makes
         self.node.laid(api.ListUpdate(api.ListKind.CHANGES, [], self.change.revision))
 
     def _run(self) -> Iterator[None]:
--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -214,6 +214,8 @@
         )  # fmt: skip
         self.began_ms = self.node.now()
         self._rows: dict[str, Server] = {}  # as they are kept, without order and times
+        self._members: dict[str, list[Member]] = {}  # whom each source had listed, until it is handed over
+        self._ages: dict[str, float] = {}  # the most of them
         self._queue: dict[str, str] = {}  # names to look at, and the source whose word it was
         self._first: dict[str, str] = {}  # those of them that leave
         self._last = NOBODY
@@ -249,17 +251,25 @@
             log.warning("state: not believed: %s", fault)
         me = successor(recalled, self.running.name, secrets.token_hex(16), found.generation, _wall())
         self._tell(k.Started(me, recalled.rows, recalled.order, _wall()))
-        self._rows = {key: _plain(row) for key, row in recalled.rows.get("view", {}).items()
-                      if isinstance(row, Server)} | {key: _plain(one.server) for key, one
-                      in recalled.view.items()}  # fmt: skip
         if first:
             self._begin(found, recalled, me.incarnation)
+        self._members.clear()
+        try:
+            # Guards against taking whom the merge has not looked at yet for gone.
+            while any(source.pending for source in self.fleet.membership.sources.values()):
+                await asyncio.sleep(0)
+        except asyncio.CancelledError:
+            self._closed = True
+            Opening(self.store.close)
+            raise
+        if first and self.node.now() - self.began_ms <= LEARN_MS:
+            self._learn(recalled)
         self.fleet.listeners.append(self._heard)
         self._sync(recalled if first else None)
         self._look()
 
     def _load(self) -> tuple[Opened, Recalled]:
-        """Blocks."""
+        """Blocks. What takes long for a large list is done here, too, and not on the loop."""
         found = self.store.open()
         try:
             tables = {table: self.store.items(table) for table in kept.TABLES}
@@ -267,6 +277,14 @@
             recalled = recall(
                 tables, found.found, found.older, found.wrote_ms, name, _wall(), self.max_age_ms
             )
+            rows = {key: row for key, row in recalled.rows.get("view", {}).items() if isinstance(row, Server)}
+            rows |= {key: one.server for key, one in recalled.view.items()}
+            self._rows = {key: _plain(row) for key, row in rows.items()}
+            self._members = {name: [] for name in recalled.sources}
+            for key, one in recalled.view.items():
+                for name in self._members.keys() & one.server.sources:
+                    self._members[name].append(_member(key, one.server, name, recalled.ends.get(key)))
+                    self._ages[name] = max(self._ages.get(name, 0.0), one.age_ms)
         except BaseException:
             self.store.close()
             raise
@@ -287,8 +305,6 @@
                 count, age = len(listed.listing.members), listed.age_ms / 1000
                 log.info("state: %s listed %d servers %.0f s ago", name, count, age)
                 self.fleet.hand(listed)
-        if self.node.now() - self.began_ms <= LEARN_MS:
-            self._learn(recalled)
 
     def _listed(self, name: str, told: kept.Source, recalled: Recalled) -> membership.Listed | None:
         """A source's list as it is remembered, where the source itself has not said as much by now."""
@@ -301,14 +317,13 @@
                 identity, revision = source.identity, -1
         elif source.identity != identity or revision <= source.revision:
             return None
-        mine = [(key, one) for key, one in recalled.view.items() if name in one.server.sources]
         ends = recalled.ends
         others = len(self.fleet.membership.sources) > 1
         gone = tuple(key for key, end in ends.items() if end.gone and end.source == name) if others else ()
-        members = tuple(_member(key, one.server, name, ends.get(key)) for key, one in mine)
+        members = tuple(self._members.pop(name))
         if not members and not gone:
             return None
-        age_ms = max((one.age_ms for _, one in mine), default=0.0)
+        age_ms = self._ages.get(name, 0.0)
         self._whole[name] = identity, revision
         return membership.Listed(name, identity, Listing(revision, True, members, gone), True, age_ms)
 
@@ -329,13 +344,13 @@
     def _sync(self, recalled: Recalled | None) -> None:
         """What changed while the directory was not had."""
         view, sources = self.fleet.membership.view, self.fleet.membership.sources
-        for name in self._rows:
-            if name not in view:
-                by = self._rows[name].sources[:1] if recalled is None or name in recalled.view else ()
-                heard = by and by[0] in sources and sources[by[0]].state is not membership.State.UNHEARD
-                self._first[name] = by[0] if heard else NOBODY
-        for name in view:
-            self._queue[name] = next((s.name for s in sources.values() if name in s.members), NOBODY)
+        for name in sorted(self._rows.keys() - view.keys()):
+            by = self._rows[name].sources[:1] if recalled is None or name in recalled.view else ()
+            heard = by and by[0] in sources and sources[by[0]].state is not membership.State.UNHEARD
+            self._first[name] = by[0] if heard else NOBODY
+        self._queue |= dict.fromkeys(view, NOBODY)
+        for source in reversed(sources.values()):  # the first that lists it
+            self._queue |= dict.fromkeys(source.members.keys() & view.keys(), source.name)
         self._work()
 
     # --- what changes
@@ -345,11 +360,12 @@
             self._last = event.source
         for action in actions:
             if isinstance(action, membership.Apply):
+                up = api.Phase.UP
                 for member in action.removed:
                     self._first[member.id] = self._last
                 for member in action.members:
-                    drains = member.entry.phase is not api.Phase.UP
-                    (self._first if drains else self._queue)[member.id] = self._last
+                    entry = member.entry
+                    (self._queue if entry.phase is up else self._first)[entry.backend] = self._last
         if self._first or self._queue:
             if not self._working:
                 self._work()
--- a/dillport/proto/long_list.py
+++ b/dillport/proto/long_list.py
@@ -65,7 +65,11 @@
             raise json.JSONDecodeError("Extra data", text, at)
         self._builder = ListingBuilder(raw)
         yield False
+        taken, at = raw["members"], 0
         while not self._builder.read(STEP):
+            assert isinstance(taken, list)  # else the builder had refused it
+            taken[at : at + STEP] = [None] * STEP  # guards the last turn against freeing all of them at once
+            at += STEP
             yield False
         yield False
 
