--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -495,6 +495,68 @@
     assert len(rig.view) == 1
 
 
+@pytest.fixture
+def tiny(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lists of over four servers are large, and two are looked at in one turn."""
+    monkeypatch.setattr(m, "LARGE", 4)
+    monkeypatch.setattr(m, "NEWS", 2)
+
+
+@pytest.mark.usefixtures("tiny")
+@pytest.mark.parametrize("saved", [False, True])
+def test_of_a_large_first_list_nobody_is_up_before_all_of_it_was_seen(saved: bool) -> None:
+    """Guards against a module that lays its part of the fleet out over what came in between."""
+    rig = Rig(Source("platform"))
+    names = [member(f"s{i}", DRAINING if i == 3 else UP, port=i + 1) for i in range(9)]
+    rig.hand(m.Listed("platform", "one", whole(1, *names), saved=saved, age_ms=7.0))
+    assert rig.waiting and [*rig.told] == ["s3"], "who drains goes first"
+    assert (rig.kinds[0] is ListKind.SAVED) == saved
+    rig.hand(m.Continued())
+    rig.hand(m.Listed("platform", "one", changes(2, member("s0", port=1, weight=5.0), removed=("s1", "s8"))))
+    assert [*rig.told] == ["s3"]
+    before = len(rig.kinds)
+    rig.turn()
+    assert len(rig.kinds) == before + 1, "in one piece"
+    assert rig.told.keys() == {f"s{i}" for i in range(9)} - {"s1", "s8"}
+    assert rig.told["s0"].entry.weight == 5.0 and {one.entry.age_ms for one in rig.told.values()} == {None}
+
+
+@pytest.mark.usefixtures("tiny")
+@pytest.mark.parametrize("seen", range(6))
+def test_a_newer_list_in_the_middle_of_a_large_one_wins(seen: int) -> None:
+    rig = Rig(Source("platform"))
+    for revision, size, weight in ((1, 9, 1.0), (2, 9, 2.0), (3, 6, 3.0)):
+        rows = [member(f"s{i}", port=i + 1, weight=weight) for i in range(size)]
+        rig.hand(m.Listed("platform", "one", whole(revision, *rows)))
+        for _ in range(seen):
+            rig.hand(m.Continued())
+    assert rig.told.keys() <= {f"s{i}" for i in range(6)}, "who is not in it is gone at once"
+    rig.turn()
+    assert {name: one.entry.weight for name, one in rig.told.items()} == {f"s{i}": 3.0 for i in range(6)}
+
+
+@pytest.mark.usefixtures("tiny")
+@pytest.mark.parametrize("seen", range(6))
+def test_a_large_list_that_was_kept_ends_as_a_small_one_does(
+    seen: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    views = []
+    for large in (4, 1000):
+        monkeypatch.setattr(m, "LARGE", large)
+        for news in (None, m.Heard("platform"), m.Moved("platform", "two"), m.Silenced("platform", "away")):
+            rig = Rig(Source("platform"))
+            rows = [member(f"s{i}", DRAINING if i == 3 else UP, port=i + 1) for i in range(9)]
+            rig.hand(m.Listed("platform", "one", whole(7, *rows), saved=True, age_ms=5.0))
+            for _ in range(seen):
+                rig.hand(m.Continued())
+            if news is not None:
+                rig.hand(news)
+            rig.turn()
+            assert rig.view
+            views.append({name: (one.entry.phase, one.entry.age_ms) for name, one in rig.told.items()})
+    assert views[:4] == views[4:] and views[0]["s3"] == (DRAINING, 5.0) and views[1]["s0"] == (UP, None)
+
+
 # --- a naive model
 
 NAMES = ["a", "b", "c", "d"]
@@ -552,13 +614,14 @@
     return out
 
 
-CASES = (STEPS, st.sampled_from([1, 2, 1000]))
+CASES = (STEPS, st.sampled_from([1, 2, 1000]), st.sampled_from([0, 2, 1000]))
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
 @given(*CASES)
-def test_the_view_is_what_a_naive_model_says(steps: list[Any], size: int) -> None:
-    before, m.SLICE = m.SLICE, size
+def test_the_view_is_what_a_naive_model_says(steps: list[Any], size: int, large: int) -> None:
+    before = m.SLICE, m.NEWS, m.LARGE
+    m.SLICE, m.NEWS, m.LARGE = size, min(size, m.NEWS), large
     try:
         rig, naive = Rig(Source("platform"), Source("etcd")), {"platform": Naive(), "etcd": Naive()}
         for source, what, ahead, members, removed in steps:
@@ -586,6 +649,12 @@
                     rig.hand(m.Silenced(source, "away"))
                 case _:
                     rig.turn()
+            for model in naive.values():  # at once, however long a list is that waits
+                for name, word in model.says.items():
+                    held = rig.told.get(name)
+                    if held is not None:
+                        assert word is not None, "it was removed"
+                        assert held.entry.phase is not UP or word.entry.phase is UP, "it drains"
         rig.turn()
         want = expected(naive["platform"], naive["etcd"])
         got = {n: (o.entry.phase, o.address[1], o.entry.started_at) for n, o in rig.told.items()}
@@ -598,7 +667,7 @@
         assert len(used) == len(set(used)) == len({p for p in ports if ports.count(p) > 1})
         assert not rig.membership._fresh
     finally:
-        m.SLICE = before
+        m.SLICE, m.NEWS, m.LARGE = before
 
 
 def test_a_second_source_of_one_name_is_refused() -> None:
