--- /dev/null
+++ b/tests/net/test_laying.py
@@ -0,0 +1,159 @@
+"""A list of 3,000 servers on sockets: what a node does between its slices, counted by turns of its loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from benchmarks.fleet import Servers
+from dillport.decide import membership as m
+from dillport.interface import Action, ClientGone, Entry, Event, ListKind, Phase, Remembered
+from dillport.members import Listing, Member
+from dillport.net import node as node_module
+from dillport.net.config import load
+from dillport.net.fleet import Fleet
+from dillport.net.front import Front
+from dillport.net.node import Node
+from dillport.net.sources import platform
+from dillport.net.sources.platform import PlatformSource
+from tests.net.test_etcd_source import WAIT, run, until
+from tests.net.test_platform_source import Answers
+from tests.sockets import Client, configuration
+
+COUNT = 3_000
+
+
+class World:
+    """A node with its front in this process, its discovery, and so many servers that answer."""
+
+    def __init__(self, path: Path, servers: Servers) -> None:
+        (path / "c.json").write_text(json.dumps(configuration([], 1)))
+        config = load({"PROXY_CONFIG": str(path / "c.json")})
+        self.servers, self.node, self.listed = servers, Node(config), m.Source(platform.NAME)
+        self.fleet, self.front = Fleet(self.node, [self.listed]), Front(self.node, 9)
+        self.sent: list[str] = []
+        start = self.node.pool.start
+
+        def noted(name: str, *args: object) -> object:
+            self.sent.append(name)
+            return start(name, *args)  # type: ignore[arg-type]
+
+        self.node.pool.start = noted  # type: ignore[method-assign, assignment]
+        self.kinds: list[int] = []  # how many servers each change of the view brought
+        self.fleet.listeners.append(
+            lambda _, actions: self.kinds.extend(len(a.members) for a in actions if isinstance(a, m.Apply))
+        )
+
+    async def fetch(self, revision: int, weight: float) -> None:
+        """Have the whole list called for, from a discovery that has this one."""
+        rows = [{**one, "size": weight} for one in self.servers.entries]
+        body = json.dumps({"revision": revision, "complete": True, "members": rows}).encode()
+        assert len(body) > platform.LONG
+        discovery = Answers(b"200 OK", body)
+        await discovery.start()
+        PlatformSource(
+            ("127.0.0.1", discovery.port), False, 1000.0, self.node.now,
+            lambda event: self.fleet.hand(self.here(event)), lambda: None, lambda: None,
+        ).fetch()  # fmt: skip
+
+    def here(self, event: m.Event) -> m.Event:
+        """All discoveries are one."""
+        return m.Listed(event.source, "here", event.listing) if isinstance(event, m.Listed) else event
+
+    async def turns(self, met: Callable[[], object]) -> None:
+        """The loop's next turns, one at a time, until this holds."""
+        async with asyncio.timeout(WAIT):
+            while not met():
+                await asyncio.sleep(0)
+
+
+@contextlib.asynccontextmanager
+async def world(path: Path) -> AsyncIterator[tuple[World, Client]]:
+    async with Servers(COUNT) as servers:
+        out = World(path, servers)
+        await out.front.listen(("127.0.0.1", 0))
+        host, port = out.front.address
+        client = Client(*await asyncio.open_connection(host, port))
+        try:
+            yield out, client
+        finally:
+            client.writer.transport.abort()
+            out.front.stop()
+            out.node.pool.close()
+            await until(lambda: not out.front.connections)
+
+
+def test_a_first_list_is_laid_out_between_answers_and_what_leaves_meanwhile_gets_nothing(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with world(tmp_path) as (here, client):
+            assert (await client.ask("/up")).code == 503
+            await here.fetch(1, 1.0)
+            await here.turns(lambda: here.node.laying)
+            names = [one["id"] for one in here.servers.entries]
+            assert (await client.ask("/up")).code == 503 and here.node.laying, "answered between its slices"
+            asked = asyncio.create_task(client.ask("/read", "Request-Timeout: 3000m"))
+            await here.turns(lambda: here.node.open)
+            assert here.node.laying and not here.sent
+            left = m.Listed("platform", "here", Listing(2, False, (), tuple(names[:7] + names[8:])))
+            here.fleet.hand(left)
+            assert (await asked).code == 200 and here.sent == [names[7]]
+            assert here.node.laying is None and here.node.balancer.order == [names[7]]
+            assert (await client.ask("/up")).code == 200 and [*here.node.pool.hosts] == [names[7]]
+
+    run(test)
+
+
+def test_requests_are_answered_between_the_slices_of_another_list(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(m, "NEWS", 25)  # 120 turns
+
+    async def test() -> None:
+        async with world(tmp_path) as (here, client):
+            await here.fetch(1, 1.0)
+            await until(lambda: here.node.ready)
+            assert here.kinds[-1] == COUNT, "a first list in one piece"
+            assert (await client.ask("/read", "Request-Timeout: 3000m")).code == 200
+            await here.fetch(2, 2.0)
+            await here.turns(lambda: here.listed.pending)
+            assert (await client.ask("/read", "Request-Timeout: 3000m")).code == 200
+            assert here.listed.pending, "answered between its slices"
+            await until(lambda: not here.listed.pending)
+            weights = {b.entry.weight for b in here.node.balancer.backends.values()}
+            assert weights == {2.0} and len(here.node.balancer.order) == COUNT
+            assert max(here.kinds[here.kinds.index(COUNT) + 1 :]) <= m.NEWS
+
+    run(test)
+
+
+@pytest.mark.parametrize("count", [node_module.LARGE, node_module.LARGE + 1])
+def test_up_to_a_stated_size_a_first_list_is_taken_in_the_very_turn(tmp_path: Path, count: int) -> None:
+    async def test() -> None:
+        (tmp_path / "c.json").write_text(json.dumps(configuration([], 1)))
+        node = Node(load({"PROXY_CONFIG": str(tmp_path / "c.json")}))
+        up = Phase.UP
+        found = [Member(Entry(f"s{n}", "a", 0, 1.0, up, 0.0), ("127.0.0.1", n + 1)) for n in range(count)]
+        node.apply(m.Apply(ListKind.CHANGES, tuple(found), (), 1))
+        handled, handle = list[str](), node.balancer.handle
+
+        def noted(now: float, event: Event) -> list[Action]:
+            handled.append(type(event).__name__)
+            return handle(now, event)
+
+        node.balancer.handle = noted  # type: ignore[method-assign]
+        node.event(ClientGone("r1"))
+        node.event(Remembered(node.balancer.learned(node.now()), 0.0))
+        assert node.ready is (count <= node_module.LARGE) and (node.laying is None) is node.ready
+        await until(lambda: node.ready)
+        assert len(node.balancer.order) == count
+        news = [] if count <= node_module.LARGE else ["ListUpdate", "Remembered", "ClientGone"]
+        assert handled == (news or ["ClientGone", "Remembered"]), "what was kept goes before all that waited"
+
+    run(test)
--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -17,10 +17,11 @@
 
 from dillport import interface as api
 from dillport.decide import keeping as k
-from dillport.decide import kept
+from dillport.decide import kept, membership
 from dillport.decide.membership import Configured, Heard, Listed, Source, State
 from dillport.lab.disk_port import Broken, Disk, SimFiles
 from dillport.members import Listing, Member
+from dillport.net import node as node_module
 from dillport.net import state
 from dillport.net.config import load
 from dillport.net.control import Control
@@ -177,6 +178,38 @@
     run(test)
 
 
+@pytest.mark.parametrize("news", [None, listed(6, "s1", "s2"), Heard("platform")])
+def test_a_kept_list_in_slices_is_not_taken_for_one_whose_servers_are_gone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, news: Listed | Heard | None
+) -> None:
+    """Whatever comes before the last slice; what was learned is for all of it."""
+    disk, names = Disk(), [f"s{n}" for n in range(1, 10)]
+    left = names[:2] if isinstance(news, Listed) else names
+
+    async def test() -> None:
+        await life(tmp_path, disk, listed(5, *names))
+        monkeypatch.setattr(membership, "LARGE", 4)
+        monkeypatch.setattr(membership, "NEWS", 1)
+        monkeypatch.setattr(node_module, "LARGE", 4)
+        async with rig(tmp_path, disk) as one:
+            source, seen = one.fleet.membership.sources["platform"], list[int]()
+
+            def heard(event: membership.Event, actions: list[membership.Action]) -> None:
+                seen.append(len(source.pending))
+                if len(seen) == 4 and news is not None:
+                    asyncio.get_running_loop().call_soon(one.fleet.hand, news)
+
+            one.fleet.listeners.append(heard)
+            await one.opened()
+            assert seen[:4] == [9, 8, 7, 6] and not source.pending
+            await until(lambda: set(one.node.balancer.order) == set(left))
+            assert {held.entry.age_ms is None for held in one.view.values()} == {news is not None}
+            await one.kept()
+        assert set(rows(disk, "view")) == set(left) and set(rows(disk, "ends")) == set(names) - set(left)
+
+    run(test)
+
+
 def test_a_drain_is_kept_with_the_source_that_told_it(tmp_path: Path) -> None:
     disk = Disk()
     drains = Listing(6, False, (member("s2", api.Phase.DRAINING),))
