--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -31,8 +31,8 @@
 from dillport.members import Address, Fault, Listing, Member
 
 SLICE = 500  # entries of a whole list that are looked at in one go
-NEWS = 125  # the same, where each is a change, or there are so many:
-LARGE = 1_000  # servers of one list, up to which it is looked at as it always was
+NEWS = 125  # the same, where each is a change, or the list is of over LARGE servers
+LARGE = 1_000
 MAX_REMOVED = 20_000  # removals remembered a source beside those of whom another source lists
 MAX_SAID = 20  # lines on entries left out, of one listing or slice: the log is bounded, others need it too
 MAX_FAULTS = 1000  # unreadable entries shown a source; further ones are counted
@@ -366,6 +366,8 @@
         touched += self._remove(source, gone)
         touched += self._unreadable(source, listing.faults)
         for name in leaving:
+            if named[name].entry.phase is up:
+                continue  # named twice: the later entry holds
             source.members[name] = vouched(named[name], source.aged_ms)
             source.removed.pop(name, None)
             touched.append(name)
@@ -396,7 +398,8 @@
         """Look at the next slice of whatever whole list waits, and apply what changed in it.
 
         A first list is applied in one piece, once all was seen: the module lays its subset out over all of
-        it, and nobody waits meanwhile, as there is nobody to send to.
+        it, and nobody waits meanwhile, as there is nobody to send to. In a large one what is said of those
+        who are up meanwhile waits for that, too; removals and drains do not.
         """
         for source in self.sources.values():
             if not source.pending:
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -30,7 +30,7 @@
 log = logging.getLogger(__name__)
 
 MARGIN = 10.0  # ms before a client's limit at which the last answer is due: it counted from its own send
-LARGE = 1_000  # servers of a first list that are taken in one turn of the loop, 6 ms; more go in slices
+LARGE = 1_000  # servers of a first list that are taken in one turn of the loop, 5 ms; more go in slices
 FIRST = api.ListUpdate, api.Remembered  # what goes ahead of all else
 
 
@@ -165,7 +165,8 @@
         now = self.now()
         try:
             actions = self.balancer.handle(now, event)
-            self.show(now, event, actions)
+            if self.observer is not None:
+                self.show(now, event, actions)
             for action in actions:
                 self._act(action)
         except Exception:  # guards against one bad request ending the node with all the others
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -356,6 +356,13 @@
     assert rig.view == {"b": "up"}
 
 
+@pytest.mark.parametrize(("phases", "found"), [((DRAINING, UP), "up"), ((UP, DRAINING), "draining")])
+def test_of_one_named_twice_the_later_entry_holds(phases: tuple[Phase, Phase], found: str) -> None:
+    rig = Rig(Source("platform"))
+    rig.hand(m.Listed("platform", "one", whole(1, *(member("a", phase) for phase in phases))))
+    assert rig.view == {"a": found} and len(rig.kinds) == 1 + (found == "draining")
+
+
 def test_an_unreadable_entry_that_drains_is_obeyed() -> None:
     rig = Rig()
     rig.list("platform", whole(1, member("a"), member("b")))
