Servers' ends count however old the clock makes the kept view; the memory reads the test clock

Beside a second source it was worse: its ends alone were handed on as a whole list without members, which wiped the configuration's list too, and the node was blank while discovery said nothing.

Change: `kept.without_ended`: the list that is there, less the servers that ended after its revision, as new as the last such end; the source's whole list is asked for. net/state and its store read net/clock, as all of net/ does: the clock that a test sets off did not reach them, so no test on processes could have seen it.

Confirmed: tests/net/test_state.py, alone and beside etcd, three lives; without it the server is in the view.

--- a/dillport/decide/kept.py
+++ b/dillport/decide/kept.py
@@ -26,6 +26,8 @@
 
 import msgspec
 
+from dillport.members import Fault, Listing, Member
+
 TABLES = ("self", "ends", "view", "sources", "usual", "limit", "weights", "ejections")
 URGENT = frozenset({"self", "ends"})
 MAX_SAID = 20  # lines on rows that are not believed; the rest are counted
@@ -254,6 +256,28 @@
         out.said.append(f"{old} servers were last confirmed over {max_age_ms / 1000:.0f} s ago: not believed")
 
 
+def without_ended(
+    listed: Mapping[str, Member], revision: int | None, ends: Mapping[str, End], source: str
+) -> Listing | None:  # fmt: skip
+    """What a source listed at that revision, less the servers whose end it told later; None: there is none.
+
+    Of a source that has listed nothing (no revision) all ends count. An end does not age as a view does: a
+    list from before it is wrong however long ago that was, and a clock that is a day ahead makes all of a
+    view too old to be believed. The list that comes of it is as new as the last of these ends, so that none
+    from before brings the servers back; and it asks for the source's whole one, as whoever came since is not
+    in it.
+    """
+    mine = {name: end for name, end in ends.items() if end.source == source}
+    later = {name: end for name, end in mine.items() if revision is None or end.revision > revision}
+    if not later:
+        return None
+    left = tuple(member for name, member in listed.items() if name not in later)
+    gone = tuple(name for name, end in later.items() if end.gone)
+    reason = f"{len(later)} servers ended after what is left of it: the whole list is needed"
+    newest = max(end.revision for end in later.values())
+    return Listing(newest, True, left, gone, (Fault("(kept)", reason),))
+
+
 def successor(recalled: Recalled, name: str, fresh_id: str, generation: int, now_ms: int) -> Self:
     """Who this start is: the same node one life on, or a new one. The incarnation only rises.
 
--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -17,7 +17,6 @@
 import logging
 import secrets
 import threading
-import time
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -26,8 +25,9 @@
 from dillport import interface as api
 from dillport.decide import keeping as k
 from dillport.decide import kept, membership, recovery
-from dillport.decide.kept import Recalled, Server, recall, successor
+from dillport.decide.kept import Recalled, Server, recall, successor, without_ended
 from dillport.members import Listing, Member
+from dillport.net.clock import wall_ms
 from dillport.net.part import Running
 from dillport.operators import Operators, StateSettings
 from dillport.store.engine import Change, Delete, Opened, Put
@@ -50,7 +50,7 @@
 
 
 def _wall() -> int:
-    return time.time_ns() // 1_000_000
+    return int(wall_ms())
 
 
 class Opening:
@@ -210,7 +210,7 @@
         self.loop = asyncio.get_running_loop()
         self.store = Store(
             str(settings.directory), self.loop.call_soon_threadsafe, None if files is None else files(),
-            kept.URGENT,
+            kept.URGENT, _wall,
         )  # fmt: skip
         self.began_ms = self.node.now()
         self._rows: dict[str, Server] = {}  # as they are kept, without order and times
@@ -300,18 +300,34 @@
             if source.identity is not None and source.identity != identity:  # it has moved since
                 identity, revision = source.identity, -1
         elif source.identity != identity or revision <= source.revision:
-            return None
+            return self._less(source, identity, recalled)
         mine = [(key, one) for key, one in recalled.view.items() if name in one.server.sources]
         ends = recalled.ends
         others = len(self.fleet.membership.sources) > 1
         gone = tuple(key for key, end in ends.items() if end.gone and end.source == name) if others else ()
         members = tuple(_member(key, one.server, name, ends.get(key)) for key, one in mine)
-        if not members and not gone:
-            return None
+        if not members and (not gone or self._aged(name, recalled)):
+            return self._less(source, identity, recalled)
         age_ms = max((one.age_ms for _, one in mine), default=0.0)
         self._whole[name] = identity, revision
         return membership.Listed(name, identity, Listing(revision, True, members, gone), True, age_ms)
 
+    @staticmethod
+    def _aged(name: str, recalled: Recalled) -> bool:
+        """Whether it listed servers that are not believed any more."""
+        rows = recalled.rows.get("view", {}).items()
+        return any(isinstance(row, Server) and name in row.sources and key not in recalled.view
+                   for key, row in rows)  # fmt: skip
+
+    @staticmethod
+    def _less(source: membership.Source, identity: str, recalled: Recalled) -> membership.Listed | None:
+        """Where the list that was kept is not to be had: the one that is there, but for later ends."""
+        order = source.identity or identity
+        if not order or identity not in ("", order):
+            return None
+        left = without_ended(source.members, source.revision, recalled.ends, source.name)
+        return None if left is None else membership.Listed(source.name, order, left, True)
+
     def _learn(self, recalled: Recalled) -> None:
         if not (recalled.usual or recalled.limit or recalled.weights or recalled.ejections):
             return
--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -21,7 +21,7 @@
 from dillport.decide.membership import Configured, Heard, Listed, Source, State
 from dillport.lab.disk_port import Broken, Disk, SimFiles
 from dillport.members import Listing, Member
-from dillport.net import state
+from dillport.net import clock, state
 from dillport.net.config import load
 from dillport.net.control import Control
 from dillport.net.fleet import Fleet
@@ -197,6 +197,49 @@
     run(test)
 
 
+@pytest.mark.parametrize("sources", [("platform",), ("platform", "etcd")], ids=["alone", "beside etcd"])
+@pytest.mark.parametrize("said", [False, True], ids=["discovery silent", "discovery spoke"])
+def test_an_end_outlives_a_view_that_a_wrong_clock_makes_too_old(
+    said: bool, sources: tuple[str, ...], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has no age, and a machine may start with any clock after a power cut. What is not ended goes on."""
+    disk = Disk()
+
+    def by_etcd(listing: Listing) -> Listed | Configured:
+        return Listed("etcd", "cluster", listing) if len(sources) > 1 else Configured((Source("platform"),))
+
+    async def test() -> None:
+        async with rig(tmp_path, disk) as one:
+            await one.opened()
+            one.fleet.hand(Configured(tuple(map(Source, sources))))
+            one.fleet.hand(listed(42, "s1", "s2", "s3", "s4"))
+            one.fleet.hand(by_etcd(Listing(3, True, (member("s2"), member("s4")))))
+            one.fleet.hand(listed(43, complete=False, removed=("s1",)))
+            one.fleet.hand(by_etcd(Listing(4, False, (), ("s4",))))
+            await until(lambda: "s1" not in one.view and len(one.view) == 4 - len(sources))
+            await one.kept()
+        left = {"s2", "s4"} if len(sources) == 1 else {"s2"}
+        monkeypatch.setattr(clock, "_off_ms", 86_400_000.0)
+        async with rig(tmp_path, disk, known="s1 s2 s4") as one:  # as of revision 41
+            one.fleet.hand(Configured(tuple(map(Source, sources))))
+            await one.opened()
+            assert one.recovery.report()["memory"] == "older" and set(one.view) == left
+            one.fleet.hand(listed(42, "s1", "s2", "s3", "s4"))
+            assert set(one.view) == left, "the end counts as seen"
+            assert one.fleet.resume("platform") is None, "the whole list is needed: s3 is not known"
+            if said:
+                one.fleet.hand(listed(43, "s2", "s3", "s4"))
+                await until(lambda: set(one.view) == left | {"s3"})
+            await one.kept()
+        monkeypatch.setattr(clock, "_off_ms", 0.0)
+        async with rig(tmp_path, disk, known="s1 s2 s4") as one:
+            one.fleet.hand(Configured(tuple(map(Source, sources))))
+            await one.opened()
+            assert left <= set(one.view) <= left | {"s3"}
+
+    run(test)
+
+
 def test_what_another_source_took_away_stays_away(tmp_path: Path) -> None:
     """The platform lists it still: only the memory of the other source's removal keeps it off."""
     disk = Disk()
