Scripts of wrong lists, kills in a row and aged memories, judged by rules and by nodes' own word

`wrong`: of ten servers on four nodes' disks three refuse, two say nothing, one is something else that answers 404, one drains, one is cold; discovery is away, then back with an older list. `again`: killed six times within 3 s, then half of the list is gone, and no server may see over 20 new connections within a second.

--- a/benchmarks/coming_back.py
+++ b/benchmarks/coming_back.py
@@ -8,6 +8,7 @@
   restarted nodes.
 - `lists`: what a central discovery that bears 50 whole lists a second is asked for, blank start of all nodes.
 - `processes`, only when asked for: real ones (`benchmarks/returns.py`), an older text beside that of now.
+- `judge`, only when asked for: the judge over all hard days' scripts on many seeds (`benchmarks/judged.py`).
 - `first`: one request a node right after a common blank start: the paper's rule on one common order, as it is
   written, and the module's own order.
 """
@@ -22,6 +23,7 @@
 from functools import partial
 from statistics import median
 
+from benchmarks import judged
 from benchmarks.herd import Clock, crowd
 from benchmarks.returns import CASES as PROCESSES
 from benchmarks.returns import processes
@@ -410,6 +412,9 @@
 ]
 
 
+PARTS = ("fleet", "lists", "first", "processes", "judge")
+
+
 def show(title: str, rows: Iterable[tuple[str, ...]]) -> None:
     """Print a table in Markdown, row by row."""
     print(f"### {title}\n", flush=True)
@@ -423,9 +428,13 @@
 def main() -> None:
     """Print the tables."""
     words = argparse.ArgumentParser(description="Most of a fleet restarted at once, in virtual time.")
-    words.add_argument("--part", choices=("fleet", "lists", "first", "processes"), action="append")
+    words.add_argument("--part", choices=PARTS, action="append")
     words.add_argument("--case", choices=[case.name for case in CASES] + list(PROCESSES), action="append")
     words.add_argument("--seeds", type=int, default=30)
+    words.add_argument("--first", type=int, default=1, help="the first seed of the judge's (1)")
+    words.add_argument("--script", choices=judged.ALL, action="append", help="of the judge's: all")
+    words.add_argument("--at-once", type=int, default=1, help="plays of the judge's side by side (1)")
+    words.add_argument("--long", type=float, default=0.0, help="seconds that its outages and pauses last")
     words.add_argument("--nodes", type=int, help="1,000, of processes 50")
     words.add_argument("--servers", type=int, help="200, beside processes 40")
     words.add_argument("--rate", type=float, default=250.0, help="requests a second of all processes (250)")
@@ -443,6 +452,10 @@
                 nodes, servers = args.nodes or 50, args.servers or 40
                 title = f"{nodes} processes, {servers} servers, {args.rate:.0f} requests a second"
                 show(title, processes(cases, nodes, servers, args.rate, 1, args.before))
+            case "judge":
+                seeds = range(args.first, args.first + args.seeds)
+                found = judged.table(args.script or judged.ALL, seeds, args.at_once, args.long)
+                show("Hard days on real processes, judged", found)
             case _:
                 chosen = [case for case in CASES if not args.case or case.name in args.case]
                 show("A fleet that comes back", fleet(nodes, servers, args.seeds, chosen))
--- a/benchmarks/returns.py
+++ b/benchmarks/returns.py
@@ -11,6 +11,7 @@
 import compileall
 import io
 import subprocess
+import sys
 import tarfile
 import tempfile
 from collections import Counter
@@ -181,6 +182,8 @@
             played, seed, Path(directory), program=program, watch=watch, habits=Habits(uses=USES)
         )
         got = asyncio.run(play)
+    for breach in got.verdict.breaches:
+        print(f"{case}, {name}:", *breach.lines(), sep="\n    ", file=sys.stderr)
     first, full = watch.back()
     steady, all_of, one_of = watch.connects()
     kinds = Counter(told["memory"] for told in got.returns.values())
--- a/dillport/lab/discovery.py
+++ b/dillport/lab/discovery.py
@@ -152,6 +152,7 @@
         self.watches: set[Call] = set()
         self.asked: deque[str] = deque(maxlen=1000)  # targets of calls
         self.backlog: list[Change] = []  # news that came while it was stalled or silent
+        self.newer: Book | None = None  # what it would have, had it not come back with an older list
         self.seen = book.revision  # the latest revision that was written to the node
         self.ever = dict.fromkeys(book.members)  # all ids that the node was told of
         self.away_at_ms = -OVERDUE_MS  # when it last was out of reach by script
@@ -196,7 +197,9 @@
 
     def learn(self, change: Change) -> None:
         """News from discovery: to the book, and on to all watches."""
-        self.book.put(change.revision, change.entries)
+        (self.newer or self.book).put(change.revision, change.entries)
+        if self.newer is not None:
+            return
         if self.out_of_reach:
             self.backlog.append(change)
         else:
@@ -205,7 +208,7 @@
 
     def _overdue(self, change: Change) -> None:
         """Guards against a node that never asks: it would never be told, and break no rule."""
-        if self.out_of_reach or self.astray:
+        if self.out_of_reach or self.astray or self.newer is not None:
             return
         if self.seen < change.revision and now_ms() - self.away_at_ms >= OVERDUE_MS:
             self.record(change.revision, change.entries, written=False)
@@ -324,6 +327,19 @@
         old = self.book.changes[-1 - count]
         self.tell(old.revision, old.after, complete=True)
 
+    def restore(self, place: int) -> None:
+        """Come back from a backup: with the list as it was after so many changes, and nothing of since."""
+        old = self.book.changes[place]
+        self.newer, self.book = self.book, Book(old.revision, {str(row["id"]): row for row in old.after})
+        self.backlog.clear()
+        self.drop()
+
+    def catch_up(self) -> None:
+        """Have all of it again, as a whole list."""
+        if self.newer is not None:
+            self.book, self.newer = self.newer.copy(), None
+            self.tell(self.book.revision, self.book.members.values(), complete=True)
+
     def garble(self, data: bytes = b'{"revision": 99999, "complete": tru\n') -> None:
         """Write bytes on every watch, as they are."""
         for call in self.watches:
--- a/dillport/lab/script.py
+++ b/dillport/lab/script.py
@@ -42,7 +42,7 @@
     Wanted,
     now_ms,
 )
-from dillport.lab.servers import Machine
+from dillport.lab.servers import Machine, Server
 from dillport.lab.site import Rules, Site
 from dillport.lab.world import DISCOVERY, ROOT, Node, Step, World
 from dillport.net import control
@@ -72,12 +72,24 @@
     spread_s: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 0.0
 
 
+class Says(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """One `[[says]]`: what these nodes, or all, say of their return at the end (`dillport recovery`).
+
+    Their memory, and the least number of their life. Each must be confirmed or full by then.
+    """
+
+    memory: Literal["none", "kept", "lost", "older"]
+    names: list[str] | None = None
+    life: Count = 1
+
+
 class Script(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The file. `least` is the worth in time, of all asked for, below which the script fails.
 
     It fails too above `spent`, the share of all attempts that came to servers while these were to `fail`,
     `vanish` or `slow`, above `failed`, the share of requests answered by a failure (no refusal), and above
-    `pushed`, the most that a cold server was sent of what it may be sent. `notice_s` is how long clients go
+    `pushed`, the most that a cold server was sent of what it may be sent, and above `connects`, the most new
+    connections that any server was to take within a second. `notice_s` is how long clients go
     on coming to a node that is dead. With `etcd` servers are in its stand-in too, of which each node has two
     endpoints. A server that has just started does the part `cold` of what it does once warm. With `state`
     each node keeps a memory over its restarts. `known` is the list that a node's configuration has at a
@@ -98,9 +110,11 @@
     spent: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
     failed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
     pushed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    connects: Count = 1000
     etcd: bool = False
     state: bool = False
     known: Literal["now", "first"] = "now"
+    says: tuple[Says, ...] = ()
     fault: tuple[Row, ...] = ()
 
 
@@ -301,6 +315,12 @@
         await world.replace(name, f"{name}-{number}new")
 
 
+def _usurped(world: World, strike: Strike) -> None:
+    for name in strike.names:
+        world.fleet[name].usurp()
+    world.enter(*strike.names, phase="terminated")
+
+
 WAYS = {"there": (link.Way.UP,), "back": (link.Way.DOWN,), "both": link.BOTH}
 
 
@@ -331,6 +351,15 @@
     return done
 
 
+async def _older_lists(world: World, strike: Strike) -> None:
+    """Discovery is back from a backup, with the list as it was after `value` changes."""
+    for node in _nodes(world, strike):
+        node.agent.restore(min(int(strike.value), len(node.agent.book.changes) - 1))
+    await asyncio.sleep(strike.for_s)
+    for node in _nodes(world, strike):
+        node.agent.catch_up()
+
+
 async def _late_lists(world: World, strike: Strike) -> None:
     for node in _nodes(world, strike):
         node.agent.late_ms = strike.value
@@ -387,6 +416,7 @@
     "clock off": Kind("node", partial(_ended, between=_clock), ("value",)),
     "discovery moves": Kind("node", _move),
     "lists late": Kind("node", _late_lists, ("for_s", "value")),
+    "lists older": Kind("node", _older_lists, ("for_s",)),
     "lists silent": Kind(
         "node", _node(lambda n: n.agent.silence(True), lambda n: n.agent.silence(False)), ("for_s",)
     ),
@@ -404,6 +434,7 @@
     "remove": Kind("server", lambda w, s: w.remove(*s.names)),
     "delist": Kind("server", lambda w, s: w.enter(*s.names, phase="terminated")),
     "replace": Kind("server", _replaced),
+    "usurp": Kind("server", _usurped),
     "vanish": Kind("server", _silent, ("for_s",)),
     "fail": Kind("server", _fails, ("value",)),
     "slow": Kind("server", _slow, ("value",)),
@@ -453,6 +484,12 @@
             continue
         wrong += [f"fault[{number}]: {text}" for text in _senseless(made, script)]
         found.append(made)
+    if script is not None and script.says and not script.state:
+        wrong.append("says: found it without a memory; allowed: beside state = true")
+    if script is not None:
+        named = [name for says in script.says for name in says.names or ()]
+        wrong += [f"says: names: found {name!r:.60}; allowed: n0 to n{script.nodes - 1}"
+                  for name in named if name not in _there(script, "node")]  # fmt: skip
     if script is not None and script.state and script.etcd:
         wrong.append("state: found it beside etcd; allowed: one of them")
     if wrong or script is None:
@@ -605,6 +642,7 @@
                 returns[node.name] = await asyncio.to_thread(control.ask, Path(node.socket), "recovery")
         if watch is not None:
             watch(world)
+        more = (*_crowded(script, world.fleet.servers.values()), *_said(script, returns))
         records, verdict = list(world.journal), world.verdict()
         crashes = [f"{node.name}: {line}" for node in world.nodes for line in node.log
                    if "Traceback" in line or "decision on" in line]  # fmt: skip
@@ -616,10 +654,29 @@
     lost = spent(records, struck, at0)
     return Played(
         seed, tuple(struck), verdict, tuple(crashes), total.worth, full, rows, tuple(held), lost,
-        tuple(_over(script, records, lost, verdict.pushed)), returns,
+        (*_over(script, records, lost, verdict.pushed), *more), returns,
     )  # fmt: skip
 
 
+def _crowded(script: Script, servers: Iterable[Server]) -> Iterable[str]:
+    for one in servers:
+        if one.busiest > script.connects:
+            yield f"{one.name} took {one.busiest} connections within a second, {script.connects} is the most"
+
+
+def _said(script: Script, returns: dict[str, dict[str, Any]]) -> Iterable[str]:
+    """What nodes say of their return, where the script wants something else."""
+    for says in script.says:
+        for name in says.names or _there(script, "node"):
+            if (told := returns.get(name)) is None:
+                yield f"{name} does not say how far it is back"
+                continue
+            memory, life, state = told["memory"], told["incarnation"], told["state"]
+            if memory != says.memory or life < says.life or state not in ("confirmed", "full"):
+                wanted = f"memory {says.memory}, life {says.life} or later, confirmed or full"
+                yield f"{name} says memory {memory}, life {life}, {state}; wanted: {wanted}"
+
+
 def _over(script: Script, records: Iterable[Record], lost: tuple[int, int], pushed: float) -> Iterable[str]:
     ends = [r.status for r in records if isinstance(r, Answered)]
     failed = sum(status not in (200, 429, 503) for status in ends)
--- a/dillport/lab/servers.py
+++ b/dillport/lab/servers.py
@@ -254,7 +254,9 @@
         self.running: set[Job] = set()
         self.waiting: deque[Job] = deque()
         self.listener: asyncio.Server | None = None
-        self.up = self.draining = self.leaving = self.hung = False
+        self.up = self.draining = self.leaving = self.hung = self.usurped = False
+        self.busiest = 0  # the most connections that it took within a second
+        self._lately: deque[float] = deque()
         self.slowness, self.errors = 1.0, 0.0
         self.started_at_ms = self.up_since_ms = 0.0
         self.cold_share, self.warm_ms = 1.0, 0.0
@@ -275,7 +277,7 @@
         self.listener = await loop.create_server(lambda: Connection(self), self.host, self.port, backlog=1024)
         self.port = self.listener.sockets[0].getsockname()[1]
         self.incarnation += 1
-        self.up, self.draining, self.leaving, self.hung = True, False, False, False
+        self.up, self.draining, self.leaving, self.hung, self.usurped = True, False, False, False, False
         self.slowness, self.errors, self.report = 1.0, 0.0, ""
         self.started_at_ms, rules = now_ms(), self.site.rules
         self.up_since_ms = unix_ms(self.started_at_ms) if cold else 0.0
@@ -370,6 +372,12 @@
             self._done(job)
         self._next()
 
+    def usurp(self) -> None:
+        """Its process is gone, and something else at its address answers 404 to all."""
+        for connection in list(self.connections):
+            connection.abort()
+        self.usurped = True
+
     def slow(self, factor: float) -> None:
         """Work that begins from now on takes so many times as long."""
         self.slowness = factor
@@ -403,7 +411,11 @@
 
     def next_connection(self) -> int:
         """Number a connection."""
-        self.taken += 1
+        self.taken, at = self.taken + 1, now_ms()
+        self._lately.append(at)
+        while self._lately[0] <= at - 1_000:
+            self._lately.popleft()
+        self.busiest = max(self.busiest, len(self._lately))
         return self.taken
 
     def _attempt(self) -> str:
@@ -433,8 +445,11 @@
         """A whole request: run it, have it wait, or turn it away."""
         at, request, key = now_ms(), headers.get("request-id", ""), headers.get("idempotency-key", "")
         cls = self.site.find(target.partition("?")[0].removeprefix("/").partition("/")[0])
-        if not request or cls is None:
-            self._received(connection, self._attempt(), request, key, form, 0.0, first, at)
+        if not request or cls is None or self.usurped:
+            attempt = self._attempt()
+            self._received(connection, attempt, request, key, form, 0.0, first, at)
+            if request:
+                self.journal.add(Replied(self.name, attempt, request, at, 404, ""))
             connection.answer(404, b"not found\n")
             return
         # The same on every server, so that no run's luck hangs on which of them it came to.
--- a/tests/lab/test_lab_discovery.py
+++ b/tests/lab/test_lab_discovery.py
@@ -217,6 +217,27 @@
     run(test)
 
 
+def test_it_comes_back_from_a_backup_and_catches_up() -> None:
+    async def test() -> None:
+        async with rig(entry("a"), entry("b")) as world:
+            world.publish(entry("a", "terminated"))
+            world.agent.restore(0)
+            world.publish(entry("c"))
+            watch = await world.watch(42)  # whoever has seen more is told the older list, as a whole
+            got = await watch.line()
+            assert (got["revision"], got["complete"], ids(got)) == (41, True, ["a", "b"])
+            assert world.told() == [(41, "a", "up"), (41, "b", "up")]
+            world.agent.catch_up()
+            got = await watch.line()
+            assert (got["revision"], got["complete"], ids(got)) == (43, True, ["b", "c"])
+            assert world.told() == [(43, "b", "up"), (43, "c", "up"), (43, "a", "gone")]
+            world.agent.catch_up()  # nothing more
+            world.publish(entry("d"))
+            assert (await watch.line())["revision"] == 44
+
+    run(test)
+
+
 def test_garbage_bad_entries_and_long_lines() -> None:
     async def test() -> None:
         async with rig(entry("a"), entry("b")) as world:
--- a/tests/lab/test_script.py
+++ b/tests/lab/test_script.py
@@ -9,7 +9,19 @@
 import pytest
 
 from dillport.lab import script as sc
-from dillport.lab.records import Answered, Asked, NodeEnded, NodeStarted, Received, Record, Told, Wanted
+from dillport.lab.records import (
+    Answered,
+    Asked,
+    Journal,
+    NodeEnded,
+    NodeStarted,
+    Received,
+    Record,
+    Told,
+    Wanted,
+)
+from dillport.lab.servers import Memory, Server
+from dillport.lab.site import Site
 
 HEAD = b'name = "x"\nseconds = 5\nrate = 10\nnodes = 4\nservers = 6\n'
 SCRIPTS = sorted((Path(sc.__file__).parent / "scripts").glob("*.toml"))
@@ -35,9 +47,11 @@
                  "[2]:", "[3]: Object contains unknown field `node`"):  # fmt: skip
         assert any(part in line for line in lines), (part, lines)
     both = HEAD + b"state = true\netcd = true\n"
+    says = HEAD + b'[[says]]\nnames = ["n9"]\nmemory = "kept"\n'
     table = HEAD + b"[fault]\n"
     for raw, part in (
-        (b"\xff", "not TOML"), (both, "beside etcd"), (b"x = [", "not TOML"), (table, "[[fault]]")
+        (b"\xff", "not TOML"), (both, "beside etcd"), (b"x = [", "not TOML"), (table, "[[fault]]"),
+        (says, "says: found it without a memory"), (says, "says: names: found 'n9'; allowed: n0 to n3"),
     ):  # fmt: skip
         with pytest.raises(sc.ScriptError, match=part.replace("[", r"\[")):
             sc.parse(raw)
@@ -147,3 +161,19 @@
         "2 of 5 answers were failures, 25.0% is the most",
         "a cold server was sent 0.41 of what it may be sent, 0.40 is the most",
     ]
+
+
+def test_what_nodes_say_of_their_return_and_what_servers_took_is_held_against_the_script() -> None:
+    text = b'connects = 2\nstate = true\n[[says]]\nnames = ["n0", "n1", "n2"]\nmemory = "older"\nlife = 2\n'
+    script = sc.parse(HEAD + text)
+    good = {"memory": "older", "incarnation": 2, "state": "confirmed"}
+    told = {"n0": good, "n1": good | {"memory": "kept"}, "n2": good | {"state": "provisional"}}
+    assert [line.split(";")[0] for line in sc._said(script, told)] == [
+        "n1 says memory kept, life 2, confirmed", "n2 says memory older, life 2, provisional",
+    ]  # fmt: skip
+    told |= {"n1": good, "n2": good | {"incarnation": 1}}
+    assert len([*sc._said(script, told)]) == 1 and len([*sc._said(script, {})]) == 3
+    assert not [*sc._said(script, told | {"n2": good})]
+    quiet, busy = (Server(name, Site(), Journal(), Memory()) for name in ("s1", "s2"))
+    quiet.busiest, busy.busiest = 2, 3
+    assert [*sc._crowded(script, (quiet, busy))] == ["s2 took 3 connections within a second, 2 is the most"]
--- a/tests/lab/test_servers.py
+++ b/tests/lab/test_servers.py
@@ -168,6 +168,25 @@
     run(test)
 
 
+def test_something_else_at_its_address_answers_404_to_all() -> None:
+    async def test() -> None:
+        async with fleet() as world:
+            server, wire = world["s0"], await to(world["s0"])
+            assert (await wire.ask("r1", "/read/x?obj=1")).code == 200
+            server.usurp()
+            assert not server.connections
+            for name in ("r2", "r3", "r4"):
+                assert (await (await to(server)).ask(name, "/read/x?obj=1")).code == 404
+            last = of(world.journal, Replied)[-1]
+            assert (last.request, last.status) == ("r4", 404) and len(of(world.journal, Ran)) == 1
+            assert server.busiest == 4
+            server.die()
+            await server.start()
+            assert (await (await to(server)).ask("r9", "/read/x?obj=1")).code == 200
+
+    run(test)
+
+
 def test_hangs_and_goes_on() -> None:
     async def test() -> None:
         async with fleet() as world:
--- a/tests/system/test_scripts.py
+++ b/tests/system/test_scripts.py
@@ -4,7 +4,12 @@
 `stand`: `decide/pause.py` (rule 3: drains that lay unread while the process stood still);
 `herd`: outlier ejection (`spent`); `join`: what is removed gets nothing (rule 3), slow start (`pushed`);
 `zone`: slow start (`pushed`); `quiet`: repeats elsewhere (`failed`);
-`powercut`: removals and drains on the disk, and requests that wait until they are read (rule 3).
+`powercut`: removals and drains on the disk, and requests that wait until they are read (rule 3);
+`wrong`: drains on the disk, and kept revisions that count as seen: discovery's older list would bring the
+drained server back (rule 3);
+`again`: removals on the disk (rule 3), connections that are kept (`connects`), lives that only rise (`says`);
+`aged`: ends that have no age (rule 3: the clock a day ahead), the clock that went back and the pause as
+reasons to call a memory older (`says`).
 """
 
 from __future__ import annotations
@@ -19,7 +24,10 @@
 SCRIPTS = Path(sc.__file__).parent / "scripts"
 
 
-@pytest.mark.parametrize("name", ["forgot", "herd", "join", "powercut", "quiet", "roll", "stand", "zone"])
+NAMES = sorted(path.stem for path in SCRIPTS.glob("*.toml"))
+
+
+@pytest.mark.parametrize("name", NAMES)
 def test_a_hard_day_breaks_no_rule(name: str, tmp_path: Path) -> None:
     script = sc.parse((SCRIPTS / f"{name}.toml").read_bytes())
     for number in range(3):
@@ -33,13 +41,13 @@
     assert not wrong, wrong
     assert played.verdict.classes["all"].asked > 0.7 * script.rate * script.seconds
     # What was to happen did: nodes were away, servers were taken off.
-    if name in ("forgot", "herd", "powercut", "roll"):
+    if name in ("again", "aged", "forgot", "herd", "powercut", "roll", "wrong"):
         assert min(row[4] for row in played.rows[1:]) < script.nodes
         assert max(row[4] for row in played.rows[-4:]) == script.nodes
     # And full service was back before the end, as far as the last fault leaves a second for it. (Where the
     # fault is there from the start nothing says what is usual.)
     assert name == "quiet" or any(full is not None for _, full in played.full_ms)
-    if script.state:
+    if script.state and not script.says:  # else the script itself says what nodes are to say
         lives = {node: (told["memory"], told["incarnation"]) for node, told in played.returns.items()}
         assert len(lives) == script.nodes
         for node, (memory, life) in lives.items():
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -12,6 +12,7 @@
 from benchmarks.coming_back import CASES, RULES, Returning, lists
 from benchmarks.decide import Subject
 from benchmarks.herd import crowd, herd
+from benchmarks.judged import longer
 from benchmarks.little import DAYS, QUESTIONS, other
 from benchmarks.proxies import FLOOR, Client, Figure, Line, Relay, servers
 from benchmarks.proxies import table as proxies_table
@@ -20,6 +21,8 @@
 from dillport.lab.fleet import Scenario
 from dillport.lab.fleet.scenario import Trouble
 from dillport.lab.fleet.world import play
+from dillport.lab.script import Row as ScriptRow
+from dillport.lab.script import Script
 
 
 def test_the_most_within_any_one_second_is_counted() -> None:
@@ -148,3 +151,15 @@
     told = {new: run.run() for new, run in runs.items()}
     assert not any(any(run.rules.counts) for run in runs.values()), [run.rules.told for run in runs.values()]
     assert told[True].lost < told[False].lost and len(told[True].first_ms) >= 8
+
+
+def test_what_goes_on_over_the_end_of_an_outage_lasts_as_much_longer() -> None:
+    rows = [("kill", 1.0, 0.0), ("die", 2.0, 0.5), ("lists silent", 2.0, 4.0), ("stand", 3.0, 2.0),
+            ("vanish", 2.5, 5.0), ("kill", 5.0, 0.0)]  # fmt: skip
+    fault = tuple(ScriptRow(at_s, kind, for_s=for_s) for kind, at_s, for_s in rows)
+    script = longer(Script("x", 9.0, 10.0, 2, 2, fault=fault), 60.0)
+    assert script.seconds == 67.0 and [(row.at_s, row.for_s) for row in script.fault] == [
+        (1.0, 0.0), (2.0, 0.5), (2.0, 62.0), (3.0, 60.0), (2.5, 63.0), (63.0, 0.0),
+    ]  # fmt: skip
+    still = Script("x", 9.0, 10.0, 2, 2, fault=fault[:2])
+    assert longer(still, 60.0) is still
