--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -603,8 +603,7 @@
 
     def _tell(self, changes: dict[str, Member], kind: ListKind) -> None:
         self.revision += bool(changes)
-        gone, drain, rest = list[Member](), list[Member](), list[Member]()
-        to = {Phase.GONE: gone, Phase.DRAINING: drain, Phase.UP: rest}
+        to = {phase: list[Member]() for phase in Phase}
         for member in changes.values():
             to[member.entry.phase].append(member)
-        self._out.append(Apply(kind, (*drain, *rest), tuple(gone), self.revision))
+        self._out.append(Apply(kind, (*to[Phase.DRAINING], *to[Phase.UP]), tuple(to[Phase.GONE]), self.revision))
