--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -348,8 +348,7 @@
             named[entry.backend] = member
             if entry.phase is not up:
                 leaving.append(entry.backend)
-        large = len(named) > LARGE
-        first = not self._where
+        large, first = len(named) > LARGE, not self._where
         source.aged_ms = min(max(0.0, age_ms), MOST_AGE_MS) if saved else None
         if saved and not large:
             named = {name: vouched(m, source.aged_ms) for name, m in named.items()}
@@ -603,7 +602,8 @@
 
     def _tell(self, changes: dict[str, Member], kind: ListKind) -> None:
         self.revision += bool(changes)
-        to = {phase: list[Member]() for phase in Phase}
+        by = {phase: list[Member]() for phase in Phase}
         for member in changes.values():
-            to[member.entry.phase].append(member)
-        self._out.append(Apply(kind, (*to[Phase.DRAINING], *to[Phase.UP]), tuple(to[Phase.GONE]), self.revision))
+            by[member.entry.phase].append(member)
+        there = *by[Phase.DRAINING], *by[Phase.UP]
+        self._out.append(Apply(kind, there, tuple(by[Phase.GONE]), self.revision))
