Know the other nodes: [peers], its socket, keys and lives, off unless it is set

Cause: decide/peers.py and proto/gossip.py were pure and nothing loaded them.

- [peers] listen, address, seeds, key_file; keys are read with the file and again on SIGHUP, are in no repr, and a file that others may use is told. operators may import proto now, for the form of that file.
- net/peers.py: one UDP socket, 32 datagrams a turn of the loop, the decider's acts, an address that is taken tried again, what cannot be sent counted.
What lies in the socket is read before time is acted on; the decider is told of a stand first.
- A whole memory speaks at once as its life; else the others are asked first, and what they hold goes to decide/recovery (OthersKnew).
A refutation raises the life (Rose), which the store keeps.
- Events peer_suspected, peer_failed, peer_returned and the like on the time line, metrics, 'peers' on the control socket.
Without [peers] none of it is loaded.

--- a/dillport/decide/departure.py
+++ b/dillport/decide/departure.py
@@ -76,6 +76,7 @@
     STALE_REPORT = "stale_report"
     FLAPPING = "flapping"
     RECOVERY = "recovery"  # of the node itself, with `Step.BECAME`
+    PEERS = "peers"  # of another node, with the steps of a peer
 
 
 class Scope(Enum):
@@ -88,6 +89,7 @@
     CLASS = "class"
     ALL = "all"
     NODE = "node"
+    PEER = "peer"  # another node
 
 
 class Step(Enum):
@@ -97,6 +99,17 @@
     CHANGED = "departure_changed"
     ENDED = "departure_ended"
     BECAME = "recovery"  # no departure: the node itself is another state back (`decide/recovery`)
+    # Nor are these: what became of another node, or of this one among them (`Tell` in `decide/peers`).
+    PEER_JOINED = "peer_joined"
+    PEER_SUSPECTED = "peer_suspected"
+    PEER_FAILED = "peer_failed"
+    PEER_LEFT = "peer_left"
+    PEER_RETURNED = "peer_returned"
+    PEER_MOVED = "peer_moved"
+    PEER_DOUBLED = "peer_doubled"
+    PEER_YIELDED = "peer_yielded"
+    PEER_RESUMED = "peer_resumed"
+    PEER_FULL = "peer_full"
 
 
 @dataclass(slots=True)
--- a/dillport/decide/keeping.py
+++ b/dillport/decide/keeping.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from dillport.decide.kept import URGENT, End, Kept, Server, Source
+from dillport.decide.kept import URGENT, End, Kept, Self, Server, Source
 
 GROUP_MS = 50.0
 BATCH = 250  # changes of one write, about 1 ms of the loop
@@ -41,7 +41,7 @@
 class Started:
     """The store is open: what it holds, and who this start is. `order` is the highest in it."""
 
-    me: Kept
+    me: Self
     rows: Mapping[str, Mapping[str, Kept]]
     order: int
     wall_ms: int
@@ -79,6 +79,13 @@
     rows: Mapping[Key, Kept | None]
 
 
+@dataclass(slots=True, frozen=True)
+class Rose:
+    """This life goes by a greater number from now on."""
+
+    incarnation: int
+
+
 @dataclass(slots=True, frozen=True)
 class Ticked:
     """Time went by."""
@@ -100,7 +107,7 @@
     number: int
 
 
-Event = Started | Changed | Confirmed | Learned | Ticked | Written | TurnedAway
+Event = Started | Changed | Confirmed | Learned | Rose | Ticked | Written | TurnedAway
 
 
 # --- actions
@@ -138,6 +145,7 @@
 class KeepingState:
     """All that the decider holds."""
 
+    me: Self | None = None
     servers: dict[str, int] = field(default_factory=dict)  # order of each one's row, as it was last decided
     ends: dict[str, End] = field(default_factory=dict)
     sources: dict[str, Source] = field(default_factory=dict)
@@ -193,6 +201,8 @@
             self._turned_away(now_ms, event.number, out)
         elif isinstance(event, Started):
             self._started(now_ms, event)
+        elif isinstance(event, Rose):
+            self._rose(event.incarnation)
         else:
             self._ticked(now_ms, event.wall_ms, out)
         self._hand_over(now_ms, out)
@@ -208,9 +218,15 @@
         s.servers = {key: row.order for key, row in rows if isinstance(row, Server)}
         rows = event.rows.get("sources", {}).items()
         s.sources = {key: row for key, row in rows if isinstance(row, Source)}
-        s.urgent["self", "node"] = event.me
+        s.me = s.urgent["self", "node"] = event.me
         s.next_learned_ms, s.next_generation_ms = now_ms + self.every_ms, now_ms + GENERATION_MS
 
+    def _rose(self, incarnation: int) -> None:
+        me = self.state.me
+        if me is not None and incarnation > me.incarnation:
+            self.state.me = me = msgspec.structs.replace(me, incarnation=incarnation)
+            self.state.urgent["self", "node"] = me
+
     def _changed(self, now_ms: float, event: Changed, out: list[Action]) -> None:
         s = self.state
         if not s.dirty:
@@ -311,7 +327,7 @@
         if any(table in URGENT for table, _ in back):
             # Guards against an older word that is handed over again behind a newer one.
             for table, key in back:
-                back[table, key] = s.ends.get(key) if table == "ends" else back[table, key]
+                back[table, key] = s.ends.get(key) if table == "ends" else s.me
             s.urgent = {**back, **s.urgent}
         else:
             s.dirty = {**back, **s.dirty}
--- a/dillport/decide/peers.py
+++ b/dillport/decide/peers.py
@@ -238,30 +238,31 @@
     """`handle`: what happened in, what to do out. `incarnation`: the last one kept, None where none is.
 
     `room`: bytes for words in a datagram, `cost`: of a word; both from the codec. `address`: as others see
-    this node. Raises ValueError where name or address is empty or there are over SEEDS_MAX seeds.
+    this node. `ask` before it speaks, as what is kept may not be the last. Raises ValueError where name or
+    address is empty or there are over SEEDS_MAX seeds.
     """
 
     def __init__(
         self, name: str, address: str, seeds: Sequence[str], incarnation: int | None, random: Random,
         cost: Callable[[tuple[str, int, int, str, int]], int], room: Callable[[str, Message], int],
-        options: Options | None = None,
+        options: Options | None = None, ask: bool = False,
     ) -> None:  # fmt: skip
         if not name or not address or len(seeds) > SEEDS_MAX:
             raise ValueError(f"peers: a name, an address and at most {SEEDS_MAX} seeds, not {len(seeds)}")
         self.name, self.address = name, address
-        self.seeds = [seed for seed in dict.fromkeys(seeds) if seed != address]
+        self.ask_at(seeds)
         self.incarnation = 0 if incarnation is None else incarnation + 1
         self.peers: dict[str, Peer] = {}
         self.health = 0
         self.doubt: set[str] | None = None  # heard from since this node stood still
         self.doubled = ""  # the address of another node with this name
-        self.asking = incarnation is None
+        self.asking = incarnation is None or ask
         self.left = self.yielded = False
         self._held, self._answered_ms, self._began_ms = 0, float("inf"), 0.0
         self._random, self._cost, self._room = random, cost, room
         self._options = options or Options()
         self._ring: list[str] = []  # alive and suspect ones; [:self._at] are probed in this round
-        self._at = self._turn = self._seq = self._seed = 0
+        self._at = self._turn = self._seq = 0
         self._at_address: dict[str, str] = {}
         self._fallen: OrderedDict[str, float] = OrderedDict()  # name -> when it fell, next to be asked first
         self._rumours = _Rumours()
@@ -287,6 +288,15 @@
         peer = self.peers.get(name)
         return State(peer.word.state) if peer else None
 
+    @property
+    def others_held(self) -> int | None:
+        """The greatest incarnation of this node that others told before it spoke; None: nobody answered."""
+        return self._held if self._answered_ms < float("inf") else None
+
+    def ask_at(self, seeds: Sequence[str]) -> None:
+        """Who is asked at the start, and now and then."""
+        self.seeds, self._seed = [seed for seed in dict.fromkeys(seeds) if seed != self.address], 0
+
     def suspicion_ms(self, sharers: int) -> float:
         """How long a suspicion stands with so many other accusers (Lifeguard, section IV-B)."""
         least = ALPHA * max(1.0, log10(len(self._ring) + 1)) * PERIOD_MS
--- a/dillport/decide/recovery.py
+++ b/dillport/decide/recovery.py
@@ -175,6 +175,13 @@
     """Others have told all that this node forgot."""
 
 
+@dataclass(slots=True, frozen=True)
+class Rose:
+    """This life goes by a greater number from now on: what others held of the old one had to be refuted."""
+
+    incarnation: int
+
+
 @dataclass(slots=True, frozen=True)
 class StoodStill:
     """The process did not run for so long (`decide/pause`)."""
@@ -203,7 +210,7 @@
     """The time that `Wait` named has come."""
 
 
-Event = Started | ViewChanged | SourceSpoke | OthersKnew | Reminded | StoodStill | Ended | Due
+Event = Started | ViewChanged | SourceSpoke | OthersKnew | Reminded | Rose | StoodStill | Ended | Due
 
 # --- actions
 
@@ -370,6 +377,10 @@
                 self._knew(event.incarnation)
             case Reminded():
                 self._lift("the others have told what it forgot")
+            case Rose():
+                if self.incarnation < event.incarnation < MOST:
+                    self.incarnation = event.incarnation
+                    self._out.append(Raise(event.incarnation))
         if self.meter.full and self.state is State.CONFIRMED:
             self._step(Kind.SERVED)
         return self._out
--- a/dillport/net/metrics.py
+++ b/dillport/net/metrics.py
@@ -9,11 +9,12 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Callable
 
 from dillport.decide.recovery import Recovery
 from dillport.members import Address
 from dillport.net.part import Running
-from dillport.observe.metrics import CONTENT_TYPE, Metrics
+from dillport.observe.metrics import CONTENT_TYPE, Figures, Metrics
 from dillport.operators import Operators
 from dillport.timeline.watch import Watch
 
@@ -45,6 +46,9 @@
         if self._moving is not None:
             await asyncio.gather(self._moving, return_exceptions=True)
 
+    def _peers(self) -> Figures | None:
+        return None if self.running.peers is None else self.running.peers.figures()
+
     def _aim(self, target: Target | None) -> None:
         if target != self._target:
             self._target = target
@@ -61,7 +65,7 @@
         while target is not None and target is self._target:
             address, watch = target
             meter = self.running.recovery
-            server = MetricsServer(watch, None if meter is None else meter.recovery)
+            server = MetricsServer(watch, None if meter is None else meter.recovery, self._peers)
             try:
                 await server.listen(address)
             except OSError as err:
@@ -79,8 +83,11 @@
 class MetricsServer:
     """Serves the metrics of one time line at one address."""
 
-    def __init__(self, watch: Watch, recovery: Recovery | None = None) -> None:
-        self.metrics = Metrics(watch, recovery)
+    def __init__(
+        self, watch: Watch, recovery: Recovery | None = None,
+        peers: Callable[[], Figures | None] = lambda: None,
+    ) -> None:  # fmt: skip
+        self.metrics = Metrics(watch, recovery, peers)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/dillport/net/operators.py
+++ b/dillport/net/operators.py
@@ -39,6 +39,12 @@
     return StatePart(running)
 
 
+def _peers(running: Running) -> Part:
+    from dillport.net.peers import PeersPart
+
+    return PeersPart(running)
+
+
 def _etcd(running: Running) -> Part:
     from dillport.net.etcd import EtcdPart
     from dillport.net.sources.etcd import EtcdSource
@@ -70,6 +76,7 @@
 KINDS = (  # in the order in which they change; they are closed the other way round
     Kind("recovery", lambda settings: True, _recovery),
     Kind("state", lambda settings: settings.state is not None, _state),  # tells the one before
+    Kind("peers", lambda settings: settings.peers is not None, _peers),  # rests on the two before
     Kind("etcd", lambda settings: settings.membership.etcd is not None, _etcd),
     Kind("timeline", lambda settings: settings.timeline is not None, _timeline),
     Kind("metrics", lambda settings: settings.metrics is not None, _metrics),  # rests on the time line
--- a/dillport/net/part.py
+++ b/dillport/net/part.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from dillport import interface as api
+from dillport.decide.departure import Scope, Signal, Step, Told
 from dillport.decide.membership import Source
 from dillport.net.control import Control
 from dillport.net.fleet import Fleet
@@ -16,11 +18,14 @@
 from dillport.relay.ports import Observer
 
 if TYPE_CHECKING:
+    from dillport.net.peers import PeersPart
     from dillport.net.recovery import RecoveryPart
     from dillport.timeline.watch import Watch
 
 log = logging.getLogger(__name__)
 
+BEFORE = 20  # events kept for a time line that is not on yet
+
 
 class Part(Protocol):
     """One thing that the operators' file switches on, off and over; made by the first settings with it on."""
@@ -78,9 +83,28 @@
     control: Control
     watch: Watch | None = None  # the time line's, while that is on
     recovery: RecoveryPart | None = None
+    peers: PeersPart | None = None
     name: str = ""
     parts: Mapping[str, float] = field(default_factory=dict)
     observers: Observers = field(init=False)
+    _told: deque[Told] = field(init=False)
+    _count: int = field(init=False)
 
     def __post_init__(self) -> None:
         self.observers = Observers(self.node)
+        self._told: deque[Told] = deque(maxlen=BEFORE)
+        self._count = 0
+
+    def tell(
+        self, step: Step, scope: Scope, subject: str, signal: Signal, evidence: dict[str, object]
+    ) -> None:
+        """Something that is no departure of a server goes on the time line, as soon as that is on."""
+        self._count += 1  # below 0: the departures' own numbers begin at 1
+        now = self.node.now()
+        self._told.append(Told(step, -self._count, now, now, scope, subject, signal, evidence))
+        self.hand_on()
+
+    def hand_on(self) -> None:
+        """Tell a time line that is on what waits for it."""
+        while self.watch is not None and self._told:
+            self.watch.tell(self._told.popleft())
--- /dev/null
+++ b/dillport/net/peers.py
@@ -0,0 +1,341 @@
+"""The other nodes, for a running one: what `[peers]` switches on, off and over.
+
+`PeersPart` holds the one UDP socket, carries out what `decide/peers` says and gives it what `proto/gossip`
+believes of what comes. It follows the settings, tells the time line, the log and `decide/recovery`, and
+answers `peers` on the control socket.
+
+- *Who this node is*: with a memory that is whole it speaks at once, as the life that the memory counts. With
+  none, a lost or an older one it first asks what others hold of it; what they say goes to `decide/recovery`.
+  What it has to go by after a refutation is kept, too.
+- *Standing still*: before anything else of a turn is acted on, the decider is told that the loop stood
+  (`decide/pause`), and what lies in the socket is read before what time has brought.
+- *Work*: at most TURN datagrams in one turn of the loop; requests go on between two. What a socket refuses to
+  send is lost and counted: the decider bears loss.
+- An address that cannot be had is tried again: the process before may still drain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import logging
+import socket
+from collections import Counter
+from functools import lru_cache
+from random import Random
+from typing import Any
+
+from dillport.decide import peers as p
+from dillport.decide import recovery as r
+from dillport.decide.departure import Scope, Signal, Step
+from dillport.decide.pause import Pause
+from dillport.decide.peers_report import figures, report
+from dillport.members import Address
+from dillport.net.part import Running
+from dillport.operators import Operators, PeersSettings
+from dillport.operators.peers import written
+from dillport.proto import gossip
+
+log = logging.getLogger(__name__)
+
+TURN = 32  # datagrams read in one turn of the loop: some 1 ms where all of them are right
+BEAT = 0.2  # s between two turns where nothing happens
+AGAIN = 2.0  # s until an address that could not be had is tried again
+LOUD = frozenset({"failed", "doubled", "yielded", "full"})
+
+
+class PeersPart:
+    """Who is there, as this node sees it."""
+
+    def __init__(self, running: Running) -> None:
+        self.running, self.node = running, running.node
+        self.loop = asyncio.get_running_loop()
+        self.peers: p.Peers | None = None
+        self.trouble = ""  # why there is no socket
+        self.counts: Counter[str] = Counter()  # datagrams: received, sent, unsent
+        self._wanted: PeersSettings | None = None
+        self._socket: socket.socket | None = None
+        self._at: tuple[Address, Address | None] | None = None  # where it listens and is seen
+        self._before: p.Peers | None = None  # at the address before
+        self._writer: gossip.Writer | None = None
+        self._reader = gossip.Reader(())
+        self._pause = Pause(self.node.now(), 0.001)  # the least that it takes: a suspicion may last 0.6 s
+        self._told = 0  # the last incarnation that `decide/recovery` knows to be told
+        self._wake: asyncio.TimerHandle | None = None
+        self._wake_ms = float("inf")
+        self._beat: asyncio.TimerHandle | None = None
+        self._again: asyncio.TimerHandle | None = None
+        running.peers = self
+
+    # --- the settings
+
+    def apply(self, settings: Operators) -> None:
+        """Listen elsewhere, ask others, sign with another key; say that it leaves where it is off."""
+        was, now = self._wanted, settings.peers
+        if now is None:
+            self._wanted = None
+            self._stop(leave=True)
+            self.running.control.register_with("peers", None)
+            return
+        keys = gossip.keys_of(now.keys)
+        writer = self._writer or gossip.Writer(self.running.name, keys)  # raises where the name is too long
+        if not self.running.name:
+            raise ValueError("the configuration gives this node no name, by which others would know it")
+        self._wanted, self._writer = now, writer
+        # From one datagram to the next: all keys are believed, so nobody is unheard meanwhile.
+        writer.keys = self._reader.keys = keys
+        if (opened := now.too_open()) and (was is None or was.keys != now.keys):
+            log.warning("peers: %s", opened)
+        self.running.control.register("peers", self.report)
+        if self._at != (now.listen, now.address):
+            self._listen(now)
+            return
+        self.trouble = ""
+        if self.peers is not None:
+            self.peers.ask_at(_seeds(now))
+
+    async def close(self) -> None:
+        """Say that it leaves."""
+        self._wanted = None
+        self._stop(leave=True)
+
+    def _listen(self, settings: PeersSettings) -> None:
+        """Have the address, and begin there as soon as it is known who this is."""
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
+        if settings is not self._wanted:
+            return
+        before = self.peers
+        if self._at is not None and self._at[0] == settings.listen:
+            self._stop()  # or it would be in its own way
+        family = socket.AF_INET6 if ":" in settings.listen[0] else socket.AF_INET
+        try:
+            sock = socket.socket(family, socket.SOCK_DGRAM)
+            try:
+                sock.setblocking(False)
+                sock.bind(settings.listen)
+            except OSError:
+                sock.close()
+                raise
+        except OSError as err:
+            why = f"{written(settings.listen)}: {err.strerror or err}"
+            if why != self.trouble:
+                log.error("peers: %s; it is tried again every %g s, the node serves on", why, AGAIN)
+            self.trouble = why
+            self._again = self.loop.call_later(AGAIN, self._listen, settings)
+            return
+        self._stop()
+        self._socket, self._before, self.trouble = sock, before, ""
+        self._at = settings.listen, settings.address
+        meter = self.running.recovery
+        if meter is None or meter.began:
+            self._begin()
+        else:
+            meter.when_begun.append(self._begin)
+
+    def _begin(self) -> None:
+        """Speak, or ask first who this is."""
+        settings, sock = self._wanted, self._socket
+        if settings is None or sock is None or self.peers is not None:
+            return
+        life, whole = self._life()
+        if life >= p.INCARNATION_MAX:
+            log.error("peers: life %d is over what others take; the node serves without peers", life)
+            return
+        address, seeds = written(settings.address or sock.getsockname()[:2]), _seeds(settings)
+        if (before := self._before) is not None and not before.asking:  # it is who it was, somewhere else
+            life, whole = before.incarnation + 1, True
+            seeds += [peer.word.address for peer in before.peers.values()]
+        self.peers = p.Peers(
+            self.running.name, address, seeds[: p.SEEDS_MAX], life - 1, Random(), gossip.cost, gossip.room,
+            ask=not whole,
+        )  # fmt: skip
+        self._told = 0
+        self._pause.turned(self.node.now())
+        self.loop.add_reader(sock, self._readable)
+        self._turn()
+        log.info("peers: %s at %s", self.running.name, address)
+        self._tell(p.Started())
+
+    def _life(self) -> tuple[int, bool]:
+        """The number of this life, and whether the memory of those before it is whole."""
+        if (meter := self.running.recovery) is None:
+            return 1, False
+        return meter.recovery.incarnation, meter.recovery.memory is r.Memory.KEPT
+
+    def _stop(self, leave: bool = False) -> None:
+        if leave and self.peers is not None:
+            self._tell(p.Leaving())
+        for timer in (self._wake, self._beat, self._again):
+            if timer is not None:
+                timer.cancel()
+        self._wake = self._beat = self._again = None
+        self._wake_ms = float("inf")
+        if self._socket is not None:
+            self.loop.remove_reader(self._socket)
+            self._socket.close()
+        self.peers = self._socket = self._at = self._before = None
+
+    # --- what passes
+
+    def _turn(self) -> None:
+        """Now and then, where nothing else happens: else a long stand would look like a long silence."""
+        self._turned()
+        self._beat = self.loop.call_later(BEAT, self._turn)
+
+    def _turned(self) -> None:
+        if stood := self._pause.turned(self.node.now()):
+            log.warning("peers: this process stood still for %.0f ms: it calls nobody failed yet", stood)
+            self._tell(p.Stood(stood))
+
+    def _readable(self) -> None:
+        self._turned()
+        self._read()
+
+    def _read(self) -> None:
+        """Some of what waits; the loop comes back for the rest after a turn."""
+        sock, now = self._socket, self.node.now()
+        for _ in range(TURN):
+            if sock is None or self.peers is None:
+                return
+            try:
+                data, at = sock.recvfrom(gossip.SIZE + 1)
+            except BlockingIOError:
+                return
+            except OSError as err:  # what came back of something sent before
+                self._fault(err)
+                continue
+            self.counts["received"] += 1
+            source = written(at[:2])
+            found = self._reader.read(now, source, data)
+            if isinstance(found, gossip.Read):
+                message = p.Message(*found.message)
+                self._tell(p.Heard(found.sender, found.incarnation, source, message, found.fresh))
+
+    def _due(self) -> None:
+        self._wake, self._wake_ms = None, float("inf")
+        self._turned()
+        self._read()  # an answer that is here already has come in time
+        self._tell(p.Ticked())
+
+    def _fault(self, err: OSError) -> None:
+        """Unreachable, refused, no room: as lost as any other datagram. Said once a kind."""
+        why = err.strerror or type(err).__name__
+        self.counts["unsent"] += 1
+        if not self.counts[f"fault {err.errno}"]:
+            log.warning("peers: %s; datagrams are lost, the node goes on", why)
+        self.counts[f"fault {err.errno}"] += 1
+
+    def _tell(self, event: p.Event) -> None:
+        peers = self.peers
+        if peers is None:
+            return
+        asked = peers.asking
+        try:
+            actions = peers.handle(self.node.now(), event)
+        except Exception:  # guards requests, and the peers after it, against one event
+            log.exception("peers: %s failed", type(event).__name__)
+            if self._wake is None:
+                self._wake_at(self.node.now() + p.PERIOD_MS)
+            return
+        for action in actions:
+            match action:
+                case p.Send():
+                    self._send(action)
+                case p.Wake():
+                    self._wake_at(action.at_ms)
+                case p.Keep():
+                    self._keep(action.incarnation, peers.others_held if asked else None)
+                case p.Tell():
+                    self._say(peers, action)
+
+    def _send(self, action: p.Send) -> None:
+        assert self._writer is not None
+        if self._socket is None:
+            return
+        target = _target(action.to, self._socket.family)
+        try:
+            if target is None:
+                raise ValueError
+            self._socket.sendto(self._writer.write(action.incarnation, action.message), target)
+            self.counts["sent"] += 1
+        except OSError as err:
+            self._fault(err)
+        except ValueError:  # somebody with the right key made it up
+            self.counts["unsent"] += 1
+        meter = self.running.recovery
+        if meter is not None and action.incarnation > self._told:
+            self._told = action.incarnation
+            meter.recovery.told()
+
+    def _wake_at(self, at_ms: float) -> None:
+        if at_ms == self._wake_ms:
+            return
+        if self._wake is not None:
+            self._wake.cancel()
+        self._wake_ms = at_ms
+        self._wake = self.loop.call_later(max(0.0, at_ms - self.node.now()) / 1000, self._due)
+
+    def _keep(self, incarnation: int, held: int | None) -> None:
+        """It goes by this from now on; `held` is what others held of it before it spoke, where they said so.
+
+        One more than the life that it knew of is a refutation of what was told of that; anything above shows
+        that others have seen a later life.
+        """
+        meter = self.running.recovery
+        if meter is None:
+            return
+        life = meter.recovery.incarnation
+        if held is None and incarnation > life + 1:
+            held = incarnation - 1
+        if held is not None:
+            meter.tell(r.OthersKnew(held))
+        meter.tell(r.Rose(incarnation))
+
+    def _say(self, peers: p.Peers, told: p.Tell) -> None:
+        shown = "".join(c if c.isprintable() else "?" for c in told.name)
+        log.log(logging.WARNING if told.what in LOUD else logging.INFO, "peers: %s %s: %s",
+                shown, told.what, told.why)  # fmt: skip
+        evidence: dict[str, object] = {"why": told.why}
+        if (peer := peers.peers.get(told.name)) is not None:
+            evidence |= {"incarnation": peer.word.incarnation, "address": peer.word.address}
+        self.counts[f"peer {told.what}"] += 1
+        scope = Scope.NODE if told.name == peers.name else Scope.PEER
+        self.running.tell(Step(f"peer_{told.what}"), scope, told.name, Signal.PEERS, evidence)
+
+    # --- what operators ask
+
+    def report(self) -> dict[str, Any]:
+        """Answer `peers`."""
+        out = report(self.peers, self.running.name)
+        out["trouble"] = self.trouble or None
+        out["datagrams"] = {name: self.counts[name] for name in ("received", "sent", "unsent")}
+        out["refused"] = dict(self._reader.refused)
+        return out
+
+    def figures(self) -> dict[str, dict[str, float]]:
+        """For the metrics, by name and label."""
+        return {
+            "states": figures(self.peers),
+            "events": {name[5:]: n for name, n in self.counts.items() if name.startswith("peer ")},
+            "datagrams": {name: self.counts[name] for name in ("received", "sent", "unsent")},
+            "refused": dict(self._reader.refused),
+        }
+
+
+@lru_cache(p.PEERS_MAX)
+def _target(text: str, family: int) -> Address | None:
+    """An address to send to; guards against a name, which the system would look up while the loop waits."""
+    host, _, port = text.rpartition(":")
+    try:
+        found = ipaddress.ip_address(host[1:-1] if host[:1] == "[" else host)
+        number = int(port)
+    except ValueError:
+        return None
+    fits = (found.version == 6) is (family == socket.AF_INET6) and 0 < number < 65_536
+    return (str(found), number) if fits else None
+
+
+def _seeds(settings: PeersSettings) -> list[str]:
+    return [written(seed) for seed in settings.seeds or ()]
--- a/dillport/net/recovery.py
+++ b/dillport/net/recovery.py
@@ -9,14 +9,13 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from dillport import interface as api
 from dillport.decide import membership
 from dillport.decide import recovery as r
-from dillport.decide.departure import Scope, Signal, Step, Told
+from dillport.decide.departure import Scope, Signal, Step
 from dillport.decide.pause import STOOD_MS
 from dillport.net.part import Running
 from dillport.operators import Operators
@@ -26,7 +25,6 @@
 EVERY = 0.25  # s between two looks
 LATE_MS = 50.0  # before a request's deadline: whoever leaves then was not answered in time
 NO_CONNECT = frozenset({api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.CANCELLED})
-BEFORE = 20  # events kept for a time line that is not on yet
 
 
 class RecoveryPart:
@@ -38,6 +36,8 @@
         # Since then the process has been there: what was measured of its start is all there was until now.
         self.recovery = r.Recovery(now - sum(running.parts.values()))
         self.store: Callable[[], dict[str, Any]] | None = None  # what the memory's store says of itself
+        self.keep: Callable[[int], None] = lambda incarnation: None  # writes it down, where there is a memory
+        self.when_begun: list[Callable[[], None]] = []  # told once it is known what was kept
         self.began = False  # whether what was kept is known, or that there is none
         self.loop = asyncio.get_running_loop()
         self._open: dict[str, tuple[str, float]] = {}  # class and deadline of requests without an end
@@ -46,8 +46,6 @@
         self._sees = self._stood = False
         self._view = (0, 0)
         self._turned_ms = now
-        self._told: deque[Told] = deque(maxlen=BEFORE)
-        self._count = 0
         self._timer: asyncio.TimerHandle | None = None
         running.recovery = self
         running.control.register("recovery", self.report)
@@ -72,7 +70,9 @@
         """What was kept, once: `fault` says why it cannot be used, `least` see `recovery.Started`."""
         if not self.began:
             self.began = True
-            self._tell(r.Started(kept, wall_ms, fault, self._parts, least))
+            self.tell(r.Started(kept, wall_ms, fault, self._parts, least))
+            for told in self.when_begun:
+                told()
 
     def report(self) -> dict[str, Any]:
         """Answer `recovery`."""
@@ -110,7 +110,7 @@
     def _end(self, request: str, end: r.End) -> None:
         name = self._open[request][0]
         self._forget(request)
-        self._tell(r.Ended(name, end))
+        self.tell(r.Ended(name, end))
 
     def _forget(self, request: str) -> None:
         self._open.pop(request, None)
@@ -134,7 +134,7 @@
             if source is not None and source.state is membership.State.IN_SYNC and not saved:
                 self._part("first list")
                 if self.recovery.doubt:
-                    self._tell(r.SourceSpoke())
+                    self.tell(r.SourceSpoke())
 
     def _part(self, name: str) -> None:
         """Something of the start is there: ms since the process began."""
@@ -150,30 +150,27 @@
         stood, self._turned_ms = now - self._turned_ms - 1000 * EVERY, now
         if stood > STOOD_MS:
             self._stood = True
-            self._tell(r.StoodStill(stood))
+            self.tell(r.StoodStill(stood))
         self._viewed()
-        self._tell(r.Due())
+        self.tell(r.Due())
         self._see(self.recovery.state is not r.State.FULL)
-        if self.running.watch is not None:
-            while self._told:
-                self.running.watch.tell(self._told.popleft())
+        self.running.hand_on()
 
     def _viewed(self) -> None:
         up = [b for b in self.node.balancer.backends.values() if b.entry.phase is api.Phase.UP]
         view = len(up), sum(b.vouched for b in up)
         if view != self._view:
             self._view = view
-            self._tell(r.ViewChanged(*view))
+            self.tell(r.ViewChanged(*view))
 
-    def _tell(self, event: r.Event) -> None:
+    def tell(self, event: r.Event) -> None:
+        """Something happened that bears on the way back."""
         now = self.node.now()
         for action in self.recovery.handle(now, event):
             if isinstance(action, r.Say):
                 log.log(logging.WARNING if action.loud else logging.INFO, "recovery: %s", action.text)
             elif isinstance(action, r.Became):
-                self._count += 1  # below 0: the departures' own numbers begin at 1
-                about = {"why": action.reason, "memory": self.recovery.memory.value}
-                self._told.append(
-                    Told(Step.BECAME, -self._count, now, now, Scope.NODE, action.state.value, Signal.RECOVERY,
-                         dict[str, object](about))
-                )  # fmt: skip
+                about: dict[str, object] = {"why": action.reason, "memory": self.recovery.memory.value}
+                self.running.tell(Step.BECAME, Scope.NODE, action.state.value, Signal.RECOVERY, about)
+            elif isinstance(action, r.Raise):
+                self.keep(action.incarnation)
--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -93,7 +93,7 @@
         self._first = True  # no directory was had yet: what it holds is this node's past
         self.loop = asyncio.get_running_loop()
         if running.recovery is not None:
-            running.recovery.store = self.report
+            running.recovery.store, running.recovery.keep = self.report, self._keep
             if not running.recovery.began:  # the configuration's list may name whom this node saw the end of
                 running.node.wait(True)
                 running.fleet.listeners.append(self._heard)
@@ -129,6 +129,10 @@
         if self._heard in self.running.fleet.listeners:
             self.running.fleet.listeners.remove(self._heard)
 
+    def _keep(self, incarnation: int) -> None:
+        if self.memory is not None:
+            self.memory.rose(incarnation)
+
     async def close(self) -> None:
         """Write what waits, for a bounded time, and let go."""
         self._wanted = None
@@ -188,6 +192,8 @@
             if said:
                 log.warning("state: %s is had now", wanted.directory)
             self.memory, self.trouble, self._first = memory, "", False
+            if self.running.recovery is not None:  # it may have risen before the directory was had
+                self._keep(self.running.recovery.recovery.incarnation)
             self._go_on()
             if self._wanted is not None:
                 memory.set(self._wanted)  # other figures may be wanted by now
@@ -230,6 +236,10 @@
         self.max_age_ms = self.keeping.max_age_ms = 1000.0 * settings.max_age
         self.keeping.every_ms = 1000.0 * settings.every
 
+    def rose(self, incarnation: int) -> None:
+        """Keep that the node goes by this number, if that is a greater one."""
+        self._tell(k.Rose(incarnation))
+
     # --- the start
 
     async def open(self, first: bool) -> None:
--- a/dillport/observe/metrics.py
+++ b/dillport/observe/metrics.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from prometheus_client import CollectorRegistry
 from prometheus_client.core import (
@@ -31,14 +31,18 @@
 BOUNDS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 RECENT = 200  # ended requests among which exemplars are looked for
 END = b"# EOF\n"
+Figures = dict[str, dict[str, float]]  # by name and label
 CONTENT_TYPE = CONTENT_TYPE_LATEST
 
 
 class Metrics:
     """The metrics of one time line."""
 
-    def __init__(self, watch: Watch, recovery: Recovery | None = None) -> None:
-        self.watch, self.recovery = watch, recovery
+    def __init__(
+        self, watch: Watch, recovery: Recovery | None = None,
+        peers: Callable[[], Figures | None] = lambda: None,
+    ) -> None:  # fmt: skip
+        self.watch, self.recovery, self.peers = watch, recovery, peers
         self.shown: set[str] = set()
 
     def families(self) -> Iterator[Metric]:
@@ -51,6 +55,8 @@
         yield self._events()
         if self.recovery is not None:
             yield from _recovery(self.recovery)
+        if (figures := self.peers()) is not None:
+            yield from _peers(figures)
         held = GaugeMetricFamily("dillport_timeline_bytes", "Packed buckets that the time line holds.")
         held.add_metric([], recorder.size)
         yield held
@@ -183,6 +189,23 @@
     yield phases
 
 
+def _peers(figures: Figures) -> Iterator[Metric]:
+    """Who is there, as this node sees it; the labels are those of the program alone."""
+    states = GaugeMetricFamily("dillport_peers", "Other nodes by state.", labels=["state"])
+    for state, count in figures["states"].items():
+        states.add_metric([state], count)
+    yield states
+    for name, text, label in (
+        ("events", "What became of other nodes.", "event"),
+        ("datagrams", "Datagrams between nodes.", "way"),
+        ("refused", "Datagrams that were not taken, by reason.", "why"),
+    ):
+        out = CounterMetricFamily(f"dillport_peer_{name}", text, labels=[label])
+        for which, count in figures[name].items():
+            out.add_metric([which], count)
+        yield out
+
+
 class _One:
     """A collector of one family that is there already."""
 
--- a/dillport/operators/file.py
+++ b/dillport/operators/file.py
@@ -16,6 +16,7 @@
 from dillport.operators.faults import At, Fault, Faults, OperatorsError
 from dillport.operators.membership import Membership
 from dillport.operators.metrics import MetricsSettings
+from dillport.operators.peers import PeersSettings
 from dillport.operators.state import StateSettings
 from dillport.operators.table import Table, read_table, tables_of
 from dillport.operators.timeline import TimelineSettings
@@ -32,6 +33,7 @@
     timeline: TimelineSettings | None = None
     metrics: MetricsSettings | None = None
     state: StateSettings | None = None
+    peers: PeersSettings | None = None
 
     def on(self) -> list[str]:
         """What is on, a line a table in plain words."""
--- /dev/null
+++ b/tests/net/test_peers.py
@@ -0,0 +1,304 @@
+"""`[peers]` on real sockets: who is there, what bad datagrams cost, keys, addresses, lives."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
+from itertools import pairwise
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+
+from dillport.decide import peers as p
+from dillport.decide.departure import Told
+from dillport.net import peers as net
+from dillport.net.control import Control
+from dillport.net.part import Running
+from dillport.net.peers import PeersPart
+from dillport.operators import Operators, PeersSettings
+from dillport.operators.peers import written
+from dillport.proto import gossip
+
+KEY, OLDER = "0123456789abcdef" * 2, "fedcba98" * 8
+KEYS = gossip.keys_of(KEY)
+LIMIT_S = 40.0
+
+
+class Still:
+    """As much of a node as peers see."""
+
+    def now(self) -> float:
+        return time.time() * 1000
+
+
+class One(PeersPart):
+    """A part on a node of its own, which remembers what was told to the time line."""
+
+    def __init__(self, name: str) -> None:
+        self.events: list[tuple[str, str]] = []
+        running = Running(cast(Any, Still()), cast(Any, None), (), Control(), name=name)
+        running.watch = cast(Any, self)
+        super().__init__(running)
+
+    def tell(self, told: Told) -> None:
+        """As the time line's."""
+        self.events.append((told.step.value, told.subject))
+
+    def on(self, *seeds: One | socket.socket, keys: str = KEY, **more: Any) -> None:
+        at = tuple(one.at if isinstance(one, One) else one.getsockname() for one in seeds)
+        settings = PeersSettings(listen=("127.0.0.1", 0), seeds=at or None, keys=keys)
+        self.apply(Operators(peers=replace(self._wanted or settings, keys=keys, **more)))
+
+    @property
+    def at(self) -> tuple[str, int]:
+        assert self._socket is not None
+        return cast(tuple[str, int], self._socket.getsockname())
+
+    def states(self) -> dict[str, str]:
+        return {one["name"]: one["state"] for one in self.report()["peers"]}
+
+    def sees(self, *others: One) -> bool:
+        wanted = {one.running.name for one in others}
+        return {name for name, state in self.states().items() if state == "alive"} >= wanted
+
+
+@contextlib.asynccontextmanager
+async def some(count: int) -> AsyncIterator[list[One]]:
+    """That many, who know each other by the first."""
+    them = [One(f"n{number}") for number in range(count)]
+    try:
+        for one in them:
+            one.on(*them[:1] if one is not them[0] else ())
+        await until(lambda: all(one.sees(*(o for o in them if o is not one)) for one in them))
+        yield them
+    finally:
+        for one in them:
+            await one.close()
+
+
+@contextlib.contextmanager
+def raw() -> Any:
+    """A bare socket."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.setblocking(False)
+        yield sock
+
+
+async def until(met: Callable[[], object]) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not met():
+            await asyncio.sleep(0.01)
+
+
+def run(test: Callable[[], Any]) -> None:
+    asyncio.run(asyncio.wait_for(test(), 2 * LIMIT_S))
+
+
+def told(kind: p.Kind, *words: tuple[str, int, int, str, int], seq: int = 0, target: str = "") -> p.Message:
+    return p.Message(kind, seq, target, "", words)
+
+
+def test_they_find_each_other_and_one_that_is_switched_off_has_left() -> None:
+    async def test() -> None:
+        async with some(3) as (one, other, third):
+            assert one.report()["self"] == "n0" and one.report()["incarnation"] >= 1
+            third.apply(Operators())
+            await until(lambda: one.states()["n2"] == other.states()["n2"] == "left")
+            assert ("peer_failed", "n2") not in one.events + other.events
+            assert third.running.control._answers == {} and third._socket is None
+            third.on(one)  # again, as a greater incarnation
+            await until(lambda: one.sees(other, third) and other.sees(one, third))
+            assert ("peer_returned", "n2") in one.events
+
+    run(test)
+
+
+def test_what_is_forged_cut_short_sent_again_or_noise_changes_nothing() -> None:
+    """One that says by each of them, with the right words, that another has failed."""
+
+    async def test() -> None:
+        async with some(3) as (one, other, _):
+            address = written(other.at)
+            lie = told(p.Kind.NEWS, ("n1", p.State.FAILED, 9, address, 1), ("n9", 0, 1, "127.0.0.1:9", 0))
+            good = gossip.Writer("liar", KEYS).write(1, lie)
+            forged = gossip.Writer("liar", gossip.keys_of(OLDER)).write(1, lie)
+            bent = bytes((*good[:-20], good[-20] ^ 1, *good[-19:]))
+            bad = {"key": forged, "code": bent, "short": good[:20], "long": good + b"x" * 256}
+            with raw() as sock:
+                for data in bad.values():
+                    sock.sendto(data, one.at)
+                for end in range(len(good)):
+                    sock.sendto(good[:end], one.at)
+                await until(lambda: bad.keys() <= one.report()["refused"].keys())
+                await until(lambda: sum(one.report()["refused"].values()) == len(bad) + len(good))
+                assert set(one.states()) == {"n1", "n2"} and one.states()["n1"] == "alive"
+                # The right one counts, once.
+                hello = gossip.Writer("n9", KEYS).write(5, told(p.Kind.NEWS))
+                for _ in range(3):
+                    sock.sendto(hello, one.at)
+                await until(lambda: one.report()["refused"].get("replay") == 2 and "n9" in one.states())
+
+    run(test)
+
+
+def test_a_turn_of_the_loop_reads_so_many_datagrams_and_no_more() -> None:
+    """Requests go on between two turns, whatever comes."""
+
+    async def test() -> None:
+        async with some(1) as (one,):
+            with raw() as sock:
+                for _ in range(5 * net.TURN):
+                    sock.sendto(b"x" * 60, one.at)
+            counts = [one.counts["received"]]
+            while counts[-1] < 5 * net.TURN:
+                await asyncio.sleep(0)
+                counts.append(one.counts["received"])
+            assert max(b - a for a, b in pairwise(counts)) <= net.TURN
+            assert len({*counts}) >= 5
+
+    run(test)
+
+
+def test_an_answer_that_lies_there_came_before_the_time_that_ran_out() -> None:
+    """A loop that was held up for less than a stand must not accuse whoever answered meanwhile."""
+
+    async def test() -> None:
+        async with some(1) as (one,):
+            with raw() as sock:
+                writer, reader, ping = gossip.Writer("slow", KEYS), gossip.Reader(KEYS), None
+                sock.sendto(writer.write(1, told(p.Kind.NEWS)), one.at)
+                while ping is None:
+                    await asyncio.sleep(0.001)
+                    with contextlib.suppress(BlockingIOError):
+                        found = reader.read(0.0, "", sock.recv(300))
+                        if isinstance(found, gossip.Read) and found.message.kind == p.Kind.PING:
+                            ping = found.message
+                sock.sendto(writer.write(1, told(p.Kind.ACK, seq=ping.seq, target="slow")), one.at)
+                time.sleep(p.PERIOD_MS / 1000 + 0.1)
+                one._due()  # as a loop may call it before it looks at its sockets
+                assert one.states() == {"slow": "alive"}
+                time.sleep(p.PERIOD_MS / 1000 + 0.1)
+                one._due()  # and now there was none
+                assert one.states() == {"slow": "suspect"}
+
+    run(test)
+
+
+def test_a_stand_is_told_before_what_time_has_brought() -> None:
+    """Else whoever stood still would call those failed whose answers it did not read."""
+
+    async def test() -> None:
+        async with some(3) as (one, *_):
+            one.events.clear()
+            peers = one.peers
+            assert peers is not None
+            time.sleep(1.5)
+            one._due()
+            assert peers.doubt is not None and set(one.states().values()) == {"alive"}
+            await until(lambda: peers.doubt is None)
+            assert ("peer_failed", "n1") not in one.events and ("peer_failed", "n2") not in one.events
+
+    run(test)
+
+
+def test_what_cannot_be_sent_is_counted_and_the_others_are_found(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with some(2) as (one, other):
+            third = One("n3")
+            with raw() as gone:
+                closed = gone.getsockname()
+            seeds = (closed, ("255.255.255.255", 9), ("0.0.0.1", 9), other.at)
+            third.apply(Operators(peers=PeersSettings(listen=("127.0.0.1", 0), seeds=seeds, keys=KEY)))
+            try:
+                await until(lambda: third.sees(one, other) and one.sees(third))
+                assert third.report()["datagrams"]["unsent"] > 0
+            finally:
+                await third.close()
+
+    run(test)
+    assert "datagrams are lost, the node goes on" in caplog.text and "Traceback" not in caplog.text
+
+
+@pytest.mark.parametrize(
+    ("text", "family", "found"),
+    [
+        ("10.0.0.1:7", socket.AF_INET, ("10.0.0.1", 7)), ("[::1]:7", socket.AF_INET6, ("::1", 7)),
+        ("localhost:7", socket.AF_INET, None), ("[::1]:7", socket.AF_INET, None), ("", socket.AF_INET, None),
+        ("10.0.0.1:70000", socket.AF_INET, None), ("10.0.0.1:0", socket.AF_INET, None),
+    ],
+)  # fmt: skip
+def test_a_name_is_never_looked_up(text: str, family: int, found: object) -> None:
+    assert net._target(text, family) == found
+
+
+def test_an_address_that_is_taken_is_named_and_had_later(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(net, "AGAIN", 0.02)
+
+    async def test() -> None:
+        one = One("n0")
+        with raw() as sock:
+            at = sock.getsockname()
+            one.apply(Operators(peers=PeersSettings(listen=at, keys=KEY)))
+            await asyncio.sleep(0.1)
+            assert one.report()["trouble"] == f"{written(at)}: Address already in use"
+        await until(lambda: one.report()["speaks"] or one.peers is not None)
+        assert one.report()["trouble"] is None and one.at == at
+        await one.close()
+
+    run(test)
+    assert caplog.text.count("Address already in use") == 1
+
+
+def test_a_key_is_rotated_with_no_gap_and_in_no_log(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.DEBUG)
+
+    async def test() -> None:
+        async with some(3) as them:
+            for one in them:
+                one.events.clear()
+            for text in (f"{KEY}\n{OLDER}", f"{OLDER}\n{KEY}", OLDER):
+                for one in them:
+                    one.on(keys=text)
+                    much = one.counts["received"] + 10
+                    while one.counts["received"] < much:
+                        await asyncio.sleep(0.01)
+                    assert not any(o.events for o in them), [o.events for o in them]
+                    assert not any(o.report()["refused"] for o in them)
+            them[0].on(keys=KEY)  # a step left out: it is unheard, and that is seen
+            await until(lambda: them[1].report()["refused"].get("key"))
+
+    run(test)
+    assert KEY not in caplog.text and OLDER not in caplog.text
+
+
+def test_at_another_address_it_is_who_it_was() -> None:
+    async def test() -> None:
+        async with some(3) as (one, other, third):
+            before, life = third.at, third.report()["incarnation"]
+            with raw() as free:
+                wanted = free.getsockname()
+            third.on(listen=wanted)
+            await until(lambda: one.sees(other, third) and third.sees(one, other) and third.at == wanted)
+            assert third.report()["incarnation"] > life and wanted != before
+            await until(lambda: ("peer_moved", "n2") in one.events and ("peer_moved", "n2") in other.events)
+
+    run(test)
+
+
+def test_a_node_without_a_name_is_told_so(tmp_path: Path) -> None:
+    async def test() -> None:
+        one = One("")
+        with pytest.raises(ValueError, match="no name"):
+            one.on()
+        assert one._socket is None
+
+    run(test)
--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -434,7 +434,7 @@
             await one.opened()
             one.fleet.hand(listed(5, "s1"))
             await until(lambda: one.recovery.recovery.state.value == "confirmed")
-            assert one.running.watch is None and one.recovery._told, "told to a time line that comes later"
+            assert one.running.watch is None and one.running._told, "told to a time line that comes later"
             one.recovery._turned_ms -= 60_000
             await until(lambda: one.recovery.recovery.state.value == "provisional")
             told = one.recovery.report()
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -24,6 +24,7 @@
     MetricsSettings,
     Operators,
     OperatorsError,
+    PeersSettings,
     TimelineSettings,
     changes,
     load,
@@ -65,6 +66,8 @@
     assert told["metrics"] == {"listen": "{}:{}".format(*MetricsSettings().listen)}
     assert told["timeline"] == {"memory_mb": TimelineSettings().memory_mb}
     assert told["state"] == {"directory": "state", "max_age": 86_400, "every": 10}
+    assert set(told["peers"]) == {f.name for f in fields(PeersSettings) if f.repr}
+    assert told["peers"]["listen"] == "{}:{}".format(*PeersSettings().listen)
 
 
 def renewed(cert: Path, key: Path) -> bytes:
@@ -240,7 +243,7 @@
 
 
 KNOWN = {
-    "control": "membership, control, timeline, metrics, state", "etcd": "etcd",
+    "control": "membership, control, timeline, metrics, state, peers", "etcd": "etcd",
     "endpoints": "endpoints, prefix, format, ca, cert, key, user, password_file, epoch, role",
 }  # fmt: skip
 
@@ -371,3 +374,60 @@
     new = parse(told, tmp_path)
     assert changes(old, new) == ["membership.etcd.certificates changed"] and old != new
     assert new.membership.etcd is not None and new.membership.etcd.certificates not in repr(new)
+
+
+KEY, OLDER = "0123456789abcdef" * 2, "fedcba98" * 8
+
+
+def peers(folder: Path, text: str = KEY, mode: int = 0o600, **keys: Any) -> dict[str, object]:
+    """A file's tables with these keys in `[peers]`, beside a key file."""
+    (folder / "peers.key").write_bytes(text.encode("latin-1"))
+    (folder / "peers.key").chmod(mode)
+    return {"peers": {"key_file": "peers.key", **keys}}
+
+
+def test_peers_arrive_with_their_keys_which_nobody_is_shown(tmp_path: Path) -> None:
+    raw = peers(tmp_path, f"# new\n{KEY}\n{OLDER}\n", listen="0.0.0.0:7000", address="10.0.0.1:7001",
+                seeds=["10.0.0.1:7001", "10.0.0.2:7001"])  # fmt: skip
+    one, other = parse(raw, tmp_path), parse(peers(tmp_path, OLDER), tmp_path)
+    got = one.peers
+    assert got is not None and KEY in got.keys and got.address == ("10.0.0.1", 7001)
+    assert got.seeds == (("10.0.0.1", 7001), ("10.0.0.2", 7001))
+    lines = changes(other, one)
+    assert "peers.keys changed" in lines
+    said = "\n".join([*one.on(), *lines, repr(one)])
+    assert KEY not in said and OLDER not in said and "10.0.0.2:7001" in said
+
+
+@pytest.mark.parametrize(("mode", "open_"), [(0o600, False), (0o640, False), (0o644, True), (0o660, True)])
+def test_a_key_file_that_others_may_use_is_told(tmp_path: Path, mode: int, open_: bool) -> None:
+    said = parse(peers(tmp_path, mode=mode), tmp_path).on()[0]
+    assert ("WARNING" in said) is open_ and (f"{mode:04o}" in said) is open_
+
+
+@pytest.mark.parametrize(
+    ("keys", "text", "path", "named"),
+    [
+        ({}, "secret\n", "key_file", "line 1: not a key"),
+        ({}, "\n", "key_file", "0 keys"),
+        ({}, f"{KEY}\nsecret\n", "key_file", "line 2: not a key"),
+        ({}, "\xe4", "key_file", "not ASCII"),
+        ({}, "#" * 4097, "key_file", "a longer file"),
+        ({"listen": "0.0.0.0:1"}, KEY, "address", "nothing beside listen at 0.0.0.0"),
+        ({"address": "0.0.0.0:1"}, KEY, "address", "of one machine"),
+        ({"seeds": ["10.0.0.1:1", "10.0.0.1:0"]}, KEY, "seeds[1]", "a port from 1 on"),
+        ({"seeds": [f"10.0.0.1:{n}" for n in range(1, 18)]}, KEY, "seeds", "an array of 17"),
+        ({"seeds": ["[::1]:1"]}, KEY, "seeds", "all IPv4 or all IPv6"),
+        ({"listen": "[::1]:1", "address": "10.0.0.1:1"}, KEY, "address", "all IPv4 or all IPv6"),
+    ],
+)
+def test_peers_that_make_no_sense_are_named(
+    tmp_path: Path, keys: dict[str, Any], text: str, path: str, named: str
+) -> None:
+    found = faults(peers(tmp_path, text, **keys), tmp_path)
+    assert list(found) == [f"peers.{path}"] and named in found[f"peers.{path}"]
+    assert "secret" not in found[f"peers.{path}"]
+
+
+def test_peers_need_a_key(tmp_path: Path) -> None:
+    assert list(faults({"peers": {}}, tmp_path)) == ["peers.key_file"]
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -21,7 +21,7 @@
     "settings": {"interface"},
     "wire": {"settings", "interface"},
     "simhost": {"wire", "settings", "policy", "interface"},
-    "operators": CORE | {"operators"},
+    "operators": CORE | {"operators", "proto"},  # the form of a file of keys
     "decide": CORE | {"decide"},
     "proto": CORE | {"proto"},
     "relay": CORE | {"relay", "policy", "decide"},
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -22,7 +22,7 @@
     "argparse", "click", "tomllib", "difflib", "pathlib", "dillport.cli", "dillport.operators",
     "dillport.net.operators", "dillport.net.control", "dillport.net.etcd", "dillport.net.sources.etcd",
     "dillport.decide.etcd_follow", "dillport.proto.etcd_watch", "dillport.timeline", "dillport.observe",
-    "dillport.wire", "msgspec",
+    "dillport.wire", "msgspec", "dillport.net.peers", "dillport.decide.peers", "dillport.proto.gossip",
 }  # fmt: skip
 
 
@@ -71,6 +71,12 @@
     settings.write_text(f'[control]\nsocket = "{tmp_path}/c.sock"\n')
     found = asyncio.run(loaded(tmp_path / "c.json", "--settings", str(settings)))
     assert "dillport.net.control" in found and "dillport.decide.etcd_follow" not in found
+    peers = {"dillport.net.peers", "dillport.decide.peers", "dillport.proto.gossip"}
+    assert not found & peers
+    (tmp_path / "peers.key").write_text("0123456789abcdef" * 2)
+    (tmp_path / "c.json").unlink()
+    settings.write_text('[peers]\nlisten = "127.0.0.1:0"\nkey_file = "peers.key"\n')
+    assert peers <= asyncio.run(loaded(tmp_path / "c.json", "--settings", str(settings)))
 
 
 @pytest.mark.parametrize(("words", "begun"), [([], "dillport.interface"), (["run"], "uvloop")])
