dillport peers, metrics of other nodes, and a hub of datagrams in the lab

Cause: what a node holds of others could not be asked, and the lab's relays of datagrams show a node at another address to each peer, which breaks a protocol that tells addresses on.

- lab: Hub gives each program one address for all and fails each way between two alone; World.gossip and a script's peers = true switch [peers] on in the nodes.
- Tests of Rose, of asking with an old memory, of the metrics, of the hub.

--- a/dillport/cli/__init__.py
+++ b/dillport/cli/__init__.py
@@ -1,7 +1,7 @@
 """The command line, on click: its words, what each reads and prints, exit codes. Nothing is decided here.
 
 - `node`: `run`, also without a word: one node, as the platform asks; `check`: both files, every fault.
-- `members`: what the sources say of whom.
+- `members`: what the sources say of whom. `peers`: which other nodes are there.
 - `timeline`: `timeline`, `events`, `why`, `report`: what a running node recorded.
 - `state`: `state show|verify|clear`, `recovery`: what a node keeps, how far it is back.
 - `lab`: `demo`, a small fleet on stand-ins; `lab play`: scripts of faults on one.
@@ -31,9 +31,9 @@
 from dillport.net.config import CONFIG
 
 MODULES = {  # of each word, in the order of the help
-    "run": "node", "check": "node", "members": "members", "timeline": "timeline", "events": "timeline",
-    "why": "timeline", "report": "timeline", "state": "state", "recovery": "state", "lab": "lab",
-    "demo": "lab",
+    "run": "node", "check": "node", "members": "members", "peers": "peers", "timeline": "timeline",
+    "events": "timeline", "why": "timeline", "report": "timeline", "state": "state", "recovery": "state",
+    "lab": "lab", "demo": "lab",
 }  # fmt: skip
 
 EPILOG = f"""\
--- /dev/null
+++ b/dillport/cli/peers.py
@@ -0,0 +1,72 @@
+"""`peers`: the other nodes as a running one sees them."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import click
+
+from dillport.cli.common import PATH, Trouble, cell, columns, json_option, read_operators, settings_option
+
+WATCH_S = 1.0  # between two looks of `--watch`
+PEERS = "Show which other nodes are there, as a running node sees it."
+
+
+@click.command(help=PEERS, short_help=PEERS)
+@settings_option
+@click.option(
+    "--control", metavar="PATH", type=PATH, help="The node's control socket; that of the settings by default."
+)
+@click.option("--watch", is_flag=True, help="Look again each second, until it is ended.")
+@json_option
+def peers(settings: Path | None, control: Path | None, watch: bool, as_json: bool) -> int:
+    """The word."""
+    from dillport.net.control import ControlError, ask
+
+    if control is None:
+        _, operators, wrong = read_operators(settings)
+        if wrong:
+            raise Trouble(2, *wrong)
+        if operators.control is None:
+            raise Trouble(2, "peers: no [control] in the settings and no --control: no node to ask")
+        control = operators.control.socket
+    try:
+        while True:
+            told = ask(control, "peers")
+            if watch and not as_json and sys.stdout.isatty():
+                click.clear()
+            print(json.dumps(told)) if as_json else _show(told)
+            sys.stdout.flush()
+            if not watch:
+                return 0
+            time.sleep(WATCH_S)
+    except ControlError as err:
+        raise Trouble(1, str(err)) from None
+    except KeyboardInterrupt:
+        return 0
+
+
+def _show(told: dict[str, Any]) -> None:
+    doing = "speaks" if told["speaks"] else "does not speak yet" if told["address"] else "has no address"
+    print(f"{cell(told['self'])} at {cell(told['address'])}, life {told['incarnation']}; it {doing}")
+    for said, text in (
+        (told["trouble"], f"not had: {told['trouble']}"),
+        (told["doubts"], "it stood still and calls nobody failed before it has heard from others"),
+        (told["doubled"], f"another node at {told['doubled']} has this name"),
+        (told["health"], f"it trusts itself less: its waits are {told['health'] + 1} times as long"),
+    ):
+        if said:
+            print(cell(text))
+    rows = [["NAME", "ADDRESS", "STATE", "SINCE", "LIFE"]]
+    for one in told["peers"]:
+        since = f"{datetime.fromtimestamp(one['since'] / 1000):%m-%d %H:%M:%S}"
+        shown = [cell(one[key]) for key in ("name", "address", "state")]
+        rows.append([*shown, since, str(one["incarnation"])])
+    columns(rows)
+    states = [one["state"] for one in told["peers"]]
+    print(", ".join(f"{states.count(s)} {s}" for s in ("alive", "suspect", "failed", "left")))
--- a/dillport/lab/script.py
+++ b/dillport/lab/script.py
@@ -80,8 +80,8 @@
     `pushed`, the most that a cold server was sent of what it may be sent. `notice_s` is how long clients go
     on coming to a node that is dead. With `etcd` servers are in its stand-in too, of which each node has two
     endpoints. A server that has just started does the part `cold` of what it does once warm. With `state`
-    each node keeps a memory over its restarts. `known` is the list that a node's configuration has at a
-    restart: that of now, or of its first start.
+    each node keeps a memory over its restarts, with `peers` nodes know each other. `known` is the list that a
+    node's configuration has at a restart: that of now, or of its first start.
     """
 
     name: str
@@ -100,6 +100,7 @@
     pushed: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
     etcd: bool = False
     state: bool = False
+    peers: bool = False
     known: Literal["now", "first"] = "now"
     fault: tuple[Row, ...] = ()
 
@@ -592,7 +593,7 @@
         machine=Machine(cores=script.cores, speed=script.speed), habits=habits or Habits(),
         wired=sorted(wired), program=program,
     )  # fmt: skip
-    world.memory, world.known_stays = script.state, script.known == "first"
+    world.memory, world.known_stays, world.gossip = script.state, script.known == "first", script.peers
     returns: dict[str, dict[str, Any]] = {}
     async with world:
         if watch is not None:
--- a/tests/decide/test_keeping.py
+++ b/tests/decide/test_keeping.py
@@ -200,6 +200,18 @@
     assert once_more.changes == gone.changes
 
 
+def test_a_life_that_rose_is_written_at_once_and_never_taken_back() -> None:
+    keeping = started()
+    (rose,) = writes(keeping.handle(5, k.Rose(ME.incarnation + 1)))
+    (again,) = writes(keeping.handle(6, k.Rose(ME.incarnation + 4)))
+    assert not writes(keeping.handle(7, k.Rose(ME.incarnation)))
+    keeping.handle(8, k.TurnedAway(rose.number))  # the older one is not handed over behind the newer
+    (once_more,) = writes(keeping.handle(9_000, k.Ticked(NOW)))[:1]
+    assert once_more.changes == again.changes
+    ((_, me),) = once_more.changes
+    assert isinstance(me, Self) and me.incarnation == ME.incarnation + 4 and me.id == ME.id
+
+
 def test_what_was_learned_is_written_where_it_moved() -> None:
     keeping = started()
     assert any(isinstance(a, k.AskLearned) for a in keeping.handle(10_000, k.Ticked(NOW)))
--- a/tests/decide/test_peers.py
+++ b/tests/decide/test_peers.py
@@ -162,6 +162,14 @@
     assert Keep(10) in until(peers, 601, 1_300) and peers.incarnation == 10
 
 
+@pytest.mark.parametrize(("held", "goes_by"), [(9, 10), (2, 5)])
+def test_one_whose_memory_may_be_old_asks_and_goes_by_the_greater(held: int, goes_by: int) -> None:
+    peers = Peers("a", A, [B], 4, Random(1), gossip.cost, gossip.room, ask=True)
+    assert not any(isinstance(one, Keep) for one in peers.handle(0, Started())) and peers.others_held is None
+    peers.handle(210, Heard("c", 3, B, Message(Kind.TOLD, 0, "", "", (Word("a", State.ALIVE, held, A),))))
+    assert Keep(goes_by) in until(peers, 211, 1_300) and peers.others_held == held
+
+
 def test_one_that_nobody_answers_begins_alone_and_mends_it_when_told() -> None:
     peers = node(None, B)
     peers.handle(0, Started())
--- a/tests/decide/test_recovery.py
+++ b/tests/decide/test_recovery.py
@@ -48,6 +48,18 @@
     return out
 
 
+def test_a_life_rises_by_a_refutation_and_is_the_same_life() -> None:
+    """A later life that others saw is another thing: that bars roles."""
+    node = brought(F)
+    life = node.incarnation
+    assert node.handle(10_000.0, r.Rose(life + 1)) == [r.Raise(life + 1)] and node.incarnation == life + 1
+    assert node.memory is Memory.KEPT and node.state is F and node.may_take_roles(10_000.0)
+    assert node.handle(10_001.0, r.Rose(life)) == [] and node.incarnation == life + 1
+    node.handle(10_002.0, r.OthersKnew(life + 5))
+    assert (node.memory.value, node.incarnation) == ("older", life + 6)
+    assert not node.may_take_roles(10_003.0)
+
+
 EVENTS: dict[str, tuple[r.Event, tuple[State, State, State, State]]] = {
     # after which states come blank, provisional, confirmed, full
     "no server is left": (r.ViewChanged(0, 0), (B, B, B, B)),
--- a/tests/lab/test_datagrams.py
+++ b/tests/lab/test_datagrams.py
@@ -12,7 +12,7 @@
 import pytest
 
 from dillport.lab import datagrams
-from dillport.lab.datagrams import Datagrams
+from dillport.lab.datagrams import Datagrams, Hub
 from dillport.lab.link import BOTH, Way
 from dillport.members import Address
 from tests.lab.world import run, until
@@ -205,3 +205,40 @@
         Datagrams(("10.0.0.1", 80))
     with pytest.raises(ValueError, match="only joins loopback"):
         Datagrams(("127.0.0.1", 80), host="0.0.0.0")
+
+
+def test_behind_a_hub_all_see_a_program_at_one_address_and_a_path_fails_alone() -> None:
+    async def test() -> None:
+        made = {name: Peer() for name in "abc"}
+        stranger = Peer()
+
+        def came(text: bytes) -> bool:
+            return {b"b" + text, b"a" + text} <= {*made["c"].got} and b"c" + text in made["a"].got
+
+        hub = Hub({name: peer.address for name, peer in made.items()}, "127.0.0.1")
+        try:
+            for text in (b"1", b"2", b"3"):
+                if text == b"2":
+                    hub.paths["a", "b"].set((Way.UP,), lost=1.0)  # from a to b alone
+                    hub.paths["c", "b"].cut()
+                if text == b"3":
+                    hub.paths["a", "b"].heal()
+                stranger.says(hub.addresses["a"], b"?")
+                for a in made:
+                    for b in made:
+                        if a != b:
+                            made[a].says(hub.addresses[b], a.encode() + text)
+                await until(partial(came, text))
+            await until(lambda: b"a3" in made["b"].got and b"b3" in made["a"].got)
+            await asyncio.sleep(QUIET)
+            assert sorted(made["b"].got) == [b"a1", b"a3", b"c1"]
+            assert sorted(made["a"].got) == [b"b1", b"b2", b"b3", b"c1", b"c2", b"c3"]
+            for peer in made.values():
+                seen = zip(peer.got, peer.sources, strict=True)
+                assert all(source == hub.addresses[data[:1].decode()] for data, source in seen)
+        finally:
+            hub.close()
+            for peer in (*made.values(), stranger):
+                peer.close()
+
+    run(test)
--- a/tests/observe/test_metrics.py
+++ b/tests/observe/test_metrics.py
@@ -48,6 +48,17 @@
     assert "dillport_recovery_state" not in read(Metrics(Watch(BASE, 8.0)))
 
 
+def test_who_is_there_is_among_them() -> None:
+    figures = {"states": {"alive": 2.0, "failed": 1.0}, "events": {"failed": 3.0}, "datagrams": {"sent": 7.0},
+               "refused": {"code": 5.0}}  # fmt: skip
+    got = read(Metrics(Watch(BASE, 8.0), peers=lambda: figures))
+    assert value(got["dillport_peers"], "", state="failed") == 1
+    assert value(got["dillport_peer_events"], "_total", event="failed") == 3
+    assert value(got["dillport_peer_datagrams"], "_total", way="sent") == 7
+    assert value(got["dillport_peer_refused"], "_total", why="code") == 5
+    assert "dillport_peers" not in read(Metrics(Watch(BASE, 8.0)))
+
+
 def value(family: Metric, suffix: str, **labels: str) -> float:
     found = (s for s in family.samples if s.name.endswith(suffix))
     return sum(s.value for s in found if labels.items() <= s.labels.items())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -126,6 +126,13 @@
     assert "there is no dillport.lab.demo in this installation" in capsys.readouterr().err
 
 
+def test_peers_need_a_node_to_ask(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["--settings", str(written(tmp_path / "s.toml", "")), "peers"]) == 2
+    assert "no [control]" in capsys.readouterr().err
+    assert main(["peers", "--control", str(tmp_path / "x")]) == 1
+    assert "no node answers there" in capsys.readouterr().err
+
+
 def test_check_says_what_is_on(config: Path, tmp_path: Path) -> None:
     settings = written(tmp_path / "s.toml", f"[control]\nsocket = '{tmp_path}/c.sock'\n[membership.etcd]\n")
     got = says("check", "--settings", settings, PROXY_CONFIG=config)
