--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -16,6 +16,7 @@
 import pytest
 
 from dillport.decide import peers as p
+from dillport.decide import recovery as r
 from dillport.decide.departure import Told
 from dillport.net import peers as net
 from dillport.net.control import Control
@@ -69,6 +70,9 @@
     def states(self) -> dict[str, str]:
         return {one["name"]: one["state"] for one in self.report()["peers"]}
 
+    def lives(self) -> set[tuple[str, int]]:
+        return {(one["name"], one["incarnation"]) for one in self.report()["peers"]}
+
     def sees(self, *others: One) -> bool:
         wanted = {one.running.name for one in others}
         return {name for name, state in self.states().items() if state == "alive"} >= wanted
@@ -82,6 +86,7 @@
         for one in them:
             one.on(*them[:1] if one is not them[0] else ())
         await until(lambda: all(one.sees(*(o for o in them if o is not one)) for one in them))
+        await until(lambda: all(one.report()["speaks"] for one in them))
         yield them
     finally:
         for one in them:
@@ -308,3 +313,83 @@
         assert one._socket is None
 
     run(test)
+
+
+class Meter:
+    """As much of `net/recovery` as peers see, around the decider itself."""
+
+    def __init__(self) -> None:
+        self.recovery, self.began = r.Recovery(0.0), False
+        self.when_begun: list[Callable[[], None]] = []
+        self.kept: list[int] = []
+
+    def tell(self, event: r.Event) -> None:
+        for action in self.recovery.handle(1_000.0, event):
+            if isinstance(action, r.Raise):
+                self.kept.append(action.incarnation)
+
+    def begin(self, kept: r.Kept | None) -> None:
+        self.began = True
+        self.tell(r.Started(kept, 2_000.0))
+        for told in self.when_begun:
+            told()
+
+    @property
+    def says(self) -> tuple[str, int]:
+        return self.recovery.memory.value, self.recovery.incarnation
+
+
+async def told_of(one: One, state: int, incarnation: int) -> None:
+    """Somebody with the right key says that of the node."""
+    with raw() as sock:
+        word = (one.running.name, state, incarnation, written(one.at), 1)
+        sock.sendto(gossip.Writer("liar", KEYS).write(incarnation, told(p.Kind.NEWS, word)), one.at)
+
+
+def test_a_whole_memory_speaks_at_once_and_keeps_what_it_has_to_go_by() -> None:
+    """One more than its own is a refutation, a greater number a later life that it forgot."""
+
+    async def test() -> None:
+        async with some(1) as (other,):
+            one, meter = One("n1"), Meter()
+            one.running.recovery = cast(Any, meter)
+            try:
+                one.on(other)
+                await asyncio.sleep(0.3)
+                assert one.peers is None and not one.report()["speaks"], "what was kept is not read yet"
+                meter.begin(r.Kept(7, 1_000.0))
+                assert one.report()["speaks"] and meter.says == ("kept", 8)
+                await until(lambda: other.sees(one))
+                await told_of(one, p.State.SUSPECT, 8)
+                await until(lambda: meter.says == ("kept", 9))
+                await told_of(one, p.State.FAILED, 20)
+                await until(lambda: meter.says == ("older", 21))
+                await until(lambda: ("n1", 21) in other.lives())
+                assert meter.kept == [8, 9, 21]
+            finally:
+                await one.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("held", [5, 0])
+def test_without_a_memory_it_goes_by_what_the_others_hold_and_says_that_it_forgot(held: int) -> None:
+    async def test() -> None:
+        async with some(1) as (other,):
+            one, meter = One("n1"), Meter()
+            one.running.recovery = cast(Any, meter)
+            meter.begin(None)
+            if held:
+                assert other.peers is not None
+                fell = told(p.Kind.NEWS, ("n1", p.State.FAILED, held, "127.0.0.1:9", 1))
+                other._tell(p.Heard("n2", 1, "127.0.0.1:8", fell))
+            try:
+                one.on(other)
+                assert not one.report()["speaks"]
+                await until(lambda: other.sees(one))
+                assert meter.says == (("lost", 6) if held else ("none", 1))
+                assert (meter.recovery.barred_until_ms > 1_000.0) is bool(held), "they know of no later life"
+            finally:
+                await one.close()
+
+    run(test)
