--- /dev/null
+++ b/tests/system/test_peers.py
@@ -0,0 +1,273 @@
+"""Nodes that know each other: several processes, killed, ended, stopped, cut from one another, under load."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import re
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+
+from dillport.lab import script as sc
+from dillport.lab.records import Answered, Asked
+from dillport.lab.site import Site
+from dillport.lab.world import KEY, ROOT, Node, Step, World
+from dillport.net import control
+from dillport.proto.gossip import FORGED, keys_of
+from tests.lab.world import of
+
+LIMIT_S = 60.0  # for what takes a second or two on a machine that is idle
+NEXT = "ffeeddccbbaa99887766554433221100"
+FLOOD = """
+import os, socket, sys, time
+sock, host, port = socket.socket(socket.AF_INET, socket.SOCK_DGRAM), sys.argv[1], int(sys.argv[2])
+right, end = bytes.fromhex(sys.argv[3]), time.monotonic() + 60
+while time.monotonic() < end:
+    for _ in range(250):
+        sock.sendto(right + os.urandom(180), (host, port))
+    time.sleep(0.005)
+"""
+
+
+class Fleet:
+    """A world whose nodes know each other, and what they say of that."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    async def asked(self, node: Node, word: str = "peers", **more: Any) -> dict[str, Any]:
+        return await asyncio.to_thread(control.ask, Path(node.socket), word, **more)
+
+    async def held(self, node: Node) -> dict[str, dict[str, Any]]:
+        """What a node holds of each other."""
+        return {one["name"]: one for one in (await self.asked(node))["peers"]}
+
+    async def events(self, node: Node, after: int = 0) -> list[tuple[str, str]]:
+        """What a node's time line says of others: what became of whom."""
+        told = (await self.asked(node, "events", after=after))["events"]
+        assert all(one["evidence"]["why"] for one in told if one["signal"] == "peers")
+        return [(one["event"], one["subject"]) for one in told if one["signal"] == "peers"]
+
+    async def until(self, what: str, met: Callable[[], Awaitable[object]]) -> None:
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                while True:
+                    with contextlib.suppress(control.ControlError):
+                        if await met():
+                            return
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            seen = {n.name: list(n.log)[-8:] for n in self.world.nodes}
+            raise AssertionError(f"not seen: {what}; {seen}") from None
+
+    async def see(self, at: list[Node], whom: list[Node], state: str = "alive") -> None:
+        """Wait until all of these hold all of those to be so."""
+
+        async def met() -> bool:
+            for node in at:
+                view = await self.held(node)
+                if {view.get(o.name, {}).get("state") for o in whom if o is not node} - {state}:
+                    return False
+            return True
+
+        await self.until(f"{[n.name for n in whom]} {state} at {[n.name for n in at]}", met)
+
+    async def life(self, at: list[Node], whom: Node) -> int:
+        """By which incarnation all of these know it, at the least."""
+        return min([int((await self.held(node))[whom.name]["incarnation"]) for node in at])
+
+    async def said(self, at: list[Node], event: str, whom: list[Node]) -> None:
+        """Wait until the time line of all of these tells it of all of those."""
+
+        async def met() -> bool:
+            wanted = {(event, other.name) for other in whom}
+            return all([wanted <= set(await self.events(node)) for node in at])
+
+        await self.until(f"{event} of {[n.name for n in whom]} at {[n.name for n in at]}", met)
+
+
+async def shown(node: Node, row: str, count: str) -> None:
+    """`dillport peers` shows this row, each second anew with `--watch`, and its JSON has all keys."""
+    words = [sys.executable, "-m", "dillport", "peers", "--control", node.socket]
+    for more in ([], ["--watch"], ["--json"]):
+        process = await asyncio.create_subprocess_exec(
+            *words, *more, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT
+        )
+        assert process.stdout is not None
+        if more == ["--watch"]:
+            text = ""
+            async with asyncio.timeout(LIMIT_S):
+                while len(re.findall(row, text)) < 2:
+                    line = (await process.stdout.readline()).decode()
+                    assert line, text
+                    text += f" {line}"
+            process.send_signal(signal.SIGINT)
+        out = (await process.communicate())[0].decode()
+        assert process.returncode == 0, out
+        if not more:
+            assert re.search(row, out.replace("\n", "\n ")) and count in out.splitlines()[-1], out
+        if more == ["--json"]:
+            told = json.loads(out)
+            assert told["self"] == node.name and told["cut"] == told["disagreements"] == [] and told["speaks"]
+            keys = {"name", "address", "state", "since", "incarnation", "goes_by"}
+            assert all(one.keys() == keys for one in told["peers"])
+
+
+def run(
+    path: Path, nodes: int, scenario: Callable[[Fleet], Awaitable[None]], memory: bool = False
+) -> None:
+    async def test() -> None:
+        world = World(path, site=Site(zones=("a",)), seed=3, nodes=nodes, servers=4)
+        world.gossip, world.memory = True, memory
+        async with asyncio.timeout(5 * LIMIT_S), world:
+            fleet = Fleet(world)
+            await fleet.see(world.nodes, world.nodes)
+            await scenario(fleet)
+            for node in world.nodes:
+                assert not [line for line in node.log if "Traceback" in line], list(node.log)[-20:]
+                assert not [line for line in node.log if KEY in line or NEXT in line]
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("memory", [True, False], ids=["memory", "none"])
+def test_one_that_is_killed_has_failed_one_that_ends_has_left_and_both_come_back(
+    tmp_path: Path, memory: bool
+) -> None:
+    """The life is a greater one each time: by its memory, or else by what the others hold."""
+
+    async def scenario(fleet: Fleet) -> None:
+        nodes, (*others, last) = fleet.world.nodes, fleet.world.nodes
+        life = 0
+        for end, state in ((last.kill, "failed"), (last.terminate, "left")):
+            before, life = life, await fleet.life(others, last)
+            assert life > before
+            end()
+            await last.ended()
+            await fleet.see(others, [last], state)
+            await fleet.said(others, f"peer_{state}", [last])
+            row = f" {last.name} +[0-9.:]+ +{state} +[0-9-]+ [0-9:]+ +[0-9]+\n"
+            await shown(others[0], row, f"1 {state}")
+            await last.start()
+            await fleet.see(nodes, nodes)
+            await fleet.said(others, "peer_returned", [last])
+            told = await fleet.asked(last, "recovery")
+            assert told["incarnation"] > life, (told, life)
+            if not memory:
+                assert told["memory"] == "lost", told
+        assert await fleet.life(others, last) > life
+
+    run(tmp_path, 4, scenario, memory)
+
+
+def test_one_that_stood_still_calls_nobody_failed(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        nodes, (one, *others) = fleet.world.nodes, fleet.world.nodes
+        before = await fleet.held(others[0])
+        begun = (await fleet.asked(one, "events"))["next"]
+        one.stand()
+        await asyncio.sleep(3.0)
+        await fleet.see(others, [one], "failed")
+        one.go_on()
+        await fleet.see(nodes, nodes)
+
+        async def sure() -> bool:
+            return not (await fleet.asked(one))["doubts"]
+
+        await fleet.until("it believes again", sure)
+        told = await fleet.events(one, begun)
+        assert not [who for event, who in told if event == "peer_failed"], told
+        assert any("stood still" in line and "peers" in line for line in one.log)
+        after = await fleet.held(others[0])
+        assert after[one.name]["incarnation"] > before[one.name]["incarnation"]
+
+    run(tmp_path, 5, scenario)
+
+
+def test_both_sides_of_a_cut_name_the_other_and_serve_on(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        world, three, two = fleet.world, fleet.world.nodes[:3], fleet.world.nodes[3:]
+        sides = ((three, two), (two, three))
+        a, b = (tuple(node.name for node in side) for side in (three, two))
+        strike = sc.Strike(0.0, "peers silent", a, b, for_s=10 * LIMIT_S)
+        act = cast(Coroutine[Any, Any, None], sc.KINDS["peers silent"].act(world, strike))
+        cut = asyncio.create_task(act)
+        served: list[Answered] = []
+
+        def heal(world: World) -> None:
+            served.extend(of(world.journal, Answered))
+            for x in a:
+                for y in b:
+                    world.peers[x, y].heal()
+
+        for here, there in sides:
+            await fleet.said(here, "peer_failed", there)
+            await fleet.see(here, there, "failed")
+            await fleet.see(here, here)
+        await world.play(60, 5.0, [Step(3.0, "healed", heal)])
+        cut.cancel()
+        good = {one.request for one in served if one.status == 200}
+        by = {one.node for one in of(world.journal, Asked) if one.request in good}
+        assert len(good) > 100 and by == {*a, *b}
+        for here, there in sides:
+            await fleet.said(here, "peer_returned", there)
+        await fleet.see(world.nodes, world.nodes)
+        verdict = world.verdict()
+        assert not verdict.breaches, verdict.lines()
+
+    run(tmp_path, 5, scenario)
+
+
+def test_a_key_is_rotated_node_by_node_with_no_gap_and_forged_ones_harm_no_answer(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        world = fleet.world
+
+        async def refused(node: Node) -> dict[str, int]:
+            return dict((await fleet.asked(node))["refused"])
+
+        for step, keys in enumerate([(KEY, NEXT), (NEXT, KEY), (NEXT,)], 1):
+            for node in world.nodes:
+                node.key(*keys)
+                node.reload()
+
+                async def read(node: Node = node, step: int = step) -> bool:
+                    return sum("peers.keys changed" in line for line in node.log) == step
+
+                await fleet.until(f"{node.name} took step {step}", read)
+                much = (await fleet.asked(node))["datagrams"]["received"] + 10
+
+                async def heard(node: Node = node, much: int = much) -> bool:
+                    return bool((await fleet.asked(node))["datagrams"]["received"] >= much)
+
+                await fleet.until(f"{node.name} hears on", heard)
+        assert [await refused(node) for node in world.nodes] == [{}] * 3, "somebody was unheard"
+        await fleet.see(world.nodes, world.nodes)
+
+        # Whoever knows an id of a key, as it is on the wire, costs a code each.
+        node = world.nodes[0]
+        head = b"\x01\x01" + keys_of(NEXT)[0].id + bytes(12)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", FLOOD, node.host, "7420", head.hex()
+        )
+        try:
+            await world.play(60, 3.0)
+
+            async def flooded() -> bool:
+                told = await refused(node)
+                return told.get("code", 0) >= FORGED and told.get("stranger", 0) > FORGED
+
+            await fleet.until("forged ones beyond the bound", flooded)
+            await fleet.see(world.nodes, world.nodes)
+        finally:
+            process.kill()
+            await process.wait()
+        verdict = world.verdict()
+        assert not verdict.breaches and len(of(world.journal, Answered)) > 100, verdict.lines()
+
+    run(tmp_path, 3, scenario)
