Stop a node while it holds another to be suspect: it calls nobody failed when it goes on

This one fails where neither the socket is read first nor the decider told of the stand; with one of them it passes, and tests/net has a test of each alone.

--- a/tests/system/test_peers.py
+++ b/tests/system/test_peers.py
@@ -8,6 +8,7 @@
 import re
 import signal
 import sys
+import time
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any, cast
@@ -167,25 +168,42 @@
 
 
 def test_one_that_stood_still_calls_nobody_failed(tmp_path: Path) -> None:
+    """Not even one that it held to be suspect as it stopped, and whose time ran out meanwhile.
+
+    What lies in the socket is read first, and the decider is told of the stand; either is enough here.
+    """
+
     async def scenario(fleet: Fleet) -> None:
-        nodes, (one, *others) = fleet.world.nodes, fleet.world.nodes
-        before = await fleet.held(others[0])
-        begun = (await fleet.asked(one, "events"))["next"]
-        one.stand()
-        await asyncio.sleep(3.0)
-        await fleet.see(others, [one], "failed")
-        one.go_on()
-        await fleet.see(nodes, nodes)
-
-        async def sure() -> bool:
-            return not (await fleet.asked(one))["doubts"]
-
-        await fleet.until("it believes again", sure)
-        told = await fleet.events(one, begun)
-        assert not [who for event, who in told if event == "peer_failed"], told
+        nodes, (one, other, *rest) = fleet.world.nodes, fleet.world.nodes
+        life = await fleet.life(rest, one)
+        for _ in range(20):
+            begun = (await fleet.asked(one, "events"))["next"]
+            other.stand()
+
+            async def suspects(begun: int = begun) -> bool:
+                return ("peer_suspected", other.name) in await fleet.events(one, begun)
+
+            await fleet.until("it suspects the other", suspects)
+            one.stand()
+            stopped_ms = time.time() * 1000
+            other.go_on()
+            await asyncio.sleep(3.0)
+            await fleet.see(rest, [one], "failed")
+            went_ms = time.time() * 1000
+            one.go_on()
+            await fleet.see(nodes, nodes)
+            told = [e for e in (await fleet.asked(one, "events", after=begun))["events"]]
+            # Hearing others again and a suspicion from its beginning take longer than this.
+            own = [e for e in told if e["event"] == "peer_failed" and stopped_ms < e["at"] < went_ms + 500
+                   and not e["evidence"]["why"].startswith("told by")]  # fmt: skip
+            assert not own, told
+            last = [e["event"] for e in told if e["subject"] == other.name and e["at"] <= stopped_ms]
+            if last[-1] == "peer_suspected":
+                break
+        else:
+            raise AssertionError("it was never stopped while it held the other to be suspect")
         assert any("stood still" in line and "peers" in line for line in one.log)
-        after = await fleet.held(others[0])
-        assert after[one.name]["incarnation"] > before[one.name]["incarnation"]
+        assert await fleet.life(rest, one) > life
 
     run(tmp_path, 5, scenario)
 
