--- a/dillport/net/peers.py
+++ b/dillport/net/peers.py
@@ -275,7 +275,8 @@
         if self._wake is not None:
             self._wake.cancel()
         self._wake_ms = at_ms
-        self._wake = self.loop.call_later(max(0.0, at_ms - self.node.now()) / 1000, self._due)
+        # A loop counts in whole ms: one that wakes too early has to be waked once more.
+        self._wake = self.loop.call_later(max(0.0, at_ms - self.node.now()) / 1000 + 0.001, self._due)
 
     def _keep(self, incarnation: int, held: int | None) -> None:
         """It goes by this from now on; `held` is what others held of it before it spoke, where they said so.
--- a/tests/system/test_scripts.py
+++ b/tests/system/test_scripts.py
@@ -19,7 +19,9 @@
 SCRIPTS = Path(sc.__file__).parent / "scripts"
 
 
-@pytest.mark.parametrize("name", ["forgot", "herd", "join", "powercut", "quiet", "roll", "stand", "zone"])
+@pytest.mark.parametrize(
+    "name", ["apart", "forgot", "herd", "join", "powercut", "quiet", "roll", "stand", "zone"]
+)
 def test_a_hard_day_breaks_no_rule(name: str, tmp_path: Path) -> None:
     script = sc.parse((SCRIPTS / f"{name}.toml").read_bytes())
     for number in range(3):
@@ -33,7 +35,7 @@
     assert not wrong, wrong
     assert played.verdict.classes["all"].asked > 0.7 * script.rate * script.seconds
     # What was to happen did: nodes were away, servers were taken off.
-    if name in ("forgot", "herd", "powercut", "roll"):
+    if name in ("apart", "forgot", "herd", "powercut", "roll"):
         assert min(row[4] for row in played.rows[1:]) < script.nodes
         assert max(row[4] for row in played.rows[-4:]) == script.nodes
     # And full service was back before the end, as far as the last fault leaves a second for it. (Where the
