--- a/dillport/net/operators.py
+++ b/dillport/net/operators.py
@@ -44,6 +44,12 @@
     return StatePart
 
 
+def _peers() -> Make:
+    from dillport.net.peers import PeersPart
+
+    return PeersPart
+
+
 def _etcd() -> Make:
     from dillport.net.etcd import EtcdPart
     from dillport.net.sources.etcd import EtcdSource
@@ -80,6 +86,7 @@
 KINDS = (  # in the order in which they change; they are closed the other way round
     Kind("recovery", lambda settings: True, _recovery),
     Kind("state", lambda settings: settings.state is not None, _state),  # tells the one before
+    Kind("peers", lambda settings: settings.peers is not None, _peers),  # rests on the two before
     Kind("etcd", lambda settings: settings.membership.etcd is not None, _etcd),
     Kind("timeline", lambda settings: settings.timeline is not None, _timeline),
     Kind("metrics", lambda settings: settings.metrics is not None, _metrics),  # rests on the time line
--- a/dillport/net/part.py
+++ b/dillport/net/part.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
@@ -16,11 +17,14 @@
 from dillport.relay.ports import Observer
 
 if TYPE_CHECKING:
+    from dillport.net.peers import PeersPart
     from dillport.net.recovery import RecoveryPart
     from dillport.timeline.watch import Watch
 
 log = logging.getLogger(__name__)
 
+BEFORE = 20  # events kept for a time line that is not on yet
+
 
 class Part(Protocol):
     """One thing that the operators' file switches on, off and over; made by the first settings with it on."""
@@ -78,9 +82,34 @@
     control: Control
     watch: Watch | None = None  # the time line's, while that is on
     recovery: RecoveryPart | None = None
+    peers: PeersPart | None = None
     name: str = ""
     parts: Mapping[str, float] = field(default_factory=dict)
     observers: Observers = field(init=False)
+    _told: deque[tuple[int, float, str, str, str, str, dict[str, object]]] = field(init=False)
+    _count: int = field(init=False)
 
     def __post_init__(self) -> None:
         self.observers = Observers(self.node)
+        self._told = deque(maxlen=BEFORE)
+        self._count = 0
+
+    def tell(self, step: str, scope: str, subject: str, signal: str, about: dict[str, object]) -> None:
+        """Something that is no departure of a server goes on the time line, as soon as that is on.
+
+        `step`, `scope` and `signal` are values of `decide/departure`, which comes with the time line.
+        """
+        self._count += 1  # told below 0: the departures' own numbers begin at 1
+        self._told.append((self._count, self.node.now(), step, scope, subject, signal, about))
+        self.hand_on()
+
+    def hand_on(self) -> None:
+        """Tell a time line that is on what waits for it."""
+        if self.watch is None or not self._told:
+            return
+        from dillport.decide.departure import Scope, Signal, Step, Told
+
+        while self._told:
+            number, at, step, scope, subject, signal, about = self._told.popleft()
+            told = Told(Step(step), -number, at, at, Scope(scope), subject, Signal(signal), about)
+            self.watch.tell(told)
--- a/tests/system/test_scripts.py
+++ b/tests/system/test_scripts.py
@@ -68,7 +68,7 @@
     assert not wrong, wrong
     assert played.verdict.classes["all"].asked > 0.7 * script.rate * script.seconds
     # What was to happen did: nodes were away, servers were taken off.
-    if name in ("again", "aged", "forgot", "herd", "powercut", "roll", "wrong"):
+    if name in ("again", "aged", "apart", "forgot", "herd", "powercut", "roll", "wrong"):
         assert min(row[4] for row in played.rows[1:]) < script.nodes
         assert max(row[4] for row in played.rows[-4:]) == script.nodes
     # And full service was back before the end, as far as the last fault leaves a second for it. (Where the
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -23,7 +23,7 @@
     "argparse", "click", "tomllib", "difflib", "pathlib", "dillport.cli", "dillport.operators",
     "dillport.net.operators", "dillport.net.control", "dillport.net.etcd", "dillport.net.sources.etcd",
     "dillport.decide.etcd_follow", "dillport.proto.etcd_watch", "dillport.timeline", "dillport.observe",
-    "dillport.wire", "msgspec",
+    "dillport.wire", "msgspec", "dillport.net.peers", "dillport.decide.peers", "dillport.proto.gossip",
 }  # fmt: skip
 SWITCHED_ON = {  # of these, what a node with a memory and a control socket needs
     "tomllib", "pathlib", "dillport.operators", "dillport.net.operators", "dillport.net.control", "msgspec",
@@ -89,6 +89,14 @@
     assert all(there <= most for there, most in zip(got, MEMORY, strict=True)), (got, found)
 
 
+def test_other_nodes_are_loaded_where_they_are_switched_on(tmp_path: Path) -> None:
+    settings = tmp_path / "s.toml"
+    (tmp_path / "peers.key").write_text("0123456789abcdef" * 2)
+    settings.write_text('[peers]\nlisten = "127.0.0.1:0"\nkey_file = "peers.key"\n')
+    found = asyncio.run(loaded(tmp_path / "c.json", "--settings", str(settings)))
+    assert {"dillport.net.peers", "dillport.decide.peers", "dillport.proto.gossip"} <= found
+
+
 @pytest.mark.parametrize(("words", "begun"), [([], "dillport.interface"), (["run"], "uvloop")])
 def test_a_hangup_while_it_starts_is_heeded_once_it_serves(
     tmp_path: Path, words: list[str], begun: str
