--- a/dillport/proto/gossip.py
+++ b/dillport/proto/gossip.py
@@ -2,11 +2,14 @@
 once.
 
     version 1 | least 1 | key id 2 | counter 6 | incarnation 4 | name
-    kind 1 | seq 4 | target | address | words | code 16
+    kind 1 | seq 4 | target | address | words | sections | code 16
 
 Text is a byte of length and UTF-8; an address is text, or a byte 255 and six bytes where it is IPv4. A word
 is a byte of length, state 1, incarnation 4, accuser 2, name, address; whatever a later version puts behind
-that within the length is skipped, and so is a section behind the words, which a word of length 0 ends.
+that within the length is skipped.
+Behind the words, which a word of length 0 ends, come sections, each a byte of kind, one of length and that
+many (`proto/goes_by`): the first readers skipped all of them, later ones skip kinds that they do not know,
+and one whose length points behind the end ends them.
 `least` is the oldest version of a reader that may take it: a later version raises it only where an older
 reader would be misled.
 
@@ -23,6 +26,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from contextlib import suppress
 from functools import lru_cache
 from hashlib import blake2s
 from hmac import compare_digest
@@ -42,6 +46,7 @@
 _WORD = Struct("!BLH")
 
 Word = tuple[str, int, int, str, int]  # name, state, incarnation, address, accuser
+Sections = Sequence[tuple[int, bytes]]  # kind, and what the codec of that kind reads
 
 
 class Told(NamedTuple):
@@ -61,6 +66,7 @@
     incarnation: int
     message: Told
     fresh: bool
+    sections: Sections = ()
 
 
 class Refused(NamedTuple):
@@ -189,7 +195,9 @@
         self._name = _text(name)
         self._counter = self._incarnation = 0
 
-    def write(self, incarnation: int, message: tuple[int, int, str, str, Sequence[Word]]) -> bytes:
+    def write(
+        self, incarnation: int, message: tuple[int, int, str, str, Sequence[Word]], sections: Sections = ()
+    ) -> bytes:
         """One datagram; each has a counter of its own, so one that is to be sent twice is written twice.
 
         Raises ValueError where it would be longer than SIZE: whoever packs asks `room` and `cost` before.
@@ -206,7 +214,7 @@
         for name, state, its, where, by in words:
             word = _WORD.pack(state, its, by) + _text(name) + _address(where)
             parts.append(bytes((len(word),)) + word)
-        data = b"".join(parts) + b"\0"
+        data = b"".join(parts) + b"\0" + b"".join(bytes((kind, len(what))) + what for kind, what in sections)
         if len(data) + CODE > SIZE:
             raise ValueError(f"a datagram of {len(data) + CODE} bytes; at most {SIZE} are allowed")
         return data + key.code(data)
@@ -258,7 +266,7 @@
             self._forged += 1
             return Refused("code")
         try:
-            sender, incarnation, counter, message = _parsed(data)
+            sender, incarnation, counter, message, sections = _parsed(data)
         except _Cut:
             return Refused("garbled")
         fresh = self._fresh(sender, incarnation, counter)
@@ -266,7 +274,7 @@
             return Refused("replay")
         if fresh and incarnation:  # all others can be a right one that somebody else sends once more
             _touch(self._known, source, None)
-        return Read(sender, incarnation, message, fresh)
+        return Read(sender, incarnation, message, fresh, sections)
 
     def _fresh(self, sender: str, incarnation: int, counter: int) -> bool | None:
         """Whether it is new (True), of an older incarnation (False), or was read before (None)."""
@@ -295,7 +303,7 @@
         table.popitem(last=False)
 
 
-def _parsed(data: bytes) -> tuple[str, int, int, Told]:
+def _parsed(data: bytes) -> tuple[str, int, int, Told, Sections]:
     _, _, _, high, low, incarnation = _HEAD.unpack_from(data)
     rest = _Bytes(data, _HEAD.size, len(data) - CODE)
     sender = rest.text()
@@ -309,4 +317,10 @@
         words.append((inner.text(), state, its, inner.address(), by))
     if not sender:
         raise _Cut
-    return sender, incarnation, high << 32 | low, Told(kind, seq, target, address, tuple(words))
+    sections = []
+    with suppress(_Cut):
+        while rest.at < rest.end:
+            which, size = rest.take(2)
+            sections.append((which, rest.take(size)))
+    told = Told(kind, seq, target, address, tuple(words))
+    return sender, incarnation, high << 32 | low, told, tuple(sections)
