--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -72,6 +72,7 @@
                 saw = cuts.Saw(heard, gone, address not in self.deaf, {}, words, node.doubt is not None)
                 for event in self.cuts[address].handle(self.now, saw):
                     self.events.append((self.now, node.name, event))
+            self.after_round()
             for address, send in sent:
                 self.datagrams += 1
                 head = gossip.SIZE - room(self.nodes[address].name)
@@ -82,6 +83,10 @@
         return self.now - start
 
 
+    def after_round(self) -> None:
+        """For what goes on from here."""
+
+
 def member(number: int, weight: float = 1.0) -> Member:
     entry = Entry(f"server-{number}", "zone-1", number % 5, weight, Phase.UP, 0.0)
     return Member(entry, (f"10.1.{number >> 8}.{number & 255}", 8080))
--- a/dillport/proto/goes_by.py
+++ b/dillport/proto/goes_by.py
@@ -6,6 +6,7 @@
     3 HALVES    digests, each: place 2 | digest 6
     4 LEAF      place 2 | entries, each: key 8 | digest 6
     5 OUT       source | order 4 | entries, each: revision 8 | phase 1 | server
+    6 SINCE     source | order 4 | revision 8: what drained or went after it is asked for
 
 Text is a byte of length and UTF-8; a number has seven bits a byte, the lowest first, and the eighth says
 that more follow; a source is a byte, 0 where its name follows. What is behind the sources is skipped.
@@ -17,13 +18,13 @@
 from collections.abc import Iterable, Sequence
 from struct import Struct, error
 
-GOES_BY, COUNTED, HALVES, LEAF, OUT = 1, 2, 3, 4, 5
+GOES_BY, COUNTED, HALVES, LEAF, OUT, SINCE = range(1, 7)
 KIND = 8  # of a datagram that has sections and no words; an older node notes that it heard somebody
 TEXT = 48  # the longest text, in bytes; of a longer one the beginning
 SOURCES = 4
 KNOWN = ("", "platform", "etcd")  # sources that need no name
 BITS = 64  # the greatest number
-_LISTS, _HALF, _ENTRY, _OUT, _LONG = (Struct(f"!{of}") for of in ("LLL", "HHL", "QHL", "QB", "L"))
+_LISTS, _HALF, _ENTRY, _OUT, _LONG, _SINCE = map(Struct, ("!LLL", "!HHL", "!QHL", "!QB", "!L", "!LQ"))
 
 # name, incarnation, edition, number, state, flags, zone cut, nodes, digest, files, version, zone, sources
 Goes = tuple[
@@ -159,3 +160,18 @@
     except (error, IndexError, UnicodeDecodeError):
         return None
     return source, order, entries
+
+
+def since(source: str, order: int, revision: int) -> bytes:
+    """A question: what drained or went after this revision."""
+    return _text(source) + _SINCE.pack(order, revision)
+
+
+def read_since(data: bytes) -> tuple[str, int, int] | None:
+    """The same, or None."""
+    try:
+        source, at = _read(data, 0)
+        order, revision = _SINCE.unpack_from(data, at)
+    except (error, IndexError, UnicodeDecodeError):
+        return None
+    return source, order, revision
