By how many nodes to divide: a count whose shares never sum above the whole

The count rises at once with a node of a number beyond the settings', falls a minute after that one said itself that it leaves, and never by silence. A newcomer takes a share once all of lower numbers count it; one that forgot divides by the most there can be.

Tried before and left: counting who is heard, a majority that takes what the others had, one word of any that is sure; each was found to exceed the whole.

--- a/tests/proto/test_goes_by.py
+++ b/tests/proto/test_goes_by.py
@@ -37,7 +37,8 @@
     assert goes_by.read_leaf(goes_by.leaf(7, entries)) == (7, entries)
     out = [(f"{name}{place}", key, place % 2) for place, _ in digests]
     assert goes_by.read_out(goes_by.out(name, 9, out)) == (name, 9, out)
-    assert goes_by.read_counted(goes_by.counted(9)) == 9
+    known = tuple((place, digest % 2**32, place % 2 == 0) for place, digest in digests)
+    assert goes_by.read_counted(goes_by.counted(1, 2, 3, True, known)) == (1, 2, 3, True, known)
 
 
 @given(st.binary(max_size=220))
