--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -189,7 +189,7 @@
     """Cut in two, one alone, discovery, flapping: when all name it, when it is over, how often it began."""
     _head("nodes", "cut", "named by all, s (worst)", "over for all, s (worst)", "began, a node")
     for size in sizes:
-        for kind in ("2 : 3", "1 alone", "discovery", "each second"):
+        for kind in ("2 : 3", "1 alone", "discovery", "each second", "none, 60 s"):
             rows = []
             for seed in range(seeds):
                 world = World(size, seed, loss)
@@ -209,6 +209,9 @@
                     world.deaf = part
                     named = world.rounds(20_000, all_on(True))
                     world.deaf = set()
+                elif kind == "none, 60 s":
+                    world.rounds(60_000)
+                    named = 0.0
                 elif kind == "each second":
                     named = 0.0
                     for turn in range(20):
--- a/dillport/decide/hearsay.py
+++ b/dillport/decide/hearsay.py
@@ -13,7 +13,7 @@
 below for DISPROVED_MS, and no more than half of those that hear discovery stand by it, the word was wrong and
 is not taken again; where more do, the own source is the late one.
 
-What is taken goes to `decide/membership` as changes of a source of role "remove" (`SOURCE`); one that is to
+What is taken goes to `decide/membership` as changes of a source of role "remove" (`PEERS`); one that is to
 be lifted is listed there as up, which adds nothing in that role.
 """
 
@@ -28,11 +28,10 @@
 
 from dillport.decide.membership import Listed, Role, Source
 from dillport.decide.spread import Turns
-from dillport.decide.views import NO_DISCOVERY, Goes
+from dillport.decide.views import NO_DISCOVERY, PEERS, Goes
 from dillport.interface import Phase
 from dillport.members import Listing, Member
 
-SOURCE = "peers"
 NEWER_MS = 300.0  # after which a newer revision told is not just a moment's lag of the own source
 ASKED = 3  # peers asked a round
 AGAIN_MS = 400.0  # between two rounds of questions
@@ -132,7 +131,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Renew:
-    """Configure the merge without SOURCE, then with it: what it lists of those lifted is to be forgotten."""
+    """Configure the merge without PEERS, then with it: what it lists of those lifted is to be forgotten."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -146,7 +145,7 @@
 
 def source() -> Source:
     """What the merge is to be configured with, behind all others."""
-    return Source(SOURCE, Role.REMOVE, pieces=True)
+    return Source(PEERS, Role.REMOVE, pieces=True)
 
 
 @dataclass(slots=True)
@@ -174,7 +173,7 @@
         self._lies: OrderedDict[tuple[str, str, int], None] = OrderedDict()
         self._claimed: dict[Key, float] = {}  # since
         self._lifted: set[str] = set()
-        self._listed: dict[str, Member] = {}  # of SOURCE, by server, as they were when they were taken
+        self._listed: dict[str, Member] = {}  # of PEERS, by server, as they were when they were taken
         self._view: Mapping[str, Member] = {}
         self._turns, self._random, self._fits, self._rule = turns, random, fits, rule
         self._revision = 0
@@ -317,13 +316,13 @@
             return
         if not self._revision:
             self._revision = 1
-            self._out.append(Listed(SOURCE, SOURCE, Listing(1, True, ())))
+            self._out.append(Listed(PEERS, PEERS, Listing(1, True, ())))
         self._revision += 1
         self._listed |= {server: self._view[server] for server in fresh}
         named = [_as(self._listed[server], Phase.DRAINING) for server in fresh if not out[server].gone]
         named += [_as(self._listed.pop(server), Phase.UP) for server in lifted]
         gone = tuple(server for server in fresh if out[server].gone)
-        self._out.append(Listed(SOURCE, SOURCE, Listing(self._revision, False, tuple(named), gone)))
+        self._out.append(Listed(PEERS, PEERS, Listing(self._revision, False, tuple(named), gone)))
         self._lifted.update(lifted)
         if len(self._lifted) > LIFTED and not self.taken:
             self._lifted.clear()
--- a/dillport/decide/views.py
+++ b/dillport/decide/views.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -26,6 +27,7 @@
 from random import Random
 from typing import NamedTuple
 
+from dillport.decide.membership import Source, State
 from dillport.decide.peers import INCARNATION_MAX, PEERS_MAX, _Rumours
 from dillport.decide.steady import Steady
 
@@ -37,7 +39,8 @@
 LATE_MS = 2_000.0  # the rule on drains: whoever is behind by less is in time
 MARKS = 64  # of revisions seen, a source
 SHOWN = 8  # names of an event
-NO_DISCOVERY, NO_PEERS, SURE = 1, 2, 4  # flags: what a node does not reach; that its count is sure
+PEERS = "peers"  # the source of the merge that stands for them (`decide/hearsay`)
+NO_DISCOVERY = 1  # a flag: no source of this node is in sync
 
 
 class Goes(NamedTuple):
@@ -63,6 +66,29 @@
     sources: tuple[tuple[str, int, int, int], ...]
 
 
+def order_of(identity: str | None) -> int:
+    """An identity in 32 bits; 0: there is none yet."""
+    return zlib.crc32(identity.encode()) or 1 if identity is not None else 0
+
+
+def told_of(sources: Iterable[Source]) -> tuple[tuple[str, int, int, int], ...]:
+    """What a word says of a node's own sources."""
+    states = tuple(State)
+    return tuple(
+        (source.name, order_of(source.identity), source.revision or 0, states.index(source.state))
+        for source in sources if source.name != PEERS
+    )  # fmt: skip
+
+
+def comparable(sources: Iterable[Source]) -> bool:
+    """Whether the view is all by the sources' word, so that its digest is to be told."""
+    return not any(
+        source.pending or source.remembered or source.spoiled or source.faults
+        or (source.name == PEERS and (source.members or source.removed))
+        for source in sources
+    )  # fmt: skip
+
+
 def newer(held: Goes | None, told: Goes) -> Goes:
     """The merge: a maximum of a total order, so associative, commutative and idempotent."""
     return told if held is None or told[1:] > held[1:] else held
--- a/tests/decide/test_views.py
+++ b/tests/decide/test_views.py
@@ -9,11 +9,13 @@
 from hypothesis import strategies as st
 
 from benchmarks.views import World, cost, goes, member, room, search
-from dillport.decide import cuts, halves, views
+from dillport.decide import cuts, halves, hearsay, views
 from dillport.decide.cuts import Cuts, From, Roles, Saw, Verdict
 from dillport.decide.halves import Halves
+from dillport.decide.membership import Continued, Listed, Membership, Source
 from dillport.decide.steady import Steady
 from dillport.decide.views import Goes, Heard, Mine, Round, Views, newer
+from dillport.members import Listing
 from dillport.proto import gossip
 
 WORDS = st.builds(
@@ -101,6 +103,19 @@
     assert began.names == ("a", "b")
 
 
+def test_a_word_says_what_the_own_sources_are_at_and_no_digest_of_what_is_not_theirs() -> None:
+    merge = Membership([Source("platform"), hearsay.source()])
+    assert views.told_of(merge.sources.values()) == (("platform", 0, 0, 0),)
+    merge.handle(0, Listed("platform", "p", Listing(7, True, tuple(map(member, range(501))))))
+    assert views.told_of(merge.sources.values()) == (("platform", views.order_of("p"), 7, 2),)
+    assert not views.comparable(merge.sources.values())  # a slice waits
+    merge.handle(0, Continued())
+    assert views.comparable(merge.sources.values())
+    for number, listing in enumerate((Listing(1, True, ()), Listing(2, False, (), ("server-1",)))):
+        merge.handle(0, Listed(views.PEERS, "", listing))
+        assert views.comparable(merge.sources.values()) is not bool(number)
+
+
 def test_who_is_behind_is_named_late_enough_and_not_for_one_that_lies() -> None:
     its = node(goes("b", 1, 5), goes("c", 2, 5))  # a: revision 1
     assert its.late_ms >= views.LATE_MS
