--- a/dillport/decide/hearsay.py
+++ b/dillport/decide/hearsay.py
@@ -260,7 +260,9 @@
         hearing = sum(not word.flags & NO_DISCOVERY for word in event.words)
         for key in list(self.claims):
             self._weigh(now_ms, key, hearing)
-        up = sum(member.entry.phase is Phase.UP for member in event.view.values()) + len(self.taken)
+        up = len(self.taken)
+        if len(self.claims) > up:
+            up += sum(member.entry.phase is Phase.UP for member in event.view.values())
         for key, by in self.claims.items():
             if key in self.taken or key[1] not in event.view or not self._enough(key[0], len(by), hearing):
                 continue
--- a/dillport/decide/views.py
+++ b/dillport/decide/views.py
@@ -6,7 +6,7 @@
 
 From the words of the nodes that are there follow the *disagreements*, each with the names it holds of:
 
-    behind    a revision below one that was seen HOLD ago, and longer if many words have to go round
+    behind    a revision below one that was seen LATE_MS ago; each judges itself, and tells all
     order     another identity of a source: another cluster, or an older epoch
     list      another digest of the list at the same revisions of all sources: a fault of the program
     settings  another digest of the platform's settings, or of the operators' file
@@ -34,13 +34,14 @@
 ROUND_MS = 200.0
 FAN = 2  # peers a round
 TELL = 6  # times that a changed word is told by each node before it only goes in turn
-WORDS = 3  # that fit a datagram, about: how long a turn through all takes
+WORDS = 3  # that fit a datagram, about
 HOLD_MS, CLEAR_MS = 1_000.0, 2_000.0  # before a disagreement begins, or ends
 LATE_MS = 2_000.0  # the rule on drains: whoever is behind by less is in time
+SLOW = ("settings", "version", "order")  # old words look like these, where all change at once
 MARKS = 64  # of revisions seen, a source
 SHOWN = 8  # names of an event
 PEERS = "peers"  # the source of the merge that stands for them (`decide/hearsay`)
-NO_DISCOVERY = 1  # a flag: no source of this node is in sync
+NO_DISCOVERY, BEHIND = 1, 2  # flags: no source of this node is in sync; it is late itself, and knows
 
 
 class Goes(NamedTuple):
@@ -175,6 +176,8 @@
         self._random, self._cost, self._room = random, cost, room
         self._rumours = _Rumours()
         self._marks: dict[tuple[str, int], deque[tuple[float, int]]] = {}  # source, order -> seen since
+        self._found: dict[tuple[str, str], float] = {}  # disagreements, begun or not, since
+        self._late = False
         self._turn = 0
 
     def __repr__(self) -> str:
@@ -203,6 +206,7 @@
         return []
 
     def _mine(self, goes: Goes) -> None:
+        goes = goes._replace(flags=goes.flags | BEHIND if self._late else goes.flags & ~BEHIND)
         held = self.words.get(self.name)
         edition = held.edition if held else 0
         if held is None or goes._replace(edition=edition) != held:
@@ -262,9 +266,9 @@
     # --- who disagrees
 
     @property
-    def late_ms(self) -> float:
-        """After which one whose word shows an older revision is behind: words need time to go round."""
-        return LATE_MS + ROUND_MS * len(self.here) / (FAN * WORDS)
+    def turn_ms(self) -> float:
+        """How long it takes, about, until the words of all are known where all changed at once."""
+        return ROUND_MS * TELL * len(self.here) / (FAN * WORDS)
 
     def there(self) -> list[Goes]:
         """The words of all that are there, this node's own too."""
@@ -303,7 +307,13 @@
             differ("order", source, orders, "another identity of the source")
             if late := self._behind(now_ms, source, order):
                 found["behind", source] = late
+        self._late = any(self.name in its.names for (what, _), its in found.items() if what == "behind")
+        self._mine(mine)
         self.disagreements = found
+        self._found = {key: self._found.get(key, now_ms) for key in found}
+        slow = SLOW if self.turn_ms > HOLD_MS else ()
+        found = {key: its for key, its in found.items()
+                 if key[0] not in slow or now_ms - self._found[key] >= self.turn_ms}  # fmt: skip
         began, ended = dict(self.steady.on), []
         fresh, over = self.steady.update(now_ms, found)
         for what, of in over:
@@ -319,15 +329,17 @@
         marks = self._marks.setdefault((source, order), deque(maxlen=MARKS))
         if len(self._marks) > 8:
             del self._marks[next(iter(self._marks))]
-        if (seen := self.seen(source, order)) and (not marks or seen > marks[-1][1]):
-            if len(marks) < 2 or now_ms - marks[-2][0] >= self.late_ms / (MARKS // 2):
-                marks.append((now_ms, seen))
-            else:  # the newest mark keeps the later time: nobody is called late too soon
-                marks[-1] = (now_ms, seen)
-        due = [mark for mark in marks if now_ms - mark[0] >= self.late_ms]
+        seen = self.seen(source, order)
+        if marks and seen < marks[-1][1]:  # whoever told it is gone, or took it back
+            marks.clear()
+        if seen and (not marks or seen > marks[-1][1]):
+            marks.append((now_ms, seen))
+        due = [mark for mark in marks if now_ms - mark[0] >= LATE_MS]
         if not due:
             return None
-        late = {n: r for n, r in self._revisions(source, order).items() if r < due[-1][1]}
+        # Each judges itself, as the words of others may be old, and all are told.
+        late = {n: r for n, r in self._revisions(source, order).items()
+                if r < due[-1][1] and (n == self.name or self.words[n].flags & BEHIND)}  # fmt: skip
         if not late:
             return None
         least = min(late.values())
