--- a/dillport/decide/shares.py
+++ b/dillport/decide/shares.py
@@ -23,7 +23,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
+from math import ceil
 
 from dillport.decide.peers import SETTLE_MS
 from dillport.decide.recovery import BAR_MS
@@ -39,13 +41,15 @@
 class Told:
     """A node's word on whom it counts, from itself.
 
-    `counts`: the life of this node that it counts, 0: none. `known`: those beyond the settings' number.
+    `counts`: the life of this node that it counts, 0: none. `known`: those beyond the settings' number. One
+    that `asks` is told the same in answer.
     """
 
     number: int
     life: int
     counts: int
     sure: bool
+    asks: bool
     known: tuple[Known, ...]
 
 
@@ -118,6 +122,7 @@
         self._counted: dict[int, float] = {}  # lower number -> when it told last that it counts this life
         self._known: dict[int, tuple[int, float | None]] = {}  # number -> incarnation, when it left
         self._falling: list[int] = []
+        self._turn = 0
         self._told: tuple[Kept, Nodes] | None = None
         for one in kept.known if kept else ():
             self._merge(now_ms, *one)
@@ -147,7 +152,22 @@
     def word(self, to: int) -> Told:
         """What is told to another node, after `Keep` of the same."""
         life, left_ms = self._known.get(to, (0, None))
-        return Told(self.number, self.life, life if left_ms is None else 0, self.sure, self._kept())
+        counts = life if left_ms is None else 0
+        return Told(self.number, self.life, counts, self.sure, self.asks, self._kept())
+
+    @property
+    def asks(self) -> bool:
+        """Whether it needs the others' words: all lower numbers' within ACK_MS, or one's that is sure."""
+        return not (self.sure and self.admitted) and not self.leaving
+
+    def next_asked(self, numbers: Sequence[int], round_ms: float) -> list[int]:
+        """Whom of those that are there to ask in this round: all in turn, within half of ACK_MS."""
+        of = [number for number in sorted(numbers) if number < max(self.number, self.group)]
+        if not of or not self.asks:
+            return []
+        count = ceil(2 * len(of) * round_ms / ACK_MS)
+        self._turn += count
+        return [of[(self._turn + at) % len(of)] for at in range(min(count, len(of)))]
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """What follows from an event."""
--- a/dillport/proto/goes_by.py
+++ b/dillport/proto/goes_by.py
@@ -2,7 +2,7 @@
 
     1 GOES_BY   name | incarnation, edition, number, state, flags, zone cut, nodes: numbers
                 | digest 4 | files 4 4 | version | zone | sources 1, each: which | order 4 | revision, state
-    2 COUNTED   number 2 | life 4 | the receiver's life that is counted 4 | sure 1
+    2 COUNTED   number 2 | life 4 | the receiver's life that is counted 4 | sure 1 | asks 1
                 | entries, each: number 2 | incarnation 4 | left 1
     3 HALVES    digests, each: place 2 | digest 6
     4 LEAF      place 2 | entries, each: key 8 | digest 6
@@ -25,7 +25,7 @@
 SOURCES = 4
 KNOWN = ("", "platform", "etcd")  # sources that need no name
 BITS = 64  # the greatest number
-_COUNTS, _KNOWN = Struct("!HLL?"), Struct("!HL?")
+_COUNTS, _KNOWN = Struct("!HLL??"), Struct("!HL?")
 _LISTS, _HALF, _ENTRY, _OUT, _LONG, _SINCE = map(Struct, ("!LLL", "!HHL", "!QHL", "!QB", "!L", "!LQ"))
 
 # name, incarnation, edition, number, state, flags, zone cut, nodes, digest, files, version, zone, sources
@@ -33,6 +33,7 @@
     str, int, int, int, int, int, int, int, int, tuple[int, int], str, str,
     tuple[tuple[str, int, int, int], ...],
 ]  # fmt: skip
+Counted = tuple[int, int, int, bool, bool, tuple[tuple[int, int, bool], ...]]
 
 
 def _text(text: str) -> bytes:
@@ -108,12 +109,14 @@
     return name, *numbers, digest, files, version, zone, tuple(sources)
 
 
-def counted(number: int, life: int, counts: int, sure: bool, known: Iterable[tuple[int, int, bool]]) -> bytes:
+def counted(
+    number: int, life: int, counts: int, sure: bool, asks: bool, known: Iterable[tuple[int, int, bool]]
+) -> bytes:
     """Whom a node counts, in the order of `shares.Told`."""
-    return _COUNTS.pack(number, life, counts, sure) + b"".join(_KNOWN.pack(*one) for one in known)
+    return _COUNTS.pack(number, life, counts, sure, asks) + b"".join(_KNOWN.pack(*one) for one in known)
 
 
-def read_counted(data: bytes) -> tuple[int, int, int, bool, tuple[tuple[int, int, bool], ...]] | None:
+def read_counted(data: bytes) -> Counted | None:
     """The same, or None."""
     if len(data) < _COUNTS.size or (len(data) - _COUNTS.size) % _KNOWN.size:
         return None
--- a/tests/decide/test_shares.py
+++ b/tests/decide/test_shares.py
@@ -129,6 +129,15 @@
     assert fleet.nodes[0].count == 3 and fleet.sum == 1
 
 
+@pytest.mark.parametrize(("number", "kept"), [(150, None), (5, None), (150, SETTLED)])
+def test_all_that_matter_are_asked_in_time_and_nobody_once_settled(number: int, kept: Kept | None) -> None:
+    its, asked, rounds = Shares(number, 1, 100, kept, 0.0), set[int](), int(shares.ACK_MS / 200 / 2)
+    for _ in range(rounds):
+        asked |= set(its.next_asked(range(200), 200.0))
+    assert asked == set(range(max(100, number)))
+    assert not Shares(5, 1, 100, SETTLED, 0.0).next_asked(range(200), 200.0)
+
+
 def test_one_that_stood_still_goes_by_nothing_that_lay_in_its_socket() -> None:
     fleet = Fleet(2, 1)
     fleet.wait(BAR_MS)
@@ -180,12 +189,13 @@
 def test_a_word_fits_a_datagram_however_many_there_are() -> None:
     its = Shares(0, 1, 5, SETTLED, 0.0)
     for number in range(200):
-        its.handle(0, Told(number, 2**32 - 1, 0, False, ()))
+        its.handle(0, Told(number, 2**32 - 1, 0, False, False, ()))
     word = its.word(7)
     assert its.count == 5 + shares.BEYOND
-    data = goes_by.counted(word.number, word.life, word.counts, word.sure, word.known)
+    told = word.number, word.life, word.counts, word.sure, word.asks, word.known
+    data = goes_by.counted(*told)
     assert 2 + len(data) <= room("node-123") and len(word.known) == shares.BEYOND
-    assert goes_by.read_counted(data) == (0, 1, 2**32 - 1, True, word.known)
+    assert goes_by.read_counted(data) == told
 
 
 NODE = st.integers(0, 4)
--- a/tests/proto/test_goes_by.py
+++ b/tests/proto/test_goes_by.py
@@ -38,7 +38,8 @@
     out = [(f"{name}{place}", key, place % 2) for place, _ in digests]
     assert goes_by.read_out(goes_by.out(name, 9, out)) == (name, 9, out)
     known = tuple((place, digest % 2**32, place % 2 == 0) for place, digest in digests)
-    assert goes_by.read_counted(goes_by.counted(1, 2, 3, True, known)) == (1, 2, 3, True, known)
+    counted = 1, 2, 3, True, False, known
+    assert goes_by.read_counted(goes_by.counted(*counted)) == counted
 
 
 @given(st.binary(max_size=220))
