--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -251,10 +251,11 @@
             log.warning("state: not believed: %s", fault)
         me = successor(recalled, self.running.name, secrets.token_hex(16), found.generation, _wall())
         self._tell(k.Started(me, recalled.rows, recalled.order, _wall()))
-        if first:
-            self._begin(found, recalled, me.incarnation)
-        self._members.clear()
         try:
+            await asyncio.sleep(0)  # thousands of rows have had their turn
+            if first:
+                self._begin(found, recalled, me.incarnation)
+            self._members.clear()
             # Guards against taking whom the merge has not looked at yet for gone.
             while any(source.pending for source in self.fleet.membership.sources.values()):
                 await asyncio.sleep(0)
@@ -351,7 +352,7 @@
         self._queue |= dict.fromkeys(view, NOBODY)
         for source in reversed(sources.values()):  # the first that lists it
             self._queue |= dict.fromkeys(source.members.keys() & view.keys(), source.name)
-        self._work()
+        self._soon()
 
     # --- what changes
 
@@ -360,15 +361,16 @@
             self._last = event.source
         for action in actions:
             if isinstance(action, membership.Apply):
-                up = api.Phase.UP
+                up, members = api.Phase.UP, action.members
                 for member in action.removed:
                     self._first[member.id] = self._last
-                for member in action.members:
-                    entry = member.entry
-                    (self._queue if entry.phase is up else self._first)[entry.backend] = self._last
+                leaving = [m.entry.backend for m in members if m.entry.phase is not up]
+                self._first |= dict.fromkeys(leaving, self._last)
+                rest = [m.entry.backend for m in members if m.entry.phase is up]
+                self._queue |= dict.fromkeys(rest, self._last)
         if self._first or self._queue:
             if not self._working:
-                self._work()
+                self._soon()
         elif isinstance(event, (membership.Listed, membership.Heard, membership.Continued)):
             for name, source in self.fleet.membership.sources.items():
                 if isinstance(event, membership.Continued) or name == event.source:
@@ -379,6 +381,14 @@
         if source.state is membership.State.IN_SYNC and not source.behind and self._settled(source):
             self._tell(k.Confirmed(name, *self._order(name), _wall()))
 
+    def _soon(self) -> None:
+        """At once, but where there are many: whoever brought them has had most of this turn."""
+        if self._first or len(self._queue) <= SLICE:
+            self._work()
+        else:
+            self._working = True
+            self.loop.call_soon(self._work)
+
     def _work(self) -> None:
         """Look at some names, those that leave first; the rest in the loop's next turns."""
         self._working = False
