A pause while the kept memory is being read makes it older, as one after it does

At fault: decide/recovery: `Started` comes once the store is read, which on a slow disk is seconds after the start; it set the memory and the bar as if there had been no pause before it.

Change: a pause in this life counts whenever what was kept is told. Confirmed: tests/decide/test_recovery.py, both orders, three kinds of start; without it two of them fail.

--- a/dillport/decide/recovery.py
+++ b/dillport/decide/recovery.py
@@ -330,6 +330,7 @@
         self.parts: dict[str, float] = {}
         self.meter = Meter(now_ms)
         self._now_ms = now_ms
+        self._paused = False  # it stood still in this life
         self._told = False  # whether this life's number was told to others
         self._out: list[Action] = []
 
@@ -389,6 +390,8 @@
             if odd:
                 self._out.append(Say(odd, loud=True))
             self._raise(max(kept.incarnation, least) if 0 <= kept.incarnation < MOST else kept.incarnation)
+        if self._paused:  # while what was kept was being read
+            self._age()
         self._bar(0.0 if self.memory is Memory.KEPT else self.bar_ms)
 
     def _viewed(self) -> None:
@@ -400,13 +403,16 @@
 
     def _stood(self, stood_ms: float) -> None:
         """What it knows is as old as the pause, and others may have taken its roles over meanwhile."""
-        self.doubt = True
-        self.memory = Memory.LOST if self.memory is Memory.LOST else Memory.OLDER
+        self.doubt = self._paused = True
+        self._age()
         self.memory_age_ms = min(self.max_age_ms, max(0.0, stood_ms))
         self._begin_anew()
         self._bar(self.bar_ms)
         self._step(Kind.STOOD)
 
+    def _age(self) -> None:
+        self.memory = Memory.LOST if self.memory is Memory.LOST else Memory.OLDER
+
     def _knew(self, incarnation: int) -> None:
         """The others' word is the one thing that tells a first start from a lost memory."""
         if not 0 <= incarnation < MOST:
--- a/tests/decide/test_recovery.py
+++ b/tests/decide/test_recovery.py
@@ -135,6 +135,21 @@
     assert node.handle(10_000.0, r.OthersKnew(8)) == [] and node.incarnation == 8
 
 
+@pytest.mark.parametrize(("kept", "fault", "memory"), [
+    (KEPT, "", Memory.OLDER), (None, "", Memory.OLDER), (None, "spoiled", Memory.LOST),
+])  # fmt: skip
+def test_a_pause_counts_whether_it_comes_before_or_after_what_was_kept_is_read(
+    kept: r.Kept | None, fault: str, memory: Memory
+) -> None:
+    """A disk may take longer than the process runs before it is stopped."""
+    told: list[r.Event] = [r.Started(kept, 1_001_000.0, fault), r.StoodStill(3_000.0)]
+    for events in (told, told[::-1]):
+        node = Recovery(0.0)
+        for event in events:
+            node.handle(5_000.0, event)
+        assert (node.memory, node.barred_until_ms) == (memory, 5_000.0 + r.BAR_MS) and node.doubt
+
+
 def test_one_that_stood_still_waits_for_a_source_and_for_its_roles() -> None:
     node = brought(F)
     assert node.may_take_roles(9_000.0)
