Judge: a node that was killed is excused until its process has ended

A killed process keeps its sockets until it gets a core to end on, and takes connections meanwhile.

Change: the excuse goes from the signal to the recorded end of the process. One whose end is recorded sooner, or not at all, is judged as before.

--- a/tests/lab/test_judge.py
+++ b/tests/lab/test_judge.py
@@ -271,6 +271,11 @@
     lost: list[Record] = [*asked("r9", "read", 100), Answered("r9", 150, 0, False)]
     killed: list[Record] = [NodeSignalled("n0", 149, "SIGKILL"), NodeEnded("n0", 152, -9)]
     assert verdict(lost, killed).ok
+    # A killed process holds its sockets until it is gone, however long a busy machine takes.
+    slow: list[Record] = [NodeSignalled("n0", 20, "SIGKILL"), NodeEnded("n0", 95, -9)]
+    assert verdict(lost, slow).ok
+    one(verdict(lost, slow[:1]), 1, "r9", "without an answer")
+    one(verdict(lost, slow[:1], NodeEnded("n0", 45, -9)), 1, "r9", "without an answer")
     ended = verdict(lost, NodeSignalled("n0", 149, "SIGTERM"), NodeEnded("n0", 152, 0))
     one(ended, 1, "r9", "without an answer")
     assert verdict(NodeSignalled("n0", 100, "SIGTERM"), asked("r9", "read", 500),
