--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -17,7 +17,7 @@
 
 from dillport import interface as api
 from dillport.decide import keeping as k
-from dillport.decide import kept
+from dillport.decide import kept, recovery
 from dillport.decide.membership import Configured, Heard, Listed, Source, State
 from dillport.lab.disk_port import Broken, Disk, SimFiles
 from dillport.members import Listing, Member
@@ -177,6 +177,32 @@
     run(test)
 
 
+def test_what_it_has_to_go_by_is_kept_also_from_before_the_directory_was_had(tmp_path: Path) -> None:
+    """By a refutation, or by what others held of it: the next life goes on above that."""
+    disk = Disk()
+
+    async def test() -> None:
+        async with rig(tmp_path, disk) as one:
+            await one.opened()
+            one.recovery.tell(recovery.Rose(5))
+            await one.kept()
+        async with rig(tmp_path, disk) as one:
+            await one.opened()
+            assert one.recovery.report()["incarnation"] == 6
+            one.recovery.tell(recovery.OthersKnew(8))
+            await one.kept()
+        async with rig(tmp_path, disk) as one:
+            one.recovery.begin(None, "it cannot be had")
+            one.recovery.tell(recovery.Rose(30))
+            await one.opened()
+            await one.kept()
+        async with rig(tmp_path, disk) as one:
+            await one.opened()
+            assert one.recovery.report()["incarnation"] == 31
+
+    run(test)
+
+
 def test_a_drain_is_kept_with_the_source_that_told_it(tmp_path: Path) -> None:
     disk = Disk()
     drains = Listing(6, False, (member("s2", api.Phase.DRAINING),))
