What nodes go by, cuts and drains by peers are wired to the sockets

Nodes knew who is there and acted on nothing of it. Now each right datagram's sections, the node's state each 200 ms and what the merge applied go to decide/together, and what it says is carried out: words to the others, cut_began, cut_ended, disagreement_began, disagreement_ended on the time line and in the metrics, drains and removals taken from peers as the merge's last source (it may drain and remove alone), the own platform's list asked at once where others have seen a newer one. dillport peers shows what each goes by, cuts, disagreements and what was taken.

Found on processes: the platform's identity is its address, and where lists are pushed each node has an agent of its own, so no two nodes had one order and nothing was ever taken: its revisions are one order now. A server's address may differ by node, so it is no part of the list's digest. A server left out because another has its address was told on as gone, and a peers' drain as the own source's word: only what the source itself says is.

The count of nodes is shown; nothing is divided by it, and what is counted is not kept yet.

--- a/dillport/cli/peers.py
+++ b/dillport/cli/peers.py
@@ -63,11 +63,23 @@
     ):
         if said:
             print(cell(text))
-    rows = [["NAME", "ADDRESS", "STATE", "SINCE", "LIFE"]]
+    for one in told["cut"]:
+        print(cell(f"cut off from {one['of']} {one['zone']}".rstrip() + f": {one['verdict']}; {one['why']}"))
+    for one in told["disagreements"]:
+        what = f"{one['what']} {one['of']}".rstrip()
+        print(cell(f"disagreement on {what}: {', '.join(one['names']) or 'nobody'}: {one['why']}"))
+    for one in told["taken"]:
+        does = "is gone" if one["gone"] else "drains"
+        print(cell(f"by other nodes' word {one['server']} {does}, {one['source']} {one['revision']}"))
+    rows = [["NAME", "ADDRESS", "STATE", "SINCE", "LIFE", "BACK", "VERSION", "GOES BY"]]
     for one in told["peers"]:
         since = f"{datetime.fromtimestamp(one['since'] / 1000):%m-%d %H:%M:%S}"
         shown = [cell(one[key]) for key in ("name", "address", "state")]
-        rows.append([*shown, since, str(one["incarnation"])])
+        by = one["goes_by"]
+        lists = by.get("sources", {}).items()
+        sources = ", ".join(f"{of} {its['revision']} {its['state']}" for of, its in lists)
+        back = [cell(by.get(key, "-")) for key in ("state", "version")]
+        rows.append([*shown, since, str(one["incarnation"]), *back, cell(sources or "-")])
     columns(rows)
     states = [one["state"] for one in told["peers"]]
     print(", ".join(f"{states.count(s)} {s}" for s in ("alive", "suspect", "failed", "left")))
--- a/dillport/decide/departure.py
+++ b/dillport/decide/departure.py
@@ -110,6 +110,11 @@
     PEER_YIELDED = "peer_yielded"
     PEER_RESUMED = "peer_resumed"
     PEER_FULL = "peer_full"
+    # What this node is cut off from, and what nodes disagree on (`Happened` in `decide/together`).
+    CUT_BEGAN = "cut_began"
+    CUT_ENDED = "cut_ended"
+    DISAGREEMENT_BEGAN = "disagreement_began"
+    DISAGREEMENT_ENDED = "disagreement_ended"
 
 
 @dataclass(slots=True)
--- a/dillport/decide/halves.py
+++ b/dillport/decide/halves.py
@@ -52,10 +52,10 @@
 
 
 def digest_of(member: Member) -> int:
-    """What is compared of an entry: all but its age, which is each node's own."""
+    """What is compared of an entry: all but its age and its address, which may be each node's own."""
     entry = member.entry
     said = (entry.backend, entry.zone, entry.cell, entry.kind, entry.phase.value, entry.weight,
-            entry.started_at, member.address)  # fmt: skip
+            entry.started_at)  # fmt: skip
     return int.from_bytes(blake2b(repr(said).encode(), digest_size=8).digest())
 
 
--- a/dillport/decide/peers_report.py
+++ b/dillport/decide/peers_report.py
@@ -1,19 +1,33 @@
-"""What `dillport peers` says of `Peers`: who is there, in which state, since when, by whose word it goes.
-
-What each peer goes by, what this node is cut off from and where nodes disagree is told by `goes_by`, `cut`
-and `disagreements`, which are empty until somebody decides on that.
+"""What `dillport peers` says: who is there, in which state, since when, what each goes by, who disagrees on
+what, what this node is cut off from, what it has taken from others.
 """
 
 from __future__ import annotations
 
+import zlib
+from collections.abc import Collection, Mapping
+from dataclasses import fields, is_dataclass
+from itertools import islice
+from pathlib import Path
 from typing import Any
 
+from dillport.decide.membership import State as Known
 from dillport.decide.peers import Peers, State
+from dillport.decide.recovery import State as Back
+from dillport.decide.shares import Nodes
+from dillport.decide.together import Together
+from dillport.decide.views import BEHIND, NO_DISCOVERY, Goes
+
+SHOWN = 64  # servers that are out by others' word
+BACK, KNOWN = ([one.value for one in kind] for kind in (Back, Known))
 
 
-def report(peers: Peers | None, name: str) -> dict[str, Any]:
-    """All others that are known, by name; `peers` is None while this node does not speak yet."""
+def report(peers: Peers | None, name: str, told: Mapping[str, Any] | None = None) -> dict[str, Any]:
+    """All others that are known, by name; `peers` is None while this node does not speak yet, and `told`
+    (`together`) while it has heard no words.
+    """
     rows = [] if peers is None else sorted(peers.peers.items())
+    by = {} if told is None else told["goes_by"]
     return {
         "self": name,
         "address": None if peers is None else peers.address,
@@ -22,21 +36,94 @@
         "doubts": peers is not None and peers.doubt is not None,
         "doubled": None if peers is None else peers.doubled or None,
         "health": 0 if peers is None else peers.health,
+        "goes_by": by.get(name, {}),
         "peers": [
             {
                 "name": who, "address": peer.word.address, "state": State(peer.word.state).name.lower(),
-                "since": round(peer.since_ms), "incarnation": peer.word.incarnation, "goes_by": {},
+                "since": round(peer.since_ms), "incarnation": peer.word.incarnation,
+                "goes_by": by.get(who, {}),
             }
             for who, peer in rows
         ],
-        "cut": [],
-        "disagreements": [],
+        **{key: [] if told is None else told[key] for key in ("cut", "disagreements", "taken")},
+        "nodes": None if told is None else told["nodes"],
     }  # fmt: skip
 
 
+def together(decider: Together, nodes: Nodes | None) -> dict[str, Any]:
+    """What `report` needs of the other nodes' words. `nodes` is what would be divided by."""
+    views, cuts, taken = decider.views, decider.cuts.cut, decider.hearsay.taken
+    odd = views.disagreements
+    return {
+        "goes_by": {name: goes(word) for name, word in views.words.items()},
+        "cut": [
+            {"of": of.value, "zone": zone, "verdict": verdict.value, "why": why}
+            for (of, zone), (verdict, why) in cuts.items()
+        ],
+        "disagreements": [  # one without names is over, and not yet for long enough
+            {"what": key[0], "of": key[1], "names": sorted(odd[key].names) if key in odd else [],
+             "why": odd[key].why if key in odd else "not seen any more"}
+            for key in views.steady.on
+        ],
+        "taken": [
+            {"source": of, "server": server, "revision": out.revision, "gone": out.gone}
+            for (of, server), out in islice(taken.items(), SHOWN)
+        ],
+        "nodes": None if nodes is None else {"count": nodes.count, "takes": nodes.takes},
+    }  # fmt: skip
+
+
+def goes(word: Goes) -> dict[str, Any]:
+    """What a node goes by; revisions by source."""
+    return {
+        "number": word.number,
+        "state": _named(BACK, word.state),
+        "sources": {of: {"revision": revision, "state": _named(KNOWN, state)}
+                    for of, _, revision, state in word.sources},
+        "list": f"{word.digest:08x}" if word.digest else None,
+        "settings": f"{word.files[0]:08x}",
+        "operators": f"{word.files[1]:08x}",
+        "version": word.version,
+        "zone": word.zone,
+        "nodes": word.nodes,
+        "behind": bool(word.flags & BEHIND),
+        "discovery": not word.flags & NO_DISCOVERY,
+    }  # fmt: skip
+
+
+def _named(names: list[str], place: int) -> str:
+    """A later version may have more."""
+    return names[place] if place < len(names) else str(place)
+
+
 def figures(peers: Peers | None) -> dict[str, float]:
     """How many are in each state."""
     out = {state.name.lower(): 0.0 for state in State}
     for peer in () if peers is None else peers.peers.values():
         out[State(peer.word.state).name.lower()] += 1
     return out
+
+
+def digest(settings: object, own: Collection[str] = ()) -> int:
+    """Of what ought to be the same at all nodes, in 32 bits, never 0: neither addresses, paths nor secrets
+    (fields without a repr), which are each node's own or nobody's business, nor the fields named in `own`.
+    """
+    return zlib.crc32(repr(_same(settings, own)).encode()) or 1
+
+
+def _same(value: object, own: Collection[str]) -> object:
+    if is_dataclass(value):
+        kept = [one.name for one in fields(value) if one.repr and one.name not in own]
+        return [(name, _same(getattr(value, name), own)) for name in kept]
+    if isinstance(value, Mapping):
+        return sorted((str(key), repr(_same(one, own))) for key, one in value.items())
+    if isinstance(value, tuple):
+        if len(value) == 2 and isinstance(value[0], str) and isinstance(value[1], int):
+            return "an address"
+        return [_same(one, own) for one in value]
+    return "a path" if isinstance(value, Path) else value
+
+
+def words(text: str) -> str:
+    """Names from others without what a terminal would obey."""
+    return "".join(c if c.isprintable() else "?" for c in text)
--- a/dillport/decide/together.py
+++ b/dillport/decide/together.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from types import ModuleType
@@ -22,6 +22,8 @@
 from dillport.interface import Phase
 from dillport.members import Member
 
+Sections = Sequence[tuple[int, bytes]]
+
 ANSWERS = 64  # datagrams a round
 SEARCH_MS = 2_000.0  # between two searches for entries that differ
 SHOWN = 8
@@ -33,7 +35,7 @@
 
     sender: str
     source: str
-    sections: Sequence[tuple[int, bytes]]
+    sections: Sections
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,16 +84,17 @@
 
 
 class Together:
-    """`number`, `group`: the settings' `me` and `group_size`; `room`: bytes for sections in a datagram.
+    """`number`, `group`: the settings' `me` and `group_size`; `room`: bytes for sections in a datagram;
+    `alike`: see `views.order_in`.
 
     What it returns is to be done in its order.
     """
 
     def __init__(
         self, peers: Peers, number: int, group: int, kept: shares.Kept | None, turns: Turns, random: Random,
-        codec: ModuleType, room: int,
+        codec: ModuleType, room: int, alike: Collection[str] = (),
     ) -> None:  # fmt: skip
-        self.peers, self.number, self.group = peers, number, group
+        self.peers, self.number, self.group, self.alike = peers, number, group, alike
         self.views = views.Views(peers.name, random, lambda word: 2 + len(codec.goes_by(word)), room)
         self.cuts, self.halves = cuts.Cuts(), Halves()
         self.hearsay = hearsay.Hearsay(turns, random, self._fits)
@@ -102,14 +105,17 @@
         self._out: list[Action] = []
 
     def saw(self, now_ms: float, source: Source, applied: Apply) -> None:
-        """What the merge applied by a source's word; that of peers is not told on."""
+        """What the merge applied by a source's word. That of peers is not told on, nor is what they had said
+        before of a server that this source says something else of: an echo would pass for one more witness.
+        """
         self.halves.apply(applied.members, applied.removed)
         if source.name == views.PEERS or source.revision is None:
             return
-        out = [hearsay.Out(one.id, source.revision, True) for one in applied.removed]
+        own = source.members
+        out = [hearsay.Out(one.id, source.revision, True) for one in applied.removed if one.id not in own]
         out += [hearsay.Out(one.id, source.revision, False) for one in applied.members
-                if one.entry.phase is Phase.DRAINING]  # fmt: skip
-        self.hearsay.handle(now_ms, _own(source, tuple(out)))
+                if one.id in own and own[one.id].entry.phase is Phase.DRAINING]  # fmt: skip
+        self.hearsay.handle(now_ms, self._own(source, tuple(out)))
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """What follows from an event."""
@@ -222,7 +228,7 @@
                 self._out.append(Happened("cut_ended", of, (), f"after {cut.lasted_ms / 1000:.1f} s"))
         self._tell(now_ms, event, here, discovery)
         for source in own:
-            self.hearsay.handle(now_ms, _own(source))
+            self.hearsay.handle(now_ms, self._own(source))
         self._hearsay(self.hearsay.handle(now_ms, hearsay.Round(words, here, event.view)))
         self._search(now_ms, here, words)
         for name, peer in peers.peers.items():
@@ -235,15 +241,21 @@
                 counted = self._counted(self.shares, number, answer=False)
                 self._out.append(Send(at[number], ((self._codec.COUNTED, counted),)))
 
+    def _own(self, source: Source, out: tuple[hearsay.Out, ...] = ()) -> hearsay.Own:
+        order, revision = views.order_in(source, self.alike), source.revision
+        in_sync = source.state is Known.IN_SYNC
+        return hearsay.Own(source.name, order, -1 if revision is None else revision, in_sync, out)
+
     def _tell(self, now_ms: float, event: Round, here: Mapping[str, str], discovery: bool) -> None:
         if self.shares is None or self.peers.yielded:
             return
         zone = next((zone for of, zone in self.cuts.cut if of is cuts.From.ZONE), "")
         digest = self.halves.digest if views.comparable(event.sources) else 0
         flags, zone_cut = 0 if discovery else views.NO_DISCOVERY, cuts.zone_id(zone) if zone else 0
+        sources = views.told_of(event.sources, self.alike)
         mine = views.Goes(
             self.peers.name, self.peers.incarnation, 0, self.number, event.state, flags, zone_cut,
-            self.shares.count, digest, event.files, event.version, event.zone, views.told_of(event.sources),
+            self.shares.count, digest, event.files, event.version, event.zone, sources,
         )  # fmt: skip
         self.views.handle(now_ms, views.Mine(mine))
         for action in self.views.handle(now_ms, views.Round(here)):
@@ -268,8 +280,3 @@
             self._searched_ms = now_ms
             data = self._codec.halves(self.halves.ask().of)
             self._out.append(Send(here[self._random.choice(others)], ((self._codec.HALVES, data),)))
-
-
-def _own(source: Source, out: tuple[hearsay.Out, ...] = ()) -> hearsay.Own:
-    order, revision = views.order_of(source.identity), -1 if source.revision is None else source.revision
-    return hearsay.Own(source.name, order, revision, source.state is Known.IN_SYNC, out)
--- a/dillport/decide/views.py
+++ b/dillport/decide/views.py
@@ -21,7 +21,7 @@
 
 import zlib
 from collections import Counter, deque
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from itertools import islice
 from random import Random
@@ -72,11 +72,21 @@
     return zlib.crc32(identity.encode()) or 1 if identity is not None else 0
 
 
-def told_of(sources: Iterable[Source]) -> tuple[tuple[str, int, int, int], ...]:
+def order_in(source: Source, alike: Collection[str] = ()) -> int:
+    """The order that a source's revisions are of. `alike`: the names of those that each node hears at an
+    address of its own, an agent on its machine, though the revisions are of one list.
+    """
+    known = source.identity is not None and source.name in alike
+    return order_of(source.name if known else source.identity)
+
+
+def told_of(
+    sources: Iterable[Source], alike: Collection[str] = ()
+) -> tuple[tuple[str, int, int, int], ...]:
     """What a word says of a node's own sources."""
     states = tuple(State)
     return tuple(
-        (source.name, order_of(source.identity), source.revision or 0, states.index(source.state))
+        (source.name, order_in(source, alike), source.revision or 0, states.index(source.state))
         for source in sources if source.name != PEERS
     )  # fmt: skip
 
--- a/dillport/net/etcd.py
+++ b/dillport/net/etcd.py
@@ -12,6 +12,7 @@
 from dillport.decide.etcd_follow import EtcdConfig
 from dillport.decide.membership import Role, Source
 from dillport.net.fleet import Fleet
+from dillport.net.part import PEERS
 from dillport.operators import EtcdSettings, Operators
 
 ETCD = "etcd"
@@ -62,7 +63,8 @@
         if settings is not None:
             self._made += 1
             sources = (*sources, Source(ETCD, Role(settings.role), pieces=True, made=self._made))
-        self.fleet.hand(membership.Configured(sources))
+        behind = [one for one in self.fleet.membership.sources.values() if one.name == PEERS]
+        self.fleet.hand(membership.Configured((*sources, *behind)))
         if source is not None:
             source.start()
 
--- a/dillport/net/part.py
+++ b/dillport/net/part.py
@@ -23,6 +23,7 @@
 
 log = logging.getLogger(__name__)
 
+PEERS = "peers"  # the merge's source that stands for other nodes' words (`decide/hearsay`)
 BEFORE = 20  # events kept for a time line that is not on yet
 
 
--- a/dillport/net/peers.py
+++ b/dillport/net/peers.py
@@ -2,7 +2,7 @@
 
 `PeersPart` holds the one UDP socket, carries out what `decide/peers` says and gives it what `proto/gossip`
 believes of what comes. It follows the settings, tells the time line, the log and `decide/recovery`, and
-answers `peers` on the control socket.
+answers `peers` on the control socket. What else nodes tell each other passes through to `net/together`.
 
 - *Who this node is*: with a memory that is whole it speaks at once, as the life that the memory counts. With
   none, a lost or an older one it first asks what others hold of it; what they say goes to `decide/recovery`.
@@ -27,18 +27,21 @@
 
 from dillport.decide import peers as p
 from dillport.decide import recovery as r
+from dillport.decide import shares, together
 from dillport.decide.pause import Pause
 from dillport.decide.peers_report import figures, report
+from dillport.decide.views import ROUND_MS
 from dillport.members import Address
 from dillport.net.part import Running
+from dillport.net.together import Words
 from dillport.operators import Operators, PeersSettings
 from dillport.operators.peers import written
-from dillport.proto import gossip
+from dillport.proto import goes_by, gossip
 
 log = logging.getLogger(__name__)
 
 TURN = 32  # datagrams read in one turn of the loop: some 1 ms where all of them are right
-BEAT = 0.2  # s between two turns where nothing happens
+BEAT = ROUND_MS / 1000  # s between two rounds, and turns where nothing happens
 AGAIN = 2.0  # s until an address that could not be had is tried again
 LOUD = frozenset({"failed", "doubled", "yielded", "full"})
 
@@ -50,9 +53,11 @@
         self.running, self.node = running, running.node
         self.loop = asyncio.get_running_loop()
         self.peers: p.Peers | None = None
+        self.words: Words | None = None  # from the first word on, until it is off
         self.trouble = ""  # why there is no socket
         self.counts: Counter[str] = Counter()  # datagrams: received, sent, unsent
         self._wanted: PeersSettings | None = None
+        self._settings = Operators()
         self._socket: socket.socket | None = None
         self._at: tuple[Address, Address | None] | None = None  # where it listens and is seen
         self._before: p.Peers | None = None  # at the address before
@@ -86,6 +91,9 @@
         if (opened := now.too_open()) and (was is None or was.keys != now.keys):
             log.warning("peers: %s", opened)
         self.running.control.register("peers", self.report)
+        self._settings = settings
+        if self.words is not None:
+            self.words.set(settings)
         if self._at != (now.listen, now.address):
             self._listen(now)
             return
@@ -150,6 +158,10 @@
             self.running.name, address, seeds[: p.SEEDS_MAX], life - 1, Random(), gossip.cost, gossip.room,
             ask=not whole,
         )  # fmt: skip
+        if self.words is None:
+            self.words = Words(self.running, self.peers, self._send_words, self.counts)
+        self.words.at(self.peers)
+        self.words.set(self._settings)
         self._told = 0
         self._pause.turned(self.node.now())
         self.loop.add_reader(sock, self._readable)
@@ -164,6 +176,9 @@
         return meter.recovery.incarnation, meter.recovery.memory is r.Memory.KEPT
 
     def _stop(self, leave: bool = False) -> None:
+        if leave and self.words is not None:
+            self.words.close()
+            self.words = None
         if leave and self.peers is not None:
             self._tell(p.Leaving())
         for timer in (self._wake, self._beat, self._again):
@@ -179,14 +194,18 @@
     # --- what passes
 
     def _turn(self) -> None:
-        """Now and then, where nothing else happens: else a long stand would look like a long silence."""
+        """A round; where nothing else happens, a long stand would look like a long silence without it."""
         self._turned()
+        if self.words is not None:
+            self.words.round()
         self._beat = self.loop.call_later(BEAT, self._turn)
 
     def _turned(self) -> None:
         if stood := self._pause.turned(self.node.now()):
             log.warning("peers: this process stood still for %.0f ms: it calls nobody failed yet", stood)
             self._tell(p.Stood(stood))
+            if self.words is not None:
+                self.words.tell(shares.Stood())
 
     def _readable(self) -> None:
         self._turned()
@@ -211,6 +230,8 @@
             if isinstance(found, gossip.Read):
                 message = p.Message(*found.message)
                 self._tell(p.Heard(found.sender, found.incarnation, source, message, found.fresh))
+                if found.sections and found.fresh and self.words is not None:
+                    self.words.tell(together.Came(found.sender, source, found.sections))
 
     def _due(self) -> None:
         self._wake, self._wake_ms = None, float("inf")
@@ -250,22 +271,31 @@
                     self._say(peers, action)
 
     def _send(self, action: p.Send) -> None:
+        self._put(action.to, action.incarnation, action.message)
+
+    def _send_words(self, to: str, sections: gossip.Sections) -> None:
+        if self.peers is not None and not self.peers.asking and not self.peers.yielded:
+            self._put(to, self.peers.incarnation, p.Message(goes_by.KIND, 0, "", "", ()), sections)
+
+    def _put(
+        self, to: str, incarnation: int, message: p.Message, sections: gossip.Sections = ()
+    ) -> None:
         assert self._writer is not None
         if self._socket is None:
             return
-        target = _target(action.to, self._socket.family)
+        target = _target(to, self._socket.family)
         try:
             if target is None:
                 raise ValueError
-            self._socket.sendto(self._writer.write(action.incarnation, action.message), target)
+            self._socket.sendto(self._writer.write(incarnation, message, sections), target)
             self.counts["sent"] += 1
         except OSError as err:
             self._fault(err)
         except ValueError:  # somebody with the right key made it up
             self.counts["unsent"] += 1
         meter = self.running.recovery
-        if meter is not None and action.incarnation > self._told:
-            self._told = action.incarnation
+        if meter is not None and incarnation > self._told:
+            self._told = incarnation
             meter.recovery.told()
 
     def _wake_at(self, at_ms: float) -> None:
@@ -308,7 +338,8 @@
 
     def report(self) -> dict[str, Any]:
         """Answer `peers`."""
-        out = report(self.peers, self.running.name)
+        told = None if self.words is None else self.words.report()
+        out = report(self.peers, self.running.name, told)
         out["trouble"] = self.trouble or None
         out["datagrams"] = {name: self.counts[name] for name in ("received", "sent", "unsent")}
         out["refused"] = dict(self._reader.refused)
@@ -321,6 +352,7 @@
             "events": {name[5:]: n for name, n in self.counts.items() if name.startswith("peer ")},
             "datagrams": {name: self.counts[name] for name in ("received", "sent", "unsent")},
             "refused": dict(self._reader.refused),
+            **({} if self.words is None else self.words.figures()),
         }
 
 
--- a/dillport/net/recovery.py
+++ b/dillport/net/recovery.py
@@ -16,7 +16,7 @@
 from dillport.decide import membership
 from dillport.decide import recovery as r
 from dillport.decide.pause import STOOD_MS
-from dillport.net.part import Running
+from dillport.net.part import PEERS, Running
 from dillport.operators import Operators
 
 log = logging.getLogger(__name__)
@@ -129,8 +129,8 @@
             self._viewed()  # at once: it may serve from now on
         if isinstance(event, (membership.Listed, membership.Heard)):
             source = self.running.fleet.membership.sources.get(event.source)
-            saved = isinstance(event, membership.Listed) and event.saved
-            if source is not None and source.state is membership.State.IN_SYNC and not saved:
+            other = event.source == PEERS or (isinstance(event, membership.Listed) and event.saved)
+            if source is not None and source.state is membership.State.IN_SYNC and not other:
                 self._part("first list")
                 if self.recovery.doubt:
                     self.tell(r.SourceSpoke())
--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -28,7 +28,7 @@
 from dillport.decide.kept import Recalled, Server, recall, successor, without_ended
 from dillport.members import Listing, Member
 from dillport.net.clock import wall_ms
-from dillport.net.part import Running
+from dillport.net.part import PEERS, Running
 from dillport.operators import Operators, StateSettings
 from dillport.store.engine import Change, Delete, Opened, Put
 from dillport.store.files import Files, StoreFault, Trouble
@@ -384,7 +384,7 @@
 
     def _heard(self, event: membership.Event, actions: list[membership.Action]) -> None:
         if isinstance(event, membership.Listed):
-            self._last = event.source
+            self._last = NOBODY if event.source == PEERS else event.source
         for action in actions:
             if isinstance(action, membership.Apply):
                 up, members = api.Phase.UP, action.members
@@ -458,8 +458,8 @@
         return good
 
     def _row(self, member: Member, wall: int) -> Server:
-        entry = member.entry
-        sources = [s.name for s in self.fleet.membership.sources.values() if member.id in s.members]
+        entry, merge = member.entry, self.fleet.membership.sources
+        sources = [name for name, s in merge.items() if member.id in s.members and name != PEERS]
         age = 0 if entry.age_ms is None else int(entry.age_ms)
         return Server(
             member.address[0], member.address[1], entry.zone[:LONGEST], max(-MOST, min(MOST, entry.cell)),
--- a/dillport/observe/metrics.py
+++ b/dillport/observe/metrics.py
@@ -195,6 +195,16 @@
     for state, count in figures["states"].items():
         states.add_metric([state], count)
     yield states
+    for name, text, label in (
+        ("cuts", "What this node is cut off from.", "of"),
+        ("disagreements", "What nodes disagree on.", "what"),
+        ("taken", "Servers that drain or are gone by other nodes' word.", "what"),
+    ):
+        if name in figures:
+            gauge = GaugeMetricFamily(f"dillport_peer_{name}", text, labels=[label])
+            for which, count in figures[name].items():
+                gauge.add_metric([which], count)
+            yield gauge
     for name, text, label in (
         ("events", "What became of other nodes.", "event"),
         ("datagrams", "Datagrams between nodes.", "way"),
--- a/tests/decide/test_together.py
+++ b/tests/decide/test_together.py
@@ -167,3 +167,20 @@
     assert len(sent) == together.ANSWERS
     told = goes_by.read_counted(sent[0].sections[0][1])
     assert told and told[0] == 0 and not told[4]
+
+
+def test_only_what_the_own_source_says_of_a_server_is_told_on() -> None:
+    """Not what peers said of one that it names anew, nor that another has taken a server's address."""
+    village = Village(1, 1)
+    [(address, its)] = village.all.items()
+    drains = replace(member(3), entry=replace(member(3).entry, phase=Phase.DRAINING))
+    village.listed(address, Listed("peers", "peers", Listing(1, True, ())))
+    village.listed(address, Listed("peers", "peers", Listing(2, False, (drains,))))
+    usurper = replace(member(40), address=member(4).address)
+    village.revision = 2
+    village.listed(address, Listed("platform", "p", Listing(2, False, (member(3, 2.0), usurper))))
+    view = village.merge[address].view
+    assert view["server-3"].entry.weight == 2.0 and "server-4" not in view
+    assert not its.hearsay.own["platform"].out
+    village.say(5)
+    assert [*its.hearsay.own["platform"].out] == ["server-5"]
