What peers said is remembered as nobody's, and stays where a node only ends

A node that ended lifted what it had taken from peers, which its memory, closed later, took for servers that are up again. A drain that peers told first stayed theirs in the memory after the own source had said it, too: the next start had the server up. Both are as they should be, and other nodes' word ends no doubt after a stand-still. A move to a discovery that counts from lower on begins a new order where each node has an agent of its own. etcd's part keeps the peers behind it.

--- a/dillport/decide/hearsay.py
+++ b/dillport/decide/hearsay.py
@@ -198,7 +198,8 @@
 
     def _own(self, now_ms: float, event: Own) -> None:
         own = self.own.setdefault(event.source, _Own(since_ms=now_ms))
-        if event.order != own.order:
+        # A revision that falls begins a new order, too: within one the merge lets none fall.
+        if event.order != own.order or event.revision < own.revision:
             own.order, own.revision = event.order, -1
             own.out.clear()
             for key in [key for key in self.claims if key[0] == event.source]:
--- a/dillport/net/peers.py
+++ b/dillport/net/peers.py
@@ -78,6 +78,7 @@
         was, now = self._wanted, settings.peers
         if now is None:
             self._wanted = None
+            self._unheard(lift=True)
             self._stop(leave=True)
             self.running.control.register_with("peers", None)
             return
@@ -104,6 +105,7 @@
     async def close(self) -> None:
         """Say that it leaves."""
         self._wanted = None
+        self._unheard(lift=False)
         self._stop(leave=True)
 
     def _listen(self, settings: PeersSettings) -> None:
@@ -130,6 +132,8 @@
             if why != self.trouble:
                 log.error("peers: %s; it is tried again every %g s, the node serves on", why, AGAIN)
             self.trouble = why
+            if self.peers is None:  # nobody could say any more that what was taken holds no longer
+                self._unheard(lift=True)
             self._again = self.loop.call_later(AGAIN, self._listen, settings)
             return
         self._stop()
@@ -175,10 +179,12 @@
             return 1, False
         return meter.recovery.incarnation, meter.recovery.memory is r.Memory.KEPT
 
-    def _stop(self, leave: bool = False) -> None:
-        if leave and self.words is not None:
-            self.words.close()
+    def _unheard(self, lift: bool) -> None:
+        if self.words is not None:
+            self.words.close(lift)
             self.words = None
+
+    def _stop(self, leave: bool = False) -> None:
         if leave and self.peers is not None:
             self._tell(p.Leaving())
         for timer in (self._wake, self._beat, self._again):
--- a/dillport/net/together.py
+++ b/dillport/net/together.py
@@ -66,12 +66,13 @@
         """Go on at another address, as whoever speaks there."""
         self.decider.peers = peers
 
-    def close(self) -> None:
-        """What peers said holds no longer."""
+    def close(self, lift: bool) -> None:
+        """Hear no more. `lift`: what peers said holds no longer, else it stays and may be remembered."""
         if self._heard in self.fleet.listeners:
             self.fleet.listeners.remove(self._heard)
         self.tell(shares.Leaving())
-        self._configure(False)
+        if lift:
+            self._configure(False)
 
     def tell(self, event: t.Event) -> None:
         """Something happened that bears on it."""
--- a/tests/decide/test_together.py
+++ b/tests/decide/test_together.py
@@ -184,3 +184,23 @@
     assert not its.hearsay.own["platform"].out
     village.say(5)
     assert [*its.hearsay.own["platform"].out] == ["server-5"]
+
+
+def test_a_discovery_that_counts_anew_is_no_older_word_where_each_has_an_agent_of_its_own() -> None:
+    village = Village(4, 4)
+    last = village.address("n3")
+    for number, (address, its) in enumerate(village.all.items()):
+        its.alike = ("platform",)
+        for revision, identity in ((70, f"old {number}"), (3, f"new {number}")):
+            everything = tuple(map(member, range(SERVERS)))
+            village.listed(address, Listed("platform", identity, Listing(revision, True, everything)))
+            village.rounds(400) if address == last else None
+    village.rounds(2_000)
+    assert not {key for its in village.all.values() for key in its.views.steady.on}
+    village.listed(last, Silenced("platform", "out of reach"))
+    drains = replace(member(9), entry=replace(member(9).entry, phase=Phase.DRAINING))
+    for number, address in enumerate(village.nodes):
+        if address != last:
+            village.listed(address, Listed("platform", f"new {number}", Listing(4, False, (drains,))))
+    village.rounds(2_000)
+    assert village.merge[last].view["server-9"].entry.phase is Phase.DRAINING
--- a/tests/net/test_fleet.py
+++ b/tests/net/test_fleet.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from dillport.decide import hearsay
 from dillport.decide.etcd_follow import EtcdConfig
 from dillport.decide.membership import Apply, Heard, Source
 from dillport.members import Member
@@ -114,6 +115,19 @@
     run(test)
 
 
+def test_other_nodes_stay_behind_all_sources_where_etcd_comes_and_goes() -> None:
+    async def test() -> None:
+        first = Source("platform")
+        fleet = Fleet(Sink(), [first, hearsay.source()])
+        part = EtcdPart(fleet, (first,), lambda config, seen: EtcdSource(config, fleet.hand, seen=seen))
+        part.apply(on(EtcdSettings(endpoints=("http://127.0.0.1:9",), prefix="/m/")))
+        assert [*fleet.membership.sources] == ["platform", ETCD, "peers"]
+        part.apply(Operators())
+        assert [*fleet.membership.sources] == ["platform", "peers"]
+
+    run(test)
+
+
 def test_a_listener_that_fails_costs_the_list_and_others_nothing(caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
         sink, heard = Sink(), list[object]()
--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -457,8 +457,9 @@
     run(test)
 
 
-def test_a_drain_that_only_the_others_hear_of_is_taken_from_them_and_from_nobody_else() -> None:
-    """The source is asked at once. Its own word ends that; so does the end of `[peers]`."""
+@pytest.mark.parametrize("ends", [False, True])
+def test_a_drain_that_only_the_others_hear_of_is_taken_from_them(ends: bool) -> None:
+    """The source is asked at once. Its own word ends that; so does switching `[peers]` off."""
 
     async def test() -> None:
         async with some(3) as (*others, last):
@@ -480,6 +481,10 @@
             for one in others:
                 one.listed(4, whole=False, gone=("s2",))
             await until(lambda: last.phases() == {"s1": "up", "s3": "up"})
+            if ends:  # what it keeps is not to bring back who went
+                await last.close()
+                assert set(last.phases()) == {"s1", "s3"}
+                return
             last.apply(Operators())
             assert set(last.phases()) == {"s1", "s2", "s3"}
             assert [*last.fleet.membership.sources] == ["platform"]
--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -16,8 +16,8 @@
 import pytest
 
 from dillport import interface as api
+from dillport.decide import hearsay, kept, membership, recovery
 from dillport.decide import keeping as k
-from dillport.decide import kept, membership, recovery
 from dillport.decide.membership import Configured, Heard, Listed, Source, State
 from dillport.lab.disk_port import Broken, Disk, SimFiles
 from dillport.members import Listing, Member
@@ -256,6 +256,33 @@
     run(test)
 
 
+@pytest.mark.parametrize("own", [True, False], ids=["and by its source", "by peers alone"])
+def test_a_drain_that_peers_told_first_is_believed_until_the_source_lists_the_server(
+    own: bool, tmp_path: Path
+) -> None:
+    """The source's word changes nothing in the view then, so the end stays theirs."""
+    disk = Disk()
+    drains = member("s2", api.Phase.DRAINING)
+
+    async def test() -> None:
+        async with rig(tmp_path, disk) as one:
+            await one.opened()
+            one.fleet.hand(listed(5, "s1", "s2"))
+            one.fleet.hand(Configured((*one.fleet.membership.sources.values(), hearsay.source())))
+            for listing in (Listing(1, True, ()), Listing(2, False, (drains,))):
+                one.fleet.hand(Listed("peers", "peers", listing))
+            if own:
+                one.fleet.hand(Listed("platform", "here", Listing(6, False, (drains,))))
+            await one.kept()
+        async with rig(tmp_path, disk) as one:
+            await one.opened()
+            assert one.view["s2"].entry.phase is api.Phase.DRAINING
+            one.fleet.hand(listed(8, "s1", "s2"))
+            await until(lambda: one.view["s2"].entry.phase is api.Phase.UP)
+
+    run(test)
+
+
 @pytest.mark.parametrize("sources", [("platform",), ("platform", "etcd")], ids=["alone", "beside etcd"])
 @pytest.mark.parametrize("said", [False, True], ids=["discovery silent", "discovery spoke"])
 def test_an_end_outlives_a_view_that_a_wrong_clock_makes_too_old(
@@ -587,6 +614,9 @@
             await until(lambda: one.recovery.recovery.state.value == "provisional")
             told = one.recovery.report()
             assert told["memory"] == "older" and "a source" in told["waits_for"], told
+            one.fleet.hand(Configured((*one.fleet.membership.sources.values(), hearsay.source())))
+            one.fleet.hand(Listed("peers", "peers", Listing(1, True, ())))
+            assert one.recovery.recovery.state.value == "provisional", "other nodes are no source"
             one.fleet.hand(Heard("platform"))
             assert one.recovery.recovery.state.value == "confirmed"
 
