--- a/dillport/net/peers.py
+++ b/dillport/net/peers.py
@@ -42,6 +42,7 @@
 BEAT = 0.2  # s between two turns where nothing happens
 AGAIN = 2.0  # s until an address that could not be had is tried again
 LOUD = frozenset({"failed", "doubled", "yielded", "full"})
+OFTEN = frozenset({"joined", "suspected"})  # on the time line alone: the log has a bound for all of the node
 
 
 class PeersPart:
@@ -296,8 +297,9 @@
 
     def _say(self, peers: p.Peers, told: p.Tell) -> None:
         shown = "".join(c if c.isprintable() else "?" for c in told.name)
-        log.log(logging.WARNING if told.what in LOUD else logging.INFO, "peers: %s %s: %s",
-                shown, told.what, told.why)  # fmt: skip
+        level = logging.WARNING if told.what in LOUD else logging.INFO
+        level = logging.DEBUG if told.what in OFTEN else level
+        log.log(level, "peers: %s %s: %s", shown, told.what, told.why)
         evidence: dict[str, object] = {"why": told.why}
         if (peer := peers.peers.get(told.name)) is not None:
             evidence |= {"incarnation": peer.word.incarnation, "address": peer.word.address}
