Changes of hundreds behind a remembered list are a source's word from the first slice

The age of a remembered list stood on while changes of over 500 servers waited in slices: the first of them was told with an age, then again without. The slices of large lists brought it in; nobody with fewer than 501 servers meets it. The new test fails without the line.

--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -444,6 +444,7 @@
         if touched or not later:
             self._apply(touched, ListKind.CHANGES)
         if later:
+            source.aged_ms = None  # its own word, which vouches for all else, too
             source.pending |= {m.entry.backend: m for m in later}
             source.confirms = source.confirms or len(later) > LARGE
             self._continue()
--- a/tests/decide/test_membership.py
+++ b/tests/decide/test_membership.py
@@ -187,6 +187,17 @@
     assert rig.view == {"b": "up"} and rig.state("platform") is State.IN_SYNC
 
 
+def test_what_a_source_says_of_hundreds_is_not_taken_for_memory() -> None:
+    """Changes that go in slices, the first of them too, behind a list that was remembered."""
+    rig = Rig()
+    rig.hand(m.Listed("platform", "p", whole(1, *(member(f"s{n}", port=n + 1) for n in range(600))), saved=True))
+    assert all(one.entry.age_ms is not None for one in rig.told.values())
+    news = changes(2, *(member(f"s{n}", port=n + 1, weight=2.0) for n in range(600)))
+    rig.hand(m.Listed("platform", "p", news))
+    told = [one for one in rig.told.values() if one.entry.weight == 2.0]
+    assert len(told) == m.SLICE and all(one.entry.age_ms is None for one in told)
+
+
 def test_a_saved_list_with_an_entry_that_cannot_be_read_asks_for_the_whole_one() -> None:
     rig = Rig(Source("platform"))
     rig.list("platform", whole(41, member("a"), faults=(Fault("b", "no port"),)), saved=True)
