--- a/dillport/decide/membership.py
+++ b/dillport/decide/membership.py
@@ -444,7 +444,7 @@
         if touched or not later:
             self._apply(touched, ListKind.CHANGES)
         if later:
-            source.aged_ms, source.confirms = None, source.confirms or len(later) > LARGE  # it vouches for all
+            source.aged_ms, source.confirms = None, source.confirms or len(later) > LARGE  # vouched for
             source.pending |= {m.entry.backend: m for m in later}
             self._continue()
         self._confirm(source)
