Whoever a later, aged view does not have is no server either, also where no end was kept

At fault: its first life read the store after the news, so that the removal was of no row and no end was written; the kept view, of a later revision than the configuration's list and without that server, was too old to be believed.

Change: where a kept list is later than the one that is there, only servers in both are left, less ends.

--- a/dillport/decide/kept.py
+++ b/dillport/decide/kept.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from dataclasses import dataclass, field
 from typing import Annotated, TypeVar
 
@@ -257,7 +257,8 @@
 
 
 def without_ended(
-    listed: Mapping[str, Member], revision: int | None, ends: Mapping[str, End], source: str
+    listed: Mapping[str, Member], revision: int | None, ends: Mapping[str, End], source: str,
+    seen: tuple[int, Set[str]] | None = None,
 ) -> Listing | None:  # fmt: skip
     """What a source listed at that revision, less the servers whose end it told later; None: there is none.
 
@@ -265,16 +266,19 @@
     list from before it is wrong however long ago that was, and a clock that is a day ahead makes all of a
     view too old to be believed. The list that comes of it is as new as the last of these ends, so that none
     from before brings the servers back; and it asks for the source's whole one, as whoever came since is not
-    in it.
+    in it. `seen`: a later revision, and whom it had, however old: who is not in it had ended by then,
+    also where no end was kept, as the store was read after the news.
     """
     mine = {name: end for name, end in ends.items() if end.source == source}
     later = {name: end for name, end in mine.items() if revision is None or end.revision > revision}
-    if not later:
+    at, names = seen or (-1, listed.keys())
+    later = mine if seen is not None else later
+    if seen is None and not later:
         return None
-    left = tuple(member for name, member in listed.items() if name not in later)
+    left = tuple(m for name, m in listed.items() if name not in later and name in names)
     gone = tuple(name for name, end in later.items() if end.gone)
-    reason = f"{len(later)} servers ended after what is left of it: the whole list is needed"
-    newest = max(end.revision for end in later.values())
+    reason = f"{len(listed) - len(left)} servers ended after it: the whole list is needed"
+    newest = max([at, *(end.revision for end in later.values())])
     return Listing(newest, True, left, gone, (Fault("(kept)", reason),))
 
 
--- a/dillport/net/state.py
+++ b/dillport/net/state.py
@@ -300,14 +300,14 @@
             if source.identity is not None and source.identity != identity:  # it has moved since
                 identity, revision = source.identity, -1
         elif source.identity != identity or revision <= source.revision:
-            return self._less(source, identity, recalled)
+            return self._less(source, identity, revision, recalled)
         mine = [(key, one) for key, one in recalled.view.items() if name in one.server.sources]
         ends = recalled.ends
         others = len(self.fleet.membership.sources) > 1
         gone = tuple(key for key, end in ends.items() if end.gone and end.source == name) if others else ()
         members = tuple(_member(key, one.server, name, ends.get(key)) for key, one in mine)
         if not members and (not gone or self._aged(name, recalled)):
-            return self._less(source, identity, recalled)
+            return self._less(source, identity, revision, recalled)
         age_ms = max((one.age_ms for _, one in mine), default=0.0)
         self._whole[name] = identity, revision
         return membership.Listed(name, identity, Listing(revision, True, members, gone), True, age_ms)
@@ -320,12 +320,18 @@
                    for key, row in rows)  # fmt: skip
 
     @staticmethod
-    def _less(source: membership.Source, identity: str, recalled: Recalled) -> membership.Listed | None:
+    def _less(
+        source: membership.Source, identity: str, revision: int, recalled: Recalled
+    ) -> membership.Listed | None:  # fmt: skip
         """Where the list that was kept is not to be had: the one that is there, but for later ends."""
         order = source.identity or identity
         if not order or identity not in ("", order):
             return None
-        left = without_ended(source.members, source.revision, recalled.ends, source.name)
+        rows = recalled.rows.get("view", {}).items()
+        names = {key for key, row in rows if isinstance(row, Server) and source.name in row.sources}
+        newer = source.revision is not None and revision > source.revision
+        seen = (revision, names) if newer else None
+        left = without_ended(source.members, source.revision, recalled.ends, source.name, seen)
         return None if left is None else membership.Listed(source.name, order, left, True)
 
     def _learn(self, recalled: Recalled) -> None:
--- a/tests/net/test_state.py
+++ b/tests/net/test_state.py
@@ -240,6 +240,25 @@
     run(test)
 
 
+def test_who_ended_before_the_store_was_read_is_not_in_an_aged_view_either(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk = Disk()
+
+    async def test() -> None:
+        async with rig(tmp_path, disk, known="s1 s2") as one:
+            one.fleet.hand(listed(42, complete=False, removed=("s1",)))
+            one.fleet.hand(listed(43, "s2"))
+            await one.opened()
+            await one.kept()
+        monkeypatch.setattr(clock, "_off_ms", 86_400_000.0)
+        async with rig(tmp_path, disk, known="s1 s2") as one:
+            await one.opened()
+            assert set(one.view) == {"s2"}
+
+    run(test)
+
+
 def test_what_another_source_took_away_stays_away(tmp_path: Path) -> None:
     """The platform lists it still: only the memory of the other source's removal keeps it off."""
     disk = Disk()
