--- a/dillport/net/part.py
+++ b/dillport/net/part.py
@@ -92,8 +92,7 @@
 
     def __post_init__(self) -> None:
         self.observers = Observers(self.node)
-        self._told = deque(maxlen=BEFORE)
-        self._count = 0
+        self._told, self._count = deque(maxlen=BEFORE), 0
 
     def tell(self, step: str, scope: str, subject: str, signal: str, about: dict[str, object]) -> None:
         """Something that is no departure of a server goes on the time line, as soon as that is on.
