--- a/dillport/net/together.py
+++ b/dillport/net/together.py
@@ -89,7 +89,8 @@
         meter, merge = self.running.recovery, self.fleet.membership
         state = 0 if meter is None else STATES.index(meter.recovery.state)
         zone, sources = self.node.settings.zone, list(merge.sources.values())
-        self.tell(t.Round(state, self._files, dillport.__version__, zone, sources, merge.view, self._silent()))
+        version = dillport.__version__
+        self.tell(t.Round(state, self._files, version, zone, sources, merge.view, self._silent()))
 
     def _silent(self) -> Mapping[str, tuple[int, int]]:
         """By zone, how many servers are up, and how many of them the module leaves alone, as they failed."""
