--- a/dillport/net/together.py
+++ b/dillport/net/together.py
@@ -15,7 +15,7 @@
 from random import Random
 from typing import Any
 
-from dillport import __version__
+import dillport
 from dillport.decide import hearsay, membership, shares
 from dillport.decide import recovery as r
 from dillport.decide import together as t
@@ -88,8 +88,8 @@
         """How the node stands."""
         meter, merge = self.running.recovery, self.fleet.membership
         state = 0 if meter is None else STATES.index(meter.recovery.state)
-        zone, sources = self.node.settings.zone, list(merge.sources.values())
-        self.tell(t.Round(state, self._files, __version__, zone, sources, merge.view, self._silent()))
+        version, zone, sources = dillport.__version__, self.node.settings.zone, list(merge.sources.values())
+        self.tell(t.Round(state, self._files, version, zone, sources, merge.view, self._silent()))
 
     def _silent(self) -> Mapping[str, tuple[int, int]]:
         """By zone, how many servers are up, and how many of them the module leaves alone, as they failed."""
