--- a/dillport/net/together.py
+++ b/dillport/net/together.py
@@ -88,8 +88,7 @@
         """How the node stands."""
         meter, merge = self.running.recovery, self.fleet.membership
         state = 0 if meter is None else STATES.index(meter.recovery.state)
-        zone, sources = self.node.settings.zone, list(merge.sources.values())
-        version = dillport.__version__
+        version, zone, sources = dillport.__version__, self.node.settings.zone, list(merge.sources.values())
         self.tell(t.Round(state, self._files, version, zone, sources, merge.view, self._silent()))
 
     def _silent(self) -> Mapping[str, tuple[int, int]]:
