Test of the time line's words waits for a zone's line, which comes after its servers'

A fresh clone's whole run failed on it alone: 1 failed, 2,845 passed in 803 s. The test waited for a server's answers since, where it had slept for 2.5 s before; a zone's counts are taken over as its servers' points are closed and shown at the next second's (timeline/record.py, _close and turn). Now it waits for that line, too.

--- a/tests/system/test_timeline.py
+++ b/tests/system/test_timeline.py
@@ -158,6 +158,8 @@
                 assert (await client.answer()).code == 200
                 server = servers.all[0].member()["id"]
                 await told(path, served, server=server)
+                # A zone's point is the sum of those of its servers, told a second later.
+                await told(path, lambda found: any(line["scope"] == "zone" for line in found["lines"]))
             here = ("--control", str(path))
             code, out, _ = await says("why", name, "--json", *here)
             found = json.loads(out)
