--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,7 +33,7 @@
 SECOND_COPY_SHARE, SECOND_COPY_MS = 0.1, 6.0  # of the answers; after the first copy left the backend
 TURNED_AWAY_SHARE = 0.1  # a backend whose queue is full turns a request away, as on any day
 WORK_MS = 5.0
-# What the ways of both copies allow between them at the node; a copy that the machine makes later is left out.
+# What the ways of both copies allow between them; a copy that the machine makes later is left out.
 MAX_GAP_MS = SECOND_COPY_MS + 2 * JITTER * WAY_MS
 RATE, SECONDS = 150.0, 45.0
 BOOKING = request_class("booking", "fragile", 1200.0, 4000.0)
