A late second response no longer answers the next request on its connection

A copy sent 6 ms late arrives up to 12.2 ms after the first where the one-way delay varies by 0.31 of 10 ms; the reuse delay is 10 ms from the read of the first.

Cause: BackendPool took whatever arrived after a write for the response to it, and made the connection usable again after a foreign one, so that the shift went on and a Not-Started could be another request's.

Change: core/response_attribution. A response sooner than half of the backend's shortest independent response time, on a connection reused within 30 ms, is not attributed, nor one that equals its predecessor where responses differ. The attempt counts as reset, the connection is closed. Seen second responses lengthen the reuse delay of their backend. Log lines for both came first; without them a wrong response looked like a right one.

--- a/balancer/net/backend_pool.py
+++ b/balancer/net/backend_pool.py
@@ -25,6 +25,14 @@
     UNBUDGETED_BODY_BYTES,
     LargeBodyBudget,
 )
+from balancer.core.response_attribution import (
+    LOOP_DELAY_TOLERANCE_MS,
+    MAX_REUSE_WAIT_MS,
+    REUSE_DELAY_MS,
+    UNMEASURED_DELAY_RATIO,
+    ResponseHistory,
+    is_implausible,
+)
 from balancer.core.stall_detector import STALL_THRESHOLD_MS
 from balancer.endpoints import Address, EndpointRecord
 from balancer.interface import AttemptStatus
@@ -35,8 +43,10 @@
 # Of a response besides its body: one-byte chunks take six times the body.
 MAX_FRAMING_BYTES = 8 * UNBUDGETED_BODY_BYTES
 IDLE_LIMIT_RATIO = 0.7  # of the backend's idle limit, after which this side closes
-REUSE_DELAY_S = 0.01  # from a response to the next request: a second response may come some milliseconds late
+REUSE_DELAY_S = REUSE_DELAY_MS / 1000
 SWEEP_INTERVAL_RATIO = 0.1  # of the idle limit, between two checks for idle connections
+RESPONSE_START = b"HTTP/1."
+MIN_LOGGED_DELAY_CHANGE_MS = 4.0  # of the reuse delay of a backend
 # A request, or a callable that renders it at write time with the time then left.
 RequestData = bytes | Callable[[], bytes]
 LOAD_REPORT_FIELDS = {
@@ -123,11 +133,12 @@
 class BackendConnections:
     """One backend: its address, whether it takes requests, its idle connections, last used last."""
 
-    __slots__ = ("address", "idle", "is_listed")
+    __slots__ = ("address", "history", "idle", "is_listed")
 
     def __init__(self, address: Address) -> None:
         self.address, self.is_listed = address, True
         self.idle: list[BackendConnection] = []
+        self.history = ResponseHistory()
 
 
 class BackendConnection(asyncio.Protocol):
@@ -144,7 +155,15 @@
         self.is_owned_by_transport = False  # once set, only the transport closes the descriptor
         self.reuse_timer: asyncio.TimerHandle | None = None  # the pending attempt is written then
         self.is_closed = self.has_written = self.is_write_blocked = False
-        self.idle_since_s = 0.0
+        self.idle_since_s = -math.inf  # when the previous response was complete
+        self.reuse_due_s = 0.0  # when the attempt that waits for reuse is written
+        self.written_s = self.gap_ms = self.response_ms = (
+            0.0  # of the attempt, see `core/response_attribution`
+        )
+        self.min_plausible_ms = 0.0
+        self.plausibility_timer: asyncio.TimerHandle | None = None
+        self.is_implausible = False  # input may have arrived sooner than a response can
+        self.previous_digest: int | None = None  # of the content of the previous response
         self.reserved_body_bytes = 0  # what the response's body holds of the large-body budget
         self._reset()
 
@@ -185,14 +204,14 @@
     def write_after(self, attempt: Exchange, delay_s: float) -> None:
         """Write the attempt in `delay_s`, unless late bytes of the previous response arrive by then."""
         self.attempt, attempt.connection = attempt, self
+        self.reuse_due_s = time.monotonic() + delay_s
         self.reuse_timer = self.pool.loop.call_later(delay_s, self._write_pending)
 
     def _write_pending(self) -> None:
         """Write the pending attempt."""
         attempt = self.attempt
         process_stalled = (
-            self.reuse_timer is not None
-            and time.monotonic() > self.idle_since_s + REUSE_DELAY_S + STALL_THRESHOLD_MS / 1000
+            self.reuse_timer is not None and time.monotonic() > self.reuse_due_s + STALL_THRESHOLD_MS / 1000
         )
         if attempt is None:
             self.close()
@@ -214,13 +233,15 @@
         Input that follows one response may still wait in the kernel; it must not be taken for the next
         response.
         """
-        if self.transport is None or self.transport.is_closing():
-            return False
+        return self.transport is not None and not self.transport.is_closing() and not self._has_input()
+
+    def _has_input(self) -> bool:
+        """Whether bytes, or the end of the connection, wait to be read."""
         try:
             self.sock.recv(1, socket.MSG_PEEK)
         except OSError as err:
-            return isinstance(err, BlockingIOError)
-        return False
+            return not isinstance(err, BlockingIOError)
+        return True
 
     def _fail(self, status: AttemptStatus) -> None:
         attempt, self.attempt, reuse_timer = self.attempt, None, self.reuse_timer
@@ -239,6 +260,7 @@
         self._release_body()
         if self.reuse_timer is not None:
             self.reuse_timer.cancel()
+        self._cancel_plausibility_timer()
         if self in self.backend.idle:
             self.backend.idle.remove(self)
         if not self.is_owned_by_transport:
@@ -285,12 +307,37 @@
             return
         self.transport.write(data)
         self.has_written = True
+        self._expect_response()
         # A write that fails at once closes the transport: nothing left, so this is no reset.
         if self.transport.is_closing():
             self._fail(AttemptStatus.CONNECT_FAILED)
         elif self.is_write_blocked and attempt.start_before_s < math.inf:
             self.pool.loop.call_later(attempt.start_before_s - time.monotonic(), self._on_window_end, attempt)
 
+    def _expect_response(self) -> None:
+        """Note when the request was written, and from when on a response to it is plausible."""
+        self.written_s = time.monotonic()
+        self.gap_ms = (self.written_s - self.idle_since_s) * 1000
+        self.min_plausible_ms = self.backend.history.min_plausible_ms(self.gap_ms)
+        if self.min_plausible_ms:
+            self.plausibility_timer = self.pool.loop.call_later(
+                self.min_plausible_ms / 1000, self._on_response_plausible
+            )
+
+    def _on_response_plausible(self) -> None:
+        """End the time in which no response is plausible.
+
+        uvloop runs timers before it reads sockets: after a stall, input may have arrived at any time in it.
+        """
+        self.plausibility_timer = None
+        late_ms = (time.monotonic() - self.written_s) * 1000 - self.min_plausible_ms
+        self.is_implausible = late_ms > LOOP_DELAY_TOLERANCE_MS and self._has_input()
+
+    def _cancel_plausibility_timer(self) -> None:
+        if self.plausibility_timer is not None:
+            self.plausibility_timer.cancel()
+            self.plausibility_timer = None
+
     def _on_window_end(self, attempt: Exchange) -> None:
         """Fail an attempt that is partly written as its window ends.
 
@@ -326,8 +373,15 @@
     def data_received(self, data: bytes) -> None:
         """Parse the response; input that belongs to no attempt makes the connection unusable."""
         if self.attempt is None or not self.has_written:
+            if data.startswith(RESPONSE_START) and not self.is_closed:
+                self._note_second_response((time.monotonic() - self.idle_since_s) * 1000)
             self._fail(AttemptStatus.CONNECT_FAILED)  # an attempt that waits for the connection never ran
             return
+        if not self.response_bytes:
+            self.response_ms = (time.monotonic() - self.written_s) * 1000
+            if self._is_too_early():
+                self._fail_unattributed("sooner than any response can arrive")
+                return
         parse_error = ""
         try:
             self.parser.feed_data(data)
@@ -353,6 +407,40 @@
             log.warning("backend %s:%d: %s", *self.address, parse_error or "answer too large")
             self._fail(AttemptStatus.RESET)
 
+    def _is_too_early(self) -> bool:
+        """Whether the first bytes since the request may have arrived sooner than a response to it can."""
+        if self.plausibility_timer is None:
+            return self.is_implausible
+        self._cancel_plausibility_timer()
+        return is_implausible(self.response_ms, self.min_plausible_ms)
+
+    def _fail_unattributed(self, reason: str) -> None:
+        """Fail the attempt whose response may belong to the previous request; its own is still to come.
+
+        The request may have run, whatever the response says, and nothing on the connection is usable.
+        """
+        log.warning(
+            "backend %s:%d: response not attributed: %s, %.1f ms after the request and %.1f ms after the "
+            "previous response",
+            *self.address,
+            reason,
+            self.response_ms,
+            self.response_ms + self.gap_ms,
+        )
+        self._fail(AttemptStatus.RESET)
+
+    def _note_second_response(self, lateness_ms: float) -> None:
+        history = self.backend.history
+        delay_ms = history.reuse_delay_ms()
+        history.note_second_response(lateness_ms)
+        if history.reuse_delay_ms() > delay_ms + MIN_LOGGED_DELAY_CHANGE_MS:
+            log.warning(
+                "backend %s:%d: second response %.1f ms after the first: connections reused after %.0f ms",
+                *self.address,
+                lateness_ms,
+                history.reuse_delay_ms(),
+            )
+
     # --- httptools
 
     def on_message_begin(self) -> None:
@@ -406,8 +494,19 @@
         self.is_complete, self.keep_alive = True, self.parser.should_keep_alive()
 
     def _finish(self, is_clean: bool) -> None:
+        assert self.attempt is not None
+        body = b"".join(self.body)
+        digest = hash(body) if self.code == 200 else None
+        history = self.backend.history
+        if digest is not None and history.is_copy(
+            self.previous_digest, digest, self.gap_ms + self.response_ms
+        ):
+            self._fail_unattributed("it equals the previous one on this connection")
+            return
+        if is_clean:
+            history.note_response(id(self), self.gap_ms, self.response_ms, digest)
+        self.previous_digest = digest
         attempt, self.attempt = self.attempt, None
-        assert attempt is not None
         report = None
         if self.load_report_header:
             try:
@@ -416,7 +515,7 @@
                 log.warning("backend %s:%d: %s", *self.address, err)
         response = BackendResponse(AttemptStatus.ERROR, report)
         if self.code == 200 and not self.is_too_large:
-            response = BackendResponse(AttemptStatus.OK, report, b"".join(self.body), self.content_type)
+            response = BackendResponse(AttemptStatus.OK, report, body, self.content_type)
         elif self.code in (503, 504) and self.is_not_started and not self.is_too_large:
             response.status = AttemptStatus.REJECTED
         self._release_body()
@@ -450,7 +549,8 @@
             backend.is_listed = record.endpoint.phase is api.Phase.UP
             if not backend.is_listed or backend.address != record.address:
                 self.close_idle(name)
-            backend.address = record.address
+            if backend.address != record.address:
+                backend.address, backend.history = record.address, ResponseHistory()
 
     def _remove(self, name: str) -> None:
         """Remove a backend; its running attempts end on their own."""
@@ -473,16 +573,17 @@
     ) -> Exchange:
         """Start an attempt on the last used connection or on a new one; `on_done` may be called at once.
 
-        A connection that was used within `REUSE_DELAY_S` is passed over, as a late second response on it
-        could be taken for that of this request. If there is no other, the attempt waits for it: a new
-        connection takes longer.
+        A connection that was used within the reuse delay is passed over, as a late second response on it
+        could be taken for that of this request. If there is no other, the attempt waits for it, unless a new
+        connection is expected to take less time.
         """
         backend = self.backends[name]
+        reuse_delay_s = backend.history.reuse_delay_ms(REUSE_DELAY_S * 1000) / 1000
         attempt = Exchange(data, on_done, start_before_s)
         now_s = time.monotonic()  # the loop's own clock does not advance within a turn
         recently_used: BackendConnection | None = None  # of these, the one that was used least recently
         for connection in reversed(backend.idle[:]):
-            if now_s - connection.idle_since_s < REUSE_DELAY_S:
+            if now_s - connection.idle_since_s < reuse_delay_s:
                 recently_used = connection
             elif (
                 now_s - connection.idle_since_s > IDLE_LIMIT_RATIO * self.idle_limit_s
@@ -493,9 +594,14 @@
                 backend.idle.remove(connection)
                 connection.write(attempt)
                 return attempt
-        if recently_used is not None and recently_used.is_clean:
+        wait_s = math.inf if recently_used is None else reuse_delay_s - (now_s - recently_used.idle_since_s)
+        if (
+            recently_used is not None
+            and wait_s <= max(UNMEASURED_DELAY_RATIO * REUSE_DELAY_S, MAX_REUSE_WAIT_MS / 1000)
+            and recently_used.is_clean
+        ):
             backend.idle.remove(recently_used)
-            recently_used.write_after(attempt, REUSE_DELAY_S - (now_s - recently_used.idle_since_s))
+            recently_used.write_after(attempt, wait_s)
         else:
             self.connect(backend, attempt)
         return attempt
@@ -525,7 +631,8 @@
     def release(self, connection: BackendConnection, is_reusable: bool) -> None:
         """Take back a connection after its response."""
         backend = connection.backend
-        is_reusable = is_reusable and IDLE_LIMIT_RATIO * self.idle_limit_s > REUSE_DELAY_S
+        reuse_delay_s = backend.history.reuse_delay_ms(REUSE_DELAY_S * 1000) / 1000
+        is_reusable = is_reusable and IDLE_LIMIT_RATIO * self.idle_limit_s > reuse_delay_s
         if (
             not is_reusable
             or not backend.is_listed
--- a/tests/net/test_backend_pool.py
+++ b/tests/net/test_backend_pool.py
@@ -11,13 +11,14 @@
 import socket
 import struct
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import pytest
 import uvloop
 
 from balancer.core.connection_admission import UNBUDGETED_BODY_BYTES
+from balancer.core.response_attribution import MIN_RESPONSE_TIMES, ResponseHistory
 from balancer.core.stall_detector import STALL_THRESHOLD_MS
 from balancer.endpoints import parse_endpoint_list
 from balancer.interface import AttemptStatus, Idempotency, Settings
@@ -69,9 +70,16 @@
         self.pool = BackendPool(Settings(classes=(READ,), **default_settings | overrides), max_connections)
         self.port = self.listener.getsockname()[1]
         self.pool.update(endpoint_records(self.port))
+        self.measure([0.0] * MIN_RESPONSE_TIMES)
         self.responses: list[BackendResponse] = []
         self.accepted_sockets: list[socket.socket] = []
 
+    def measure(self, response_times_ms: Iterable[float]) -> None:
+        """Take these as the backend's response times so far; without any, the reuse delay is longer."""
+        history = self.pool.backends["b0"].history = ResponseHistory()
+        for response_ms in response_times_ms:
+            history.note_response(0, math.inf, response_ms, None)
+
     def start(self, data: bytes, start_before_s: float = math.inf) -> Any:
         """Start an attempt."""
         return self.pool.start("b0", data, self.responses.append, start_before_s)
