Response times of a backend are learned from three responses, 20 ms after the one before

Change: three times suffice, and a response counts if its request was written 20 ms or more after the response before; response times are checked below these 20 ms only.

--- a/balancer/core/response_attribution.py
+++ b/balancer/core/response_attribution.py
@@ -23,11 +23,13 @@
 MAX_REUSE_DELAY_MS = 100.0
 LATENESS_MARGIN = 2.0  # the reuse delay is this multiple of the greatest lateness seen
 MAX_REUSE_WAIT_MS = 25.0  # that a request waits for a connection; beyond, a new connection is the shorter way
-INDEPENDENT_AFTER_MS = 200.0  # after the previous response, when no copy of it is expected any more
-SUSPICION_MS = 30.0  # after the previous response, up to which the response time of a request is checked
+MAX_LATENESS_MS = 200.0  # of a response that is taken for a copy because of its content
+# From a response to the next request. From there on no copy is expected, and response times are learned; below
+# it they are checked.
+INDEPENDENT_GAP_MS = 20.0
 MIN_RESPONSE_TIME_RATIO = 0.5  # of the shortest response time: the least that is plausible
 MIN_CHECKED_MS = 1.0  # a shorter limit is not checked: the delay of the network varies by less than that
-MIN_RESPONSE_TIMES = 5  # before the shortest one is relied on
+MIN_RESPONSE_TIMES = 3  # before the shortest one is relied on
 UNMEASURED_DELAY_RATIO = 2.0  # of the reuse delay until then, since the variation of the network is unknown
 LOOP_DELAY_TOLERANCE_MS = 5.0  # by which a turn of the event loop may be late without counting as a stall
 MIN_DISTINCT_RESPONSES = 8  # before equal content counts as a copy
@@ -72,7 +74,7 @@
         first request.
         """
         if self._independent_count < MIN_RESPONSE_TIMES or gap_ms > max(
-            SUSPICION_MS, 2 * self.reuse_delay_ms()
+            INDEPENDENT_GAP_MS, 2 * self.reuse_delay_ms()
         ):
             return 0.0
         min_plausible_ms = MIN_RESPONSE_TIME_RATIO * self.min_response_ms
@@ -80,7 +82,7 @@
 
     def note_second_response(self, lateness_ms: float) -> None:
         """Record a second response that arrived `lateness_ms` after the first."""
-        if lateness_ms < INDEPENDENT_AFTER_MS:
+        if lateness_ms < MAX_LATENESS_MS:
             self.max_lateness_ms = max(self.max_lateness_ms, lateness_ms)
 
     def note_response(self, connection: int, gap_ms: float, response_ms: float, digest: int | None) -> None:
@@ -90,7 +92,7 @@
         time from the request to the first byte, and `digest` is of the content, None for one that is expected
         to be the same each time.
         """
-        if gap_ms > INDEPENDENT_AFTER_MS:
+        if gap_ms >= INDEPENDENT_GAP_MS:
             self.min_response_ms = min(self.min_response_ms, response_ms)
             self._independent_count += 1
         if digest is None:
@@ -108,7 +110,7 @@
         """
         return (
             digest == previous_digest
-            and age_ms < INDEPENDENT_AFTER_MS
+            and age_ms < MAX_LATENESS_MS
             and not self._has_equal_responses
             and self._distinct_count >= MIN_DISTINCT_RESPONSES
         )
