Responses 20 ms after the one before are never taken for its copy

Change: the check ends 20 ms after the response before (twice the reuse delay, or twice the lateness seen); a copy that is late by 10 ms and by the variation of a link of 10 ms (6.2 ms) is there before.

--- a/balancer/core/response_attribution.py
+++ b/balancer/core/response_attribution.py
@@ -24,9 +24,9 @@
 LATENESS_MARGIN = 2.0  # the reuse delay is this multiple of the greatest lateness seen
 MAX_REUSE_WAIT_MS = 25.0  # that a request waits for a connection; beyond, a new connection is the shorter way
 MAX_LATENESS_MS = 200.0  # of a response that is taken for a copy because of its content
-# From a response to the next request. From there on no copy is expected, and response times are learned; below
-# it they are checked.
-INDEPENDENT_GAP_MS = 20.0
+# After a response, from when on no copy of it is expected: one that is late by the reuse delay, and by as much
+# again where the delay of the network varies.
+COPY_HORIZON_MS = 2 * REUSE_DELAY_MS
 MIN_RESPONSE_TIME_RATIO = 0.5  # of the shortest response time: the least that is plausible
 MIN_CHECKED_MS = 1.0  # a shorter limit is not checked: the delay of the network varies by less than that
 MIN_RESPONSE_TIMES = 3  # before the shortest one is relied on
@@ -67,17 +67,19 @@
             min_delay_ms *= UNMEASURED_DELAY_RATIO
         return max(min_delay_ms, min(MAX_REUSE_DELAY_MS, LATENESS_MARGIN * self.max_lateness_ms))
 
+    @property
+    def _copy_horizon_ms(self) -> float:
+        return max(COPY_HORIZON_MS, LATENESS_MARGIN * self.max_lateness_ms)
+
     def min_plausible_ms(self, gap_ms: float) -> float:
         """Return the least plausible response time of a request; 0 if any is.
 
         `gap_ms` is the time from the previous response on the connection to the request, infinite for its
         first request.
         """
-        if self._independent_count < MIN_RESPONSE_TIMES or gap_ms > max(
-            INDEPENDENT_GAP_MS, 2 * self.reuse_delay_ms()
-        ):
+        if self._independent_count < MIN_RESPONSE_TIMES:
             return 0.0
-        min_plausible_ms = MIN_RESPONSE_TIME_RATIO * self.min_response_ms
+        min_plausible_ms = min(MIN_RESPONSE_TIME_RATIO * self.min_response_ms, self._copy_horizon_ms - gap_ms)
         return min_plausible_ms if min_plausible_ms >= MIN_CHECKED_MS else 0.0
 
     def note_second_response(self, lateness_ms: float) -> None:
@@ -92,7 +94,7 @@
         time from the request to the first byte, and `digest` is of the content, None for one that is expected
         to be the same each time.
         """
-        if gap_ms >= INDEPENDENT_GAP_MS:
+        if gap_ms >= COPY_HORIZON_MS:
             self.min_response_ms = min(self.min_response_ms, response_ms)
             self._independent_count += 1
         if digest is None:
