A list that comes entry by entry on a watch is counted once, not at each entry

Cause: ResponseParser counted the brackets of all that it had received of a line at each piece that ends with a brace. Found while looking for paths on which one connection causes unbounded work; the platform's lists may come in pieces.

Change: each byte is counted once. The new test failed before: 1,855,577 bytes counted for a line of 7,416. tests/protocol, tests/core/discovery and tests/net/test_platform_recovery.py: 803 passed.

--- a/balancer/protocol/platform_list.py
+++ b/balancer/protocol/platform_list.py
@@ -60,7 +60,7 @@
     return f"GET {target} HTTP/1.1\r\nHost: {host}\r\nConnection: {connection_option}\r\n\r\n".encode("ascii")
 
 
-def _bracket_depth(text: bytes) -> int:
+def _bracket_depth(text: bytes | bytearray) -> int:
     """How many more braces and brackets are opened than closed."""
     return text.count(b"{") + text.count(b"[") - text.count(b"}") - text.count(b"]")
 
@@ -83,6 +83,7 @@
         self.is_watch, self.has_ended = is_watch, False
         self._parser = httptools.HttpResponseParser(self)
         self._partial_line = bytearray()  # of a line or of the list
+        self._partial_line_depth = self._counted_bytes = 0  # its bracket depth up to there
         self._partial_object = bytearray()  # lines of an incomplete object
         self._partial_object_depth = 0
         self._has_started = False
@@ -142,7 +143,7 @@
             return
         if b"\n" in body:
             *lines, partial_line = self._partial_line.split(b"\n")
-            self._partial_line = bytearray(partial_line)
+            self._begin_line(partial_line)
             for line in lines:
                 self._handle_line(bytes(line))
 
@@ -150,13 +151,21 @@
         """Handle a complete object whose newline has not been received."""
         if not self.is_watch or self.has_ended or not self._partial_line.endswith(b"}"):
             return
+        # Each byte is counted once: a list may come in thousands of pieces that end like this.
+        self._partial_line_depth += _bracket_depth(self._partial_line[self._counted_bytes :])
+        self._counted_bytes = len(self._partial_line)
+        if self._partial_object_depth + self._partial_line_depth:
+            return
         line = bytes(self._partial_line)
-        if (
-            self._partial_object or line.lstrip().startswith(b"{")
-        ) and self._partial_object_depth + _bracket_depth(line) == 0:
-            self._partial_line = bytearray()
+        if self._partial_object or line.lstrip().startswith(b"{"):
+            self._begin_line(b"")
             self._handle_line(line)
 
+    def _begin_line(self, text: bytes | bytearray) -> None:
+        """Begin a line with the bytes of it that were received."""
+        self._partial_line = bytearray(text)
+        self._partial_line_depth = self._counted_bytes = 0
+
     def _handle_line(self, line: bytes) -> None:
         """Handle a line of a watch: an object, a part of one, or a heartbeat.
 
--- a/tests/protocol/test_platform_list.py
+++ b/tests/protocol/test_platform_list.py
@@ -245,3 +245,22 @@
         and not parser.is_incomplete
     )
     assert parser.receive(chunk(b'{"a":')) == [] and parser.is_incomplete
+
+
+def test_parser_list_in_pieces_counts_each_byte_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a list entry by entry whose cost grows with the square of its length."""
+    count_brackets, counted = platform_list._bracket_depth, 0
+
+    def bracket_depth(text: bytes) -> int:
+        nonlocal counted
+        counted += len(text)
+        return count_brackets(text)
+
+    monkeypatch.setattr(platform_list, "_bracket_depth", bracket_depth)
+    entries = [b'{"id":"s-%d"}' % number for number in range(500)]
+    pieces = [b'{"revision":1,"members":[' + entries[0], *(b"," + entry for entry in entries[1:])]
+    parser = platform_list.ResponseParser(is_watch=True)
+    assert receive_messages(parser, HEAD, *map(chunk, pieces)) == []
+    line = b"".join(pieces) + b"]}"
+    assert receive_messages(parser, chunk(b"]}")) == [platform_list.Line(line)]
+    assert counted <= 3 * len(line)  # once in pieces, once as a line
