--- a/balancer/net/request_dispatcher.py
+++ b/balancer/net/request_dispatcher.py
@@ -20,7 +20,8 @@
 from balancer.core.shutdown_deadlines import ShutdownDeadlines, deadlines_after_signal
 from balancer.core.stall_detector import HEARTBEAT_INTERVAL_MS, SETTLE_DURATION_MS, StallDetector
 from balancer.endpoints import EndpointRecord
-from balancer.net.backend_pool import BackendPool, BackendResponse, Exchange
+from balancer.net.backend_connection import BackendResponse, Exchange
+from balancer.net.backend_pool import BackendPool
 from balancer.net.clock import wall_ms
 from balancer.net.config import Config
 from balancer.net.input_queue import InputQueue
--- a/tests/net/test_costly_input.py
+++ b/tests/net/test_costly_input.py
@@ -13,7 +13,7 @@
 from balancer.core.connection_admission import MAX_FORWARDED_BODY_BYTES, UNBUDGETED_BODY_BYTES
 from balancer.core.parsing_budget import ALLOWANCE_MS, SLICE_BYTES, TURN_BUDGET_MS
 from balancer.net import input_queue
-from balancer.net.backend_pool import BackendConnection
+from balancer.net.backend_connection import BackendConnection
 from balancer.net.http_server import DISCARD_INTERVAL_S, MAX_FRAMING_BYTES, ClientConnection
 from tests.net.test_http_server import run, running_http_server, until
 from tests.net.test_input_queue import Clock
--- a/tests/system/shutdown_races.py
+++ b/tests/system/shutdown_races.py
@@ -32,7 +32,7 @@
 from balancer import interface as api
 from balancer.core.discovery.endpoint_merger import ApplyEndpoints
 from balancer.endpoints import EndpointList, EndpointRecord
-from balancer.net.backend_pool import BackendConnection, Exchange
+from balancer.net.backend_connection import BackendConnection, Exchange
 from balancer.net.config import Config
 from balancer.net.http_server import ClientConnection, HttpServer
 from balancer.net.request_dispatcher import DiscoveryControl, RequestDispatcher
