Clients and backends share one input queue, and input that waits there is not lost

Seen: a new test of a response that waits at its time-out hung. Cause: an InputQueue has a length, so that `input_queue or InputQueue()` gave the pool a queue of its own while the node's was empty: each side had the whole budget, and flushing the node's queue found no response. Also, a response that was read but waits for its turn was dropped when its attempt's time was up, and a request that waits at the end of a node was closed.

Change: the pool takes the queue that it is given; a time-out and the end of a node parse what waits first.

--- a/balancer/net/backend_pool.py
+++ b/balancer/net/backend_pool.py
@@ -58,7 +58,7 @@
 
         Their large bodies count into `large_bodies`, and their input takes its turns in `input_queue`.
         """
-        self.input_queue = input_queue or InputQueue()
+        self.input_queue = InputQueue() if input_queue is None else input_queue
         self.large_bodies = large_bodies or LargeBodyBudget()
         self.connect_timeout_s = settings.connect_timeout_ms / 1000
         self.idle_limit_s = settings.connection_idle_ms / 1000
--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -743,6 +743,8 @@
             # Also after the deadline, so that received requests are rejected.
             await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
             await asyncio.sleep(0)  # uvloop runs timers before sockets; the sockets are read in this turn
+        for connection in list(self.connections):
+            self.node.input_queue.flush(connection)
         await self.node.finish(0)
         for connection in list(self.connections):
             connection.shut_down()
--- a/balancer/net/request_dispatcher.py
+++ b/balancer/net/request_dispatcher.py
@@ -355,6 +355,10 @@
             attempt.exchange.connection if attempt.exchange else None,
             api.AttemptStatus.TIMEOUT,
         )
+        if connection is not None:
+            self.input_queue.flush(connection)  # a response that was read counts
+            if attempt.is_over:
+                return
         if attempt.exchange is None or not attempt.exchange.may_have_left:
             # The request was not sent completely, so it never ran. The backend counts as unreachable only if
             # its connection had its full time to be established and did not wait at this node.
--- a/tests/net/test_costly_input.py
+++ b/tests/net/test_costly_input.py
@@ -11,14 +11,14 @@
 import pytest
 
 from balancer.core.connection_admission import MAX_FORWARDED_BODY_BYTES, UNBUDGETED_BODY_BYTES
-from balancer.core.parsing_budget import ALLOWANCE_MS, SLICE_BYTES, TURN_BUDGET_MS
+from balancer.core.parsing_budget import ALLOWANCE_MS, SLICE_BYTES, TURN_BUDGET_MS, ParsingAllowance
 from balancer.net import input_queue
 from balancer.net.backend_connection import BackendConnection
 from balancer.net.http_server import DISCARD_INTERVAL_S, MAX_FRAMING_BYTES, ClientConnection
 from tests.net.test_http_server import run, running_http_server, until
 from tests.net.test_input_queue import Clock
 from tests.net.test_long_bodies import chunked
-from tests.sockets import PATIENT, Backend, Client, Message
+from tests.sockets import PATIENT, Backend, Client, Message, answer
 
 CLIENTS = 20
 CALLBACK_MS = 0.001  # that each call of the parser takes on the clock of these tests
@@ -222,3 +222,31 @@
             client.writer.transport.abort()
 
     run(test)
+
+
+def test_response_that_waits_for_its_turn_counts_when_time_is_up(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        is_exhausted, may_respond = False, asyncio.Event()
+
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            await may_respond.wait()
+            writer.write(answer(b"in time"))
+
+        async with running_http_server(tmp_path, Backend("b0", respond), settings=PATIENT) as http_server:
+            node = http_server.node
+            client = Client(*await asyncio.open_connection(*http_server.address))
+            monkeypatch.setattr(node.input_queue, "_schedule", lambda: None)  # no turn comes
+            monkeypatch.setattr(ParsingAllowance, "is_exhausted", lambda allowance, now_ms: is_exhausted)
+            client.send("/read")
+            await until(lambda: node.open_requests)
+            is_exhausted = True
+            may_respond.set()
+            await until(lambda: len(node.input_queue))
+            (request,) = node.open_requests.values()
+            node._on_timeout(request.attempts[0])
+            assert (await client.answer()).body == b"in time"
+            client.writer.transport.abort()
+
+    run(test)
