--- a/tests/net/test_late_second_response.py
+++ b/tests/net/test_late_second_response.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from balancer.core import response_attribution
 from balancer.core.response_attribution import (
     MIN_DISTINCT_RESPONSES,
     MIN_RESPONSE_TIMES,
@@ -22,6 +23,13 @@
 REJECTION = answer(b"full", "503 X", "Not-Started: 1")
 
 
+@pytest.fixture(autouse=True)
+def long_horizon(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Give copies time to come late, so that no slow machine takes one for a response."""
+    monkeypatch.setattr(response_attribution, "COPY_HORIZON_MS", 60_000.0)
+    monkeypatch.setattr(response_attribution, "MAX_LATENESS_MS", 60_000.0)
+
+
 async def reuse_connection(
     harness: PoolHarness, first_response: bytes, response_ms: float = 0.0
 ) -> socket.socket:
