Input queue: a stall is not charged to a client, and what waits is parsed before an end

Cause: the time that parsing took was charged as measured. A client whose request was parsed while the process had no core counted as costly from then on, and 40 costly ones that connect anew went before it. By reading, on the same path: a response whose connection ended while it waited failed; a paused read of a closing transport raises an error, and an error in a turn left the others without theirs.

Change: at most 1 us a byte is charged and 4 ms in all, so that costly connections take turns; the end of a backend connection parses what waits first; closing transports are not paused; an error keeps the turns of others.

--- a/balancer/core/parsing_budget.py
+++ b/balancer/core/parsing_budget.py
@@ -15,6 +15,9 @@
 SLICE_BYTES = 4 * 1024  # parsed at a time; a usual request or response fits
 ALLOWANCE_MS = 2.0  # of work on a connection's input before it has to wait for its turn
 ALLOWANCE_REFILL_RATIO = 0.01  # of the time that passes
+# More is not charged: a process that was held up while it parsed a usual request must not starve its client.
+MAX_COST_MS_PER_BYTE = 0.001
+MAX_SPENT_MS = 2 * ALLOWANCE_MS  # so that costly connections take turns, and each gets its own in the end
 TURN_BUDGET_MS = 2.0  # for the input that waits, in one turn of the event loop
 MAX_QUEUE_SHARE = 0.5  # of the time, for the input that waits
 
@@ -30,10 +33,11 @@
     def __repr__(self) -> str:
         return f"<ParsingAllowance {self.spent_ms:.1f} of {ALLOWANCE_MS:g} ms spent>"
 
-    def charge(self, now_ms: float, work_ms: float) -> None:
-        """Count work that ended at `now_ms`."""
+    def charge(self, now_ms: float, work_ms: float, byte_count: int) -> None:
+        """Count work on that many bytes, which ended at `now_ms`."""
         self._refill(now_ms)
-        self.spent_ms += max(0.0, work_ms)
+        cost_ms = min(max(0.0, work_ms), MAX_COST_MS_PER_BYTE * byte_count)
+        self.spent_ms = min(MAX_SPENT_MS, self.spent_ms + cost_ms)
 
     def is_exhausted(self, now_ms: float) -> bool:
         """Whether further input has to wait for its turn."""
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -300,6 +300,7 @@
         If the connection breaks before the last byte of the request has left, the request never ran;
         afterwards it may have.
         """
+        self.pool.input_queue.flush(self)  # what was read before the break counts
         # Nothing to abort: asyncio's transport would end a second time, with a traceback.
         self.transport = None
         self._fail(
@@ -310,6 +311,7 @@
 
     def eof_received(self) -> None:
         """End a response without a length (RFC 9112, 6.3); for any other, the connection broke."""
+        self.pool.input_queue.flush(self)  # the response is longer by what waits
         ends_with_connection = self.is_in_body and not (
             self.attempt is None or self.is_write_blocked or self.is_complete or self.has_length
         )
@@ -344,7 +346,7 @@
 
     def pause_input(self) -> None:
         """Read no more until what was read is parsed."""
-        if self.transport is not None and not self.is_closed:
+        if self.transport is not None and not (self.is_closed or self.transport.is_closing()):
             self.transport.pause_reading()
 
     def resume_input(self) -> None:
--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -230,7 +230,9 @@
         every `DISCARD_INTERVAL_S`: the end of the input is the only sign of a disconnect.
         """
         self.discarded_bytes += byte_count
-        if self.discarded_bytes > UNBUDGETED_BODY_BYTES and self.transport is not None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.discarded_bytes > UNBUDGETED_BODY_BYTES:
             self.transport.pause_reading()
             if not self.is_discard_paused:
                 self.is_discard_paused = True
--- a/balancer/net/input_queue.py
+++ b/balancer/net/input_queue.py
@@ -115,7 +115,7 @@
         started_ms = time.monotonic() * 1000
         connection.parse(data)
         ended_ms = time.monotonic() * 1000
-        connection.allowance.charge(ended_ms, ended_ms - started_ms)
+        connection.allowance.charge(ended_ms, ended_ms - started_ms, len(data))
         return ended_ms - started_ms
 
     def _schedule(self) -> None:
@@ -127,8 +127,21 @@
                 self._timer = self.loop.call_soon(self._run)
 
     def _run(self) -> None:
-        """Parse slices up to the budget of a turn, of the connection that took least time so far first."""
+        """Parse slices of the connection that took least time so far first, then pause."""
         self._timer = None
+        work_ms = TURN_BUDGET_MS  # as if it was used up, in case that parsing raises an error
+        try:
+            work_ms = self._parse_ready()
+        finally:
+            for connection in self._waiting:
+                self._pause(connection)
+            if work_ms >= TURN_BUDGET_MS and self._waiting:
+                self._next_run_ms = time.monotonic() * 1000 + pause_after_ms(work_ms)
+                self._log_wait()
+                self._schedule()
+
+    def _parse_ready(self) -> float:
+        """Parse up to the budget of a turn; returns the time that it took."""
         work_ms = 0.0
         while work_ms < TURN_BUDGET_MS:
             ready = [connection for connection in self._waiting if connection.may_parse]
@@ -141,12 +154,7 @@
             work_ms += self._parse(connection, data[:SLICE_BYTES])
             if connection not in self._waiting:
                 self._resume(connection)
-        for connection in self._waiting:
-            self._pause(connection)
-        if work_ms >= TURN_BUDGET_MS and self._waiting:
-            self._next_run_ms = time.monotonic() * 1000 + pause_after_ms(work_ms)
-            self._log_wait()
-            self._schedule()
+        return work_ms
 
     def _log_wait(self) -> None:
         now_ms = time.monotonic() * 1000
--- a/tests/net/test_costly_input.py
+++ b/tests/net/test_costly_input.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -189,7 +190,7 @@
             client = Client(*await asyncio.open_connection(*http_server.address))
             assert (await client.ask("/read")).code == 200
             (connection,) = http_server.connections
-            connection.allowance.charge(http_server.loop.time() * 1000, 1000 * ALLOWANCE_MS)
+            connection.allowance.charge(time.monotonic() * 1000, ALLOWANCE_MS, SLICE_BYTES)
             connection.data_received(b"GET /read HTTP/1.1\r\nRequest-Id: waits\r\n\r\n")
             assert connection in http_server.node.input_queue
             connection.close()
@@ -250,3 +251,57 @@
             client.writer.transport.abort()
 
     run(test)
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_response_that_waits_as_its_connection_ends_is_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, is_reset: bool
+) -> None:
+    """The end of the connection is read while the response waits for its turn."""
+    parts = (b"HTTP/1.1 200 OK\r\n\r\nfirst ", b"last") if not is_reset else (answer(b"first last"), b"")
+
+    async def test() -> None:
+        is_exhausted, may_end = False, asyncio.Event()
+
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            await may_end.wait()
+            writer.write(b"".join(parts))
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        async with running_http_server(tmp_path, Backend("b0", respond), settings=PATIENT) as http_server:
+            node = http_server.node
+            client = Client(*await asyncio.open_connection(*http_server.address))
+            monkeypatch.setattr(node.input_queue, "_schedule", lambda: None)  # no turn comes
+            monkeypatch.setattr(ParsingAllowance, "is_exhausted", lambda allowance, now_ms: is_exhausted)
+            client.send("/read")
+            await until(lambda: node.open_requests)
+            is_exhausted = True
+            may_end.set()
+            assert (await client.answer()).body == b"first last"
+            client.writer.transport.abort()
+
+    run(test)
+
+
+def test_input_that_waits_as_its_connection_is_aborted_is_dropped(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A closed transport cannot pause, and others would lose their turns by that error."""
+
+    async def test() -> None:
+        async with running_http_server(tmp_path, Backend("b0"), settings=PATIENT) as http_server:
+            errors = list[object]()
+            http_server.loop.set_exception_handler(lambda _, context: errors.append(context))
+            client = Client(*await asyncio.open_connection(*http_server.address))
+            assert (await client.ask("/read")).code == 200
+            (connection,) = http_server.connections
+            connection.data_received(b"GET /read HTTP/1.1\r\nX: " + b"x" * 20_000)
+            connection.closes_after_response = True
+            connection.discarded_bytes = UNBUDGETED_BODY_BYTES
+            assert connection.transport is not None
+            connection.transport.abort()
+            await until(lambda: not http_server.connections)
+            assert not errors and not len(http_server.node.input_queue)
+
+    run(test)
--- a/tests/net/test_input_queue.py
+++ b/tests/net/test_input_queue.py
@@ -111,7 +111,7 @@
     async def test() -> None:
         queue = InputQueue()
         connection = Connection(clock, "busy", 0.1, [])
-        connection.allowance.charge(clock.now_s * 1000, 2 * ALLOWANCE_MS)
+        connection.allowance.charge(clock.now_s * 1000, 2 * ALLOWANCE_MS, SLICE_BYTES)
         queue.receive(connection, TINY)
         assert not connection.parsed and connection in queue
         await turn_loop(1)
@@ -175,3 +175,53 @@
         assert connection.parsed == COSTLY + TINY
 
     run(test)
+
+
+def test_connection_whose_parsing_was_held_up_does_not_starve(clock: Clock) -> None:
+    """Guards against a client that waited for seconds, as the process had no core while it parsed for it."""
+
+    async def test() -> None:
+        queue, log = InputQueue(), list[str]()
+        costly = [Connection(clock, "costly", 1.01 * ALLOWANCE_MS, log) for _ in range(40)]
+        usual = Connection(clock, "usual", 150.0, log)
+        queue.receive(usual, TINY)
+        usual.cost_ms = 0.1
+        for connection in costly:
+            queue.receive(connection, COSTLY)
+        queue.receive(usual, TINY)
+        assert log[-1] == "usual"
+
+    run(test)
+
+
+def test_costly_connections_take_turns(clock: Clock) -> None:
+    async def test() -> None:
+        queue, log = InputQueue(), list[str]()
+        connections = [Connection(clock, str(n), 2.5 * ALLOWANCE_MS, log) for n in range(3)]
+        for connection in connections:
+            queue.receive(connection, b"x" * (3 * SLICE_BYTES))
+        while len(queue):
+            clock.now_s += 0.1
+            await turn_loop(1)
+        assert log == ["0", "1", "2"] * 3
+
+    run(test)
+
+
+def test_error_while_parsing_leaves_others_their_turns(clock: Clock) -> None:
+    async def test() -> None:
+        errors = list[BaseException]()
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: errors.append(context["exception"])
+        )
+        queue = InputQueue()
+        broken, other = (Connection(clock, "", 0.1, []) for _ in range(2))
+        queue.receive(broken, COSTLY)
+        queue.receive(other, COSTLY)
+        broken.on_parse = lambda: 1 / 0
+        while other in queue:
+            clock.now_s += 0.1
+            await turn_loop(1)
+        assert len(other.parsed) == len(COSTLY) and isinstance(errors[0], ZeroDivisionError)
+
+    run(test)
--- a/tests/system/test_startup_cost.py
+++ b/tests/system/test_startup_cost.py
@@ -23,11 +23,11 @@
 
 MODULES = 56
 """Modules of the project that a platform node loads, packages too; 28 before they were split by job."""
-CODE_BYTES = 178_700
+CODE_BYTES = 179_300
 """Bytes of byte code in them; 160,620 before the split."""
 DATACLASSES = 70
 """Data classes made while they load: each costs as much as some hundred lines of byte code."""
-WITH_PERSISTENCE = 95, 309_200, 95
+WITH_PERSISTENCE = 95, 309_900, 95
 """The same of a start with [state] and [control]; 56 modules, 283,770 bytes and 94 before."""
 SPARED = {  # what only a word, the operators' file or another program needs
     "argparse",
