--- a/review/standins.py
+++ b/review/standins.py
@@ -205,14 +205,23 @@
     def __init__(self, name: str, record: Record, handler: Handler, zone: str = "zrh", cell: int = 0) -> None:
         self.name, self.record, self.handler, self.zone, self.cell = name, record, handler, zone, cell
         self.port, self.held, self.arrivals = 0, 0, list[Arrival]()
-        self.phase = "in_service"
+        self.phase, self.up_since_ms = "in_service", 0
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> None:
+    async def start(self, port: int = 0) -> None:
         """Listen."""
-        self.server = await asyncio.start_server(self._serve, HOST, 0, limit=1 << 20)
+        self.server = await asyncio.start_server(self._serve, HOST, port, limit=1 << 20)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def die(self) -> None:
+        """End as a process that is killed: connections are reset, and new ones are refused."""
+        assert self.server is not None
+        self.record.add(f"{self.name} dies")
+        self.server.close()
+        for writer in set(self.writers):
+            reset(writer)
+
     def entry(self) -> dict[str, Any]:
         """The backend's entry in discovery's list."""
         return {
@@ -223,12 +232,13 @@
             "cell": self.cell,
             "phase": self.phase,
             "size": 1.0,
-            "up_since_ms": 0,
+            "up_since_ms": self.up_since_ms,
         }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             try:
+                self.writers.add(writer)
                 while True:
                     first, headers = await read_head(reader)
                     body = await read_body(reader, headers)
@@ -246,6 +256,7 @@
                         return
                     await self._reply(writer, arrival, reply)
             finally:
+                self.writers.discard(writer)
                 writer.close()
 
     async def _reply(self, writer: asyncio.StreamWriter, arrival: Arrival, reply: Reply) -> None:
@@ -269,6 +280,7 @@
         self.record, self.backends = record, backends
         self.revision, self.changes = 41, list[tuple[int, dict[str, Any]]]()
         self.is_down, self.port = False, 0
+        self.held: dict[str, Any] | None = None  # the list as it was, while changes are still on their way
         self.watches: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
 
@@ -280,11 +292,18 @@
 
     def whole_list(self) -> dict[str, Any]:
         """The whole list."""
+        if self.held is not None:
+            return self.held
         entries = [backend.entry() for backend in self.backends]
         return {"revision": self.revision, "complete": True, "members": entries}
 
+    def hold(self) -> None:
+        """Keep to the list as it is now until the next `change`."""
+        self.held = self.whole_list()
+
     def change(self, *backends: Backend) -> None:
         """Tell that these backends changed."""
+        self.held = None
         self.revision += 1
         for backend in backends:
             self.changes.append((self.revision, backend.entry()))
@@ -301,6 +320,15 @@
                 reset(writer)
             self.watches.clear()
 
+    async def close(self, after_s: float) -> None:
+        """Take no new connection, and close the open ones after a while."""
+        assert self.server is not None
+        self.server.close()
+        await asyncio.sleep(after_s)
+        self.heartbeat.cancel()
+        for writer in set(self.watches):
+            writer.close()
+
     def _write(self, writer: asyncio.StreamWriter, message: dict[str, Any] | None) -> None:
         line = b"\n" if message is None else json.dumps(message).encode() + b"\n"
         writer.write(b"%x\r\n%b\r\n" % (len(line), line))
@@ -496,6 +524,14 @@
                 writer.close()
         return False
 
+    def configure(self, **changes: Any) -> None:
+        """Replace the file of the configuration, and have the program read it."""
+        self.config |= changes
+        new = self.path.with_suffix(".new")
+        new.write_text(json.dumps(self.config))
+        new.replace(self.path)
+        self.signal(signal.SIGHUP)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the program."""
         assert self.process is not None
