Review stand-ins: a run that is ended by a signal exits with 2

Cause: a cancelled run left by an exception, and Python's exit code for that is 1, which says broken. Change: it is caught like other errors of a case.

--- a/review/standins.py
+++ b/review/standins.py
@@ -606,7 +606,7 @@
     try:
         async with asyncio.timeout(MAX_CASE_S):
             is_broken = await body(case)
-    except Exception as err:  # an error of the case says nothing about the rule
+    except (Exception, asyncio.CancelledError) as err:  # this says nothing about the rule
         record.say(f"the case could not run: {err!r}")
         return 2
     finally:
