Review cases: late stand-ins and missing disruptions end a run with 2

Cause: no case measured by how much its stand-ins ran late. Change: the pace is measured, taken off, and too late a run ends with 2, as does one in which the disruption did not take place or few requests were served.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -61,7 +61,8 @@
             await asyncio.sleep(random.expovariate(RATE_PER_NODE_S))
         await asyncio.gather(*tasks)
 
-    loads = [asyncio.create_task(load(Clients(record, node.port))) for node in case.nodes]
+    clients = [Clients(record, node.port) for node in case.nodes]
+    loads = [asyncio.create_task(load(one_node)) for one_node in clients]
     await asyncio.sleep(WARM_UP_S)
 
     old, new = backends[0], Backend("s-new", record, answer)
@@ -81,18 +82,25 @@
     new.phase = "terminating"
     discovery.change(new)
     told_s = record.now()
+    case.require(told_s - vanished_s < REMOVED_S - GRACE_S - 1.0, "the new server drained in time")
     record.say(f"{new.name} drains since {told_s:.2f} s")
     await asyncio.sleep(vanished_s + REMOVED_S - told_s)
     old.phase = "terminated"
     discovery.backends.remove(old)
     discovery.change(old)
     record.say(f"the list has no {old.name} since {record.now():.2f} s")
+    case.require(record.now() - vanished_s < 14.0, "the old server left the list within 14 s")
     await asyncio.sleep(3.0)
     sending = False
     await asyncio.gather(*loads)
-    case.check_alive()
-    late = [arrival for arrival in new.arrivals if arrival.at_s > told_s + GRACE_S]
+    case.check_run([status for one_node in clients for status in one_node.answers], 0.25)
+    late = [
+        arrival
+        for arrival in new.arrivals
+        if arrival.first_byte_s - case.delay_near(arrival.first_byte_s) > told_s + GRACE_S
+    ]
     before = sum(arrival.at_s <= told_s for arrival in new.arrivals)
+    case.require(before > 0, "the new server got requests before it drained")
     record.say(f"{new.name} got {before} requests before it drained")
     record.say(f"{new.name} got {len(late)} requests later than {GRACE_S:.2f} s after the nodes were told")
     for arrival in late[:5]:
--- a/review/standins.py
+++ b/review/standins.py
@@ -179,6 +179,7 @@
         self.id = headers.get("request-id", "")
         self.key = headers.get("idempotency-key", "")
         self.at_s = backend.record.now()
+        self.first_byte_s = self.at_s
 
 
 class Reply:
@@ -256,10 +257,14 @@
             try:
                 self.writers.add(writer)
                 while True:
+                    start = await reader.readexactly(1)
+                    first_byte_s = self.record.now()
                     first, headers = await read_head(reader)
+                    first = start.decode("latin-1") + first
                     body = await read_body(reader, headers)
                     method, target, _ = first.split(" ", 2)
                     arrival = Arrival(self, method, target, headers, body)
+                    arrival.first_byte_s = first_byte_s
                     self.arrivals.append(arrival)
                     self.record.add(f"{self.name} got {method} {target} id={arrival.id} key={arrival.key}")
                     self.held += 1
@@ -299,6 +304,7 @@
         self.record, self.backends = record, backends
         self.revision, self.changes = 41, list[tuple[int, dict[str, Any]]]()
         self.is_down, self.port = False, 0
+        self.asked = 0  # calls so far
         self.held: dict[str, Any] | None = None  # the list as it was, while changes are still on their way
         self.watches: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
@@ -364,6 +370,7 @@
                 while True:
                     first, _ = await read_head(reader)
                     target = first.split(" ")[1]
+                    self.asked += 1
                     node = writer.get_extra_info("peername")[1]
                     self.record.add(
                         f"discovery {'down, ' if self.is_down else ''}asked {target} from port {node}"
@@ -426,6 +433,7 @@
 
     def __init__(self, record: Record, port: int, headers: tuple[str, ...] = ()) -> None:
         self.record, self.port, self.headers = record, port, headers
+        self.answers: list[int] = []  # the status of each request, 0 for no answer
         self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
 
     async def ask(
@@ -449,6 +457,8 @@
         lines += [f"Idempotency-Key: {key}"] * bool(key) + ["Client-Retry: 1"] * retries
         lines += [f"Content-Length: {len(body)}"] * (method != "GET")
         data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        self.answers.append(0)
+        number = len(self.answers) - 1
         self.record.add(f"client of {self.port} sends {method} {target} id={request_id} key={key}")
         begin_s = time.monotonic()
         try:
@@ -458,6 +468,7 @@
             self.record.add(f"client got no answer id={request_id}: {err!r}")
             return Answer(request_id, 0, b"", {}, time.monotonic() - begin_s)
         took_s = time.monotonic() - begin_s
+        self.answers[number] = status
         self.record.add(
             f"client got {status} id={request_id} after {took_s:.3f} s retry-after="
             f"{headers.get('retry-after', '-')} body={answer[:60]!r}"
@@ -576,6 +587,7 @@
 
     def __init__(self, record: Record, folder: Path) -> None:
         self.record, self.folder, self.nodes = record, folder, list[Node]()
+        self.delays: list[tuple[float, float]] = []
 
     async def start_nodes(self, count: int, discovery: Discovery, configured: dict[str, Any]) -> None:
         """Start nodes with these settings, and wait until all of them are up."""
@@ -589,12 +601,35 @@
             seed = f"{random.getrandbits(64):016x}"
             self.nodes.append(Node(self.record, self.folder, index, config | {"seed": seed}))
         await asyncio.gather(*(node.start() for node in self.nodes))
+        self.pace = asyncio.create_task(self.measure_pace())
 
-    def check_alive(self) -> None:
-        """The case says nothing if a node has ended by itself."""
+    async def measure_pace(self) -> None:
+        """Note by how much the stand-ins run late, as a slow or busy machine makes them."""
+        while True:
+            due_s = self.record.now() + 0.01
+            await asyncio.sleep(0.01)
+            self.delays.append((self.record.now(), self.record.now() - due_s))
+
+    def delay_near(self, at_s: float) -> float:
+        """By how much the stand-ins were late around a time, at most."""
+        return max((delay for when, delay in self.delays if abs(when - at_s) < 0.15 + delay), default=0.0)
+
+    def check_run(self, answers: list[int], max_delay_s: float) -> None:
+        """The case says nothing if a node ended, the stand-ins were late, or few requests were served."""
         for node in self.nodes:
             if node.process is not None and node.process.returncode is not None:
                 raise CannotRunError(f"{node.name} ended with {node.process.returncode}")
+        delay_s = max(delay for _, delay in self.delays)
+        self.record.say(f"the stand-ins were {delay_s:.3f} s late at most")
+        if delay_s > max_delay_s:
+            raise CannotRunError(f"the stand-ins were over {max_delay_s} s late")
+        if 2 * answers.count(200) < len(answers):
+            raise CannotRunError(f"{answers.count(200)} of {len(answers)} usual requests were served")
+
+    def require(self, has_happened: bool, what: str) -> None:
+        """The case says nothing if the disruption did not take place as it should."""
+        if not has_happened:
+            raise CannotRunError(f"not so in this run: {what}")
 
 
 async def _run(body: Callable[[Case], Awaitable[bool]], record: Record, folder: Path) -> int:
