Disconnects behind much unread input are noticed before further attempts

Cause: the end of a connection lies behind its input, and input behind an open request was read 256 KiB at a time with a pause of 10 ms, or 0.5 ms for each such connection. With 100 clients that hid the end for 0.6 s; nothing looked for it when an attempt was sent.

Change: net/input_discard drops such input in the kernel, for all connections together, within a share of the loop's time; just before an attempt is written the client's connection is asked for its state.

--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -10,6 +10,7 @@
 import contextlib
 import logging
 import re
+import socket
 from functools import partial
 from typing import cast
 from urllib.parse import parse_qs
@@ -28,15 +29,15 @@
 from balancer.core.shutdown_deadlines import FIRST_BYTE_TIMEOUT_MS, ShutdownDeadlines
 from balancer.endpoints import Address
 from balancer.interface import Idempotency
+from balancer.net.input_discard import InputDiscarder
+from balancer.net.input_queue import READ_BUFFER_BYTES
 from balancer.net.listener import Listener, SlotState
 from balancer.net.request_dispatcher import RequestDispatcher
 
 log = logging.getLogger(__name__)
 
 MAX_HEAD_BYTES = 16 * 1024
-DISCARD_INTERVAL_S = 0.01  # between reads of discarded input: 26 MB/s, so 4 MB hide a disconnect for < 0.3 s
-DISCARD_BUFFER_BYTES = 256 * 1024
-MIN_DISCARD_SPACING_S = 0.0005  # between such reads of all connections: at most an eighth of the loop's time
+MAX_HIDDEN_DISCONNECT_MS = 50.0  # for which input may hide a disconnect before no attempt is sent
 # Of a request besides its body: one-byte chunks take six times the body.
 MAX_FRAMING_BYTES = 8 * UNBUDGETED_BODY_BYTES
 LINGERING_CLOSE_S = 0.5  # for a client to read its last response before the connection is aborted
@@ -76,6 +77,7 @@
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
+TCP_ESTABLISHED = 1  # tcp_info.tcpi_state in <linux/tcp.h>; any other: an end or a reset has arrived
 TIMEOUT_PATTERN = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
 
 
@@ -115,8 +117,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """One client connection; it carries one request at a time."""
 
-    def __init__(self, server: HttpServer) -> None:
-        self.server, self.node = server, server.node
+    def __init__(self, server: HttpServer, sock: socket.socket) -> None:
+        self.server, self.node, self.sock = server, server.node, sock
         self.allowance = ParsingAllowance()
         self.transport: asyncio.Transport | None = None
         self.request_id: str | None = None  # ID of the open request
@@ -127,7 +129,7 @@
         self.discarded_bytes = 0  # received after the close began
         self.is_aborted = False
         self.is_write_blocked = False  # the kernel has not taken everything that was written
-        self.is_input_queued = self.is_discard_paused = False  # further reasons why it is not read
+        self.is_input_queued = False  # another reason why it is not read
         self.latest_deadline_ms = 0.0  # of its requests
         self.parser = httptools.HttpRequestParser(self)
         # Whether a request line is being received, and what has come of it so far.
@@ -162,6 +164,7 @@
         self.is_closing = True
         self._release_body()
         self.node.input_queue.discard(self)
+        self.server.input_discarder.remove(self)
         self.server.unregister(self)
         if self.request_id is not None:
             request_id, self.request_id = self.request_id, None
@@ -205,7 +208,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which all connections share."""
-        return self.server.discard_buffer if self.is_discarding else self.node.input_queue.read_buffer
+        return self.node.input_queue.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle a read."""
@@ -226,23 +229,32 @@
     def _discard(self, byte_count: int) -> None:
         """Drop input behind the last request: it belongs to another connection.
 
-        A little of it is read at once, since a close over unread bytes resets. More is read slowly, one read
-        every `DISCARD_INTERVAL_S`: the end of the input is the only sign of a disconnect.
+        It is read, since a close over unread bytes resets, and since the end of the input is the only sign of
+        a disconnect. After a full read there is more, which is left to the `InputDiscarder`.
         """
         self.discarded_bytes += byte_count
         if self.transport is None or self.transport.is_closing():
             return
-        if self.discarded_bytes > UNBUDGETED_BODY_BYTES:
+        if byte_count >= READ_BUFFER_BYTES:
+            self.server.input_discarder.add(self)
             self.transport.pause_reading()
-            if not self.is_discard_paused:
-                self.is_discard_paused = True
-                self.server.loop.call_later(self.server.begin_discard_pause(), self._end_discard_pause)
 
-    def _end_discard_pause(self) -> None:
-        self.is_discard_paused = False
-        self.server.discard_pauses -= 1
+    def on_input_discarded(self) -> None:
+        """Read again: all input that had arrived is discarded, or has ended."""
         self._resume_reading()
 
+    def may_be_gone(self) -> bool:
+        """Whether the client has disconnected, or may have done so for longer than is noticed in time."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        if self.server.input_discarder.pending_ms(self) > MAX_HIDDEN_DISCONNECT_MS:
+            return True
+        try:
+            tcp_state = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:  # the descriptor is closed
+            return True
+        return tcp_state != TCP_ESTABLISHED
+
     @property
     def may_parse(self) -> bool:
         """Bounds memory against clients that send requests and do not read responses."""
@@ -310,7 +322,7 @@
         return b"".join(b"%%%02X" % c if c > 127 else bytes((c,)) for c in line) + newline + rest
 
     def _resume_reading(self) -> None:
-        is_paused = self.is_write_blocked or self.is_input_queued or self.is_discard_paused
+        is_paused = self.is_write_blocked or self.is_input_queued or self in self.server.input_discarder
         if self.transport is not None and not (is_paused or self.transport.is_closing()):
             self.transport.resume_reading()
 
@@ -572,8 +584,7 @@
         # Connections aborted for unread responses since the last log line, and when that was written.
         self.aborted_count, self.logged_at_s = 0, -LOG_INTERVAL_S
         self.loop = asyncio.get_running_loop()
-        self.discard_buffer = memoryview(bytearray(DISCARD_BUFFER_BYTES))
-        self.discard_pauses = 0  # connections that pause between two reads of discarded input
+        self.input_discarder = InputDiscarder()
         self.connections: set[ClientConnection] = set()
         # Connections and when they got there, in loop time, oldest first: without an open request, without
         # any request yet, with an incomplete request.
@@ -584,17 +595,12 @@
         self.closing_connections: set[ClientConnection] = set()
         # Set once the node has been told to shut down.
         self.shutdown_deadlines: ShutdownDeadlines | None = None
-        self.listener = Listener(lambda: ClientConnection(self), self._slot_state)
+        self.listener = Listener(partial(ClientConnection, self), self._slot_state)
         self.sweep_timer, self.swept_at_s = (
             self.loop.call_later(SWEEP_INTERVAL_S, self._sweep),
             self.loop.time(),
         )
 
-    def begin_discard_pause(self) -> float:
-        """Count a connection that pauses; returns the length of its pause in seconds."""
-        self.discard_pauses += 1
-        return max(DISCARD_INTERVAL_S, self.discard_pauses * MIN_DISCARD_SPACING_S)
-
     @property
     def is_over_limit(self) -> bool:
         """Whether there are more client connections than the limit."""
--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -48,9 +48,11 @@
     """
 
     def __init__(
-        self, protocol_factory: Callable[[], asyncio.BaseProtocol], slot_state: Callable[[], SlotState]
+        self,
+        protocol_factory: Callable[[socket.socket], asyncio.BaseProtocol],
+        slot_state: Callable[[], SlotState],
     ) -> None:
-        """`slot_state` is called before each accept."""
+        """`protocol_factory` is called with each accepted socket, `slot_state` before each accept."""
         self.protocol_factory, self.slot_state = protocol_factory, slot_state
         self.loop = asyncio.get_running_loop()
         # Accepted, without a transport yet.
@@ -125,7 +127,7 @@
 
     def _connect(self, sock: socket.socket) -> None:
         sock.setblocking(False)
-        protocol = self.protocol_factory()
+        protocol = self.protocol_factory(sock)
         task: asyncio.Task[object] = self.loop.create_task(
             self.loop.connect_accepted_socket(lambda: protocol, sock)
         )
--- a/balancer/net/request_dispatcher.py
+++ b/balancer/net/request_dispatcher.py
@@ -59,6 +59,9 @@
     def failed(self) -> None:
         """Respond that the request failed."""
 
+    def may_be_gone(self) -> bool:
+        """Whether the client has disconnected, as far as can be told now, so that nothing is sent for it."""
+
 
 class DiscoveryControl(Protocol):
     """Controls the discovery of endpoints."""
@@ -344,12 +347,20 @@
             return
         attempt.timer = self.loop.call_later(timeout_ms / 1000, self._on_timeout, attempt)
         start_before_s = (action.start_before_ms - self._clock_offset_ms) / 1000
-        timeout_at_ms, on_done = now_ms + timeout_ms, partial(self._finish_attempt, attempt)
-        exchange = self.pool.start(
-            action.backend, lambda: request.render(timeout_at_ms - self.now()), on_done, start_before_s
-        )
+        render = partial(self._render_attempt, request, now_ms + timeout_ms)
+        on_done = partial(self._finish_attempt, attempt)
+        exchange = self.pool.start(action.backend, render, on_done, start_before_s)
         attempt.exchange = None if attempt.is_over else exchange
 
+    def _render_attempt(self, request: PendingRequest, timeout_at_ms: float) -> bytes:
+        """Render an attempt as it is about to be written; nothing if its client may be gone.
+
+        The disconnect itself is reported by the client's connection, which may read it later.
+        """
+        if not request.is_answered and request.client.may_be_gone():
+            return b""
+        return request.render(timeout_at_ms - self.now())
+
     def _on_timeout(self, attempt: Attempt, is_recheck: bool = False) -> None:
         connection, status = (
             attempt.exchange.connection if attempt.exchange else None,
--- a/tests/net/test_costly_input.py
+++ b/tests/net/test_costly_input.py
@@ -15,7 +15,7 @@
 from balancer.core.parsing_budget import ALLOWANCE_MS, SLICE_BYTES, TURN_BUDGET_MS, ParsingAllowance
 from balancer.net import input_queue
 from balancer.net.backend_connection import BackendConnection
-from balancer.net.http_server import DISCARD_INTERVAL_S, MAX_FRAMING_BYTES, ClientConnection
+from balancer.net.http_server import MAX_FRAMING_BYTES, ClientConnection
 from tests.net.test_http_server import run, running_http_server, until
 from tests.net.test_input_queue import Clock
 from tests.net.test_long_bodies import chunked
@@ -200,16 +200,6 @@
     run(test)
 
 
-def test_discarded_input_of_many_clients_is_read_in_turn(tmp_path: Path) -> None:
-    async def test() -> None:
-        async with running_http_server(tmp_path) as http_server:
-            assert http_server.begin_discard_pause() == DISCARD_INTERVAL_S
-            pauses_s = [http_server.begin_discard_pause() for _ in range(99)]
-            assert max(pauses_s) == 100 * 0.0005
-
-    run(test)
-
-
 def test_long_body_with_length_is_not_slowed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """It costs a callback for each slice, so that it has its turns at once."""
 
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -13,15 +13,17 @@
 
 import pytest
 
+from balancer.core.parsing_budget import (
+    DISCARD_TURN_BUDGET_MS,
+    ENDLESS_INPUT_BYTES,
+    MAX_ENDLESS_DISCARD_SHARE,
+    discard_pause_ms,
+)
 from balancer.core.shutdown_deadlines import ShutdownDeadlines
 from balancer.net import http_server as http_server_module
-from balancer.net.http_server import (
-    CLOSE_POLL_INTERVAL_S,
-    DISCARD_INTERVAL_S,
-    SWEEP_INTERVAL_S,
-    ClientConnection,
-    HttpServer,
-)
+from balancer.net import input_discard
+from balancer.net.http_server import CLOSE_POLL_INTERVAL_S, SWEEP_INTERVAL_S, HttpServer
+from balancer.net.input_discard import InputDiscarder
 from tests.net.test_http_server import (
     LOOPS,
     NewLoop,
@@ -43,6 +45,7 @@
 )
 
 IDS = itertools.count(1)
+DISCONNECT_LIMIT_MS = 100.0  # after a disconnect, until nothing is sent for the client
 __all__ = ["non_reading_client"]
 
 
@@ -383,13 +386,13 @@
 
     Everything the kernels hold, some 4 MB, must be read within the time allowed for noticing a disconnect.
     """
-    discard_pauses_s, resume_reading = list[float](), ClientConnection._resume_reading
+    discard_pauses_ms = list[float]()
 
-    def counted(self: ClientConnection) -> None:
-        discard_pauses_s.append(DISCARD_INTERVAL_S)
-        resume_reading(self)
+    def noted(work_ms: float, least_discarded_bytes: int) -> float:
+        discard_pauses_ms.append(discard_pause_ms(work_ms, least_discarded_bytes))
+        return discard_pauses_ms[-1]
 
-    monkeypatch.setattr(ClientConnection, "_resume_reading", counted)
+    monkeypatch.setattr(input_discard, "discard_pause_ms", noted)
 
     async def test() -> None:
         async with running_http_server(
@@ -401,18 +404,29 @@
             with contextlib.suppress(BlockingIOError):
                 while True:
                     sock.send(b"x" * (1 << 16))
-            discard_pauses_s.clear()
+            discard_pauses_ms.clear()
             disconnect(sock)
             await until(lambda: not http_server.node.open_requests and not http_server.connections)
-            assert sum(discard_pauses_s) < 0.25
+            assert sum(discard_pauses_ms) < DISCONNECT_LIMIT_MS
             sock.close()
 
     run(test, new_loop)
 
 
 @LOOPS
-def test_client_that_sends_endlessly_is_read_slowly_and_answered(tmp_path: Path, new_loop: NewLoop) -> None:
-    may_respond = asyncio.Event()
+def test_client_that_sends_endlessly_is_read_slowly_and_answered(
+    tmp_path: Path, new_loop: NewLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It takes its share of the loop's time and no more."""
+    may_respond, discard_times_s = asyncio.Event(), list[float]()
+    run_discarder = InputDiscarder._run
+
+    def timed(self: InputDiscarder) -> None:
+        began_s = time.thread_time()
+        run_discarder(self)
+        discard_times_s.append(time.thread_time() - began_s)
+
+    monkeypatch.setattr(InputDiscarder, "_run", timed)
 
     async def respond_late(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
         await may_respond.wait()
@@ -430,10 +444,13 @@
                 while True:
                     await loop.sock_sendall(sock, b"x" * (1 << 16))
 
-            flooding, began = asyncio.create_task(flood()), loop.time()
-            await until(lambda: connection.discarded_bytes > 4 << 20)
-            most = (loop.time() - began) / DISCARD_INTERVAL_S + 2
-            assert connection.discarded_bytes <= most * (1 << 18) + 65536
+            flooding = asyncio.create_task(flood())
+            await until(lambda: connection.discarded_bytes > ENDLESS_INPUT_BYTES)
+            began = loop.time()
+            discard_times_s.clear()
+            await until(lambda: connection.discarded_bytes > 8 * ENDLESS_INPUT_BYTES)
+            most_s = MAX_ENDLESS_DISCARD_SHARE * (loop.time() - began) + 2 * DISCARD_TURN_BUDGET_MS / 1000
+            assert discard_times_s and sum(discard_times_s) <= most_s
             may_respond.set()
             got, end = b"", b"b0 e%d" % (next(IDS) - 1)
             while not got.endswith(end):
