An unsafe request that comes again under its id is not executed a second time

Seen: an unsafe request whose client reset or closed its connection and came again with the same id ran twice in 30 of 30 tries, each way, where attempts may be cancelled.

Cause: an id was held only as long as its request or an attempt of it was open. A client that leaves has its attempts cancelled, which frees the id although the request was written whole.

Change: core/executed_requests remembers, in bounded memory, the ids of requests that are not idempotent and had an attempt that may have had an effect; such an id gets 409, as one that is open does.

--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -453,7 +453,7 @@
         request_id = headers.get(b"request-id", b"").decode("latin-1")
         if not request_id:
             raise BadRequestError(400, "no Request-Id")
-        if request_id in node.open_requests or request_id in node.deferred_request_ids:
+        if node.is_id_in_use(request_id):
             raise BadRequestError(409, "Request-Id is in use")
         timeout_ms = request_class.deadline_ms
         if b"request-timeout" in headers:
--- a/balancer/net/request_dispatcher.py
+++ b/balancer/net/request_dispatcher.py
@@ -17,6 +17,7 @@
 from balancer import interface as api
 from balancer.core.connection_admission import LargeBodyBudget, large_body_budget_bytes
 from balancer.core.discovery.endpoint_merger import ApplyEndpoints
+from balancer.core.executed_requests import ExecutedRequests, max_executed_requests
 from balancer.core.shutdown_deadlines import ShutdownDeadlines, deadlines_after_signal
 from balancer.core.stall_detector import HEARTBEAT_INTERVAL_MS, SETTLE_DURATION_MS, StallDetector
 from balancer.endpoints import EndpointRecord
@@ -76,10 +77,16 @@
 class PendingRequest:
     """A request that is unanswered or has an attempt in flight."""
 
-    __slots__ = ("attempts", "client", "deadline_ms", "deadline_timer", "is_answered", "render")
+    __slots__ = ("attempts", "client", "deadline_ms", "deadline_timer", "is_answered", "is_write", "render")
 
-    def __init__(self, client: RequestClient, deadline_ms: float, render: Callable[[float], bytes]) -> None:
-        self.client, self.deadline_ms, self.render = client, deadline_ms, render
+    def __init__(
+        self,
+        client: RequestClient,
+        deadline_ms: float,
+        render: Callable[[float], bytes],
+        is_write: bool = False,
+    ) -> None:
+        self.client, self.deadline_ms, self.render, self.is_write = client, deadline_ms, render, is_write
         self.attempts: list[Attempt] = []
         self.is_answered = False
         self.deadline_timer: asyncio.TimerHandle | None = None
@@ -114,6 +121,7 @@
             config.settings, config.max_backend_sockets, self.large_body_budget, self.input_queue
         )
         self.open_requests: dict[str, PendingRequest] = {}
+        self.executed_requests = ExecutedRequests(max_executed_requests(config.memory_mb))
         self.discovery: DiscoveryControl | None = None
         self.observer: Observer | None = None
         self.on_backend_moved: Callable[[str], None] | None = None  # receives the id; the address changed
@@ -223,7 +231,7 @@
         self._record_turn()
         event.deadline_ms -= self._stall_detector.input_age_ms
         request = self.open_requests[event.request] = PendingRequest(
-            client, event.deadline_ms - TIMER_MARGIN_MS, render
+            client, event.deadline_ms - TIMER_MARGIN_MS, render, event.is_write
         )
         # A deferred request is rejected by the policy, if at all, once events are handled again.
         min_wait_ms = 2 * SETTLE_DURATION_MS if self._stall_detector.unsettled_stall_number else 0.0
@@ -231,6 +239,14 @@
         request.deadline_timer = self.loop.call_later(wait_s, self._on_deadline, event.request)
         self.event(event)
 
+    def is_id_in_use(self, request_id: str) -> bool:
+        """Whether a request of this id is open, or had an effect that would occur twice."""
+        return (
+            request_id in self.open_requests
+            or request_id in self.deferred_request_ids
+            or self.executed_requests.contains(request_id, self.now())
+        )
+
     def is_full(self) -> bool:
         """Whether the limit of open requests is reached."""
         return len(self.open_requests) >= self.settings.max_open_requests
@@ -406,6 +422,9 @@
         attempt.is_over, attempt.exchange = True, None
         if attempt.timer is not None:
             attempt.timer.cancel()
+        request = self.open_requests.get(attempt.request_id)
+        if request is not None and request.is_write and response.status not in api.NO_EFFECT_STATUSES:
+            self.executed_requests.add(attempt.request_id, self.now())
         if response.status is api.AttemptStatus.OK:
             self._answer(
                 attempt.request_id, lambda client: client.served(response.body, response.content_type)
