A draining backend is not used under the id that it replaced at its address

Cause: of several ids at one address the one that started last is used, but only while it is up. Once it drained or was gone, the earlier one came back into the view, though its process had gone before.

Change: merged_view remembers the latest process that ended at an address with endpoints; an earlier one stays out until it is listed with a later start.

--- a/balancer/core/discovery/merged_view.py
+++ b/balancer/core/discovery/merged_view.py
@@ -8,13 +8,15 @@
   first such source. The start time is the latest of all such sources, so that a backend that may be warming
   up is treated as warming up.
 
-If several endpoints are up at one address, one of them is in the view and the others are shadowed.
+If several endpoints are up at one address, one is in the view and the others are shadowed. An endpoint
+is also shadowed if a later process at its address drains or has gone by now: its own process has gone, too.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import replace
+from typing import NamedTuple
 
 from balancer.core.discovery.source_state import Source, SourceRole
 from balancer.endpoints import Address, EndpointRecord
@@ -68,6 +70,13 @@
     return EndpointRecord(merged, record.address)
 
 
+class EndedProcess(NamedTuple):
+    """The process that started last at an address, and drains or has gone."""
+
+    endpoint_id: str
+    started_at_ms: float
+
+
 class MergedView:
     """The current view. Updates record what they changed in `changes`; the caller announces it."""
 
@@ -77,6 +86,8 @@
         # The endpoints listed as up at an address, in order of arrival, and the inverse.
         self._up_ids_by_address: dict[Address, dict[str, None]] = {}
         self._address_by_up_id: dict[str, Address] = {}
+        # Only for addresses with endpoints that are listed as up, or whose process still drains.
+        self._ended_processes: dict[Address, EndedProcess] = {}
         # Addresses that several endpoints share or shared, and whose endpoints changed since the last
         # `resolve_contested`.
         self._contested_addresses: dict[Address, None] = {}
@@ -95,12 +106,16 @@
         previous_address = self._address_by_up_id.get(endpoint_id)
         if previous_address is not None and previous_address != address:
             self._withdraw_from_address(endpoint_id, previous_address)
-        if address is not None:
+        if merged is not None and address is None:
+            self._note_ended(endpoint_id, merged)
+        if merged is not None and address is not None:
+            self._reconsider_ended(endpoint_id, merged, is_new=previous_address != address)
             up_ids = self._up_ids_by_address.setdefault(address, {})
             up_ids[endpoint_id], self._address_by_up_id[endpoint_id] = None, address
-            if len(up_ids) > 1:
+            if len(up_ids) > 1 or self._is_replaced(merged):
                 self._contested_addresses[address] = None
                 return
+            self.shadowed_ids.discard(endpoint_id)
         self._set_record(endpoint_id, merged, changes)
 
     def _withdraw_from_address(self, endpoint_id: str, address: Address) -> None:
@@ -110,8 +125,48 @@
         del up_ids[endpoint_id]
         if up_ids:
             self._contested_addresses[address] = None
+            if (record := self.records.get(endpoint_id)) is not None:
+                self._note_ended(endpoint_id, record)
         else:
             del self._up_ids_by_address[address]
+            self._forget_ended(address)
+
+    def _note_ended(self, endpoint_id: str, record: EndpointRecord) -> None:
+        """Note that the process of a record drains or has gone: any that started before it there has gone."""
+        address, started_at_ms = record.address, record.endpoint.started_at_ms
+        ended = self._ended_processes.get(address)
+        if started_at_ms > (0.0 if ended is None else ended.started_at_ms):
+            self._ended_processes[address] = EndedProcess(endpoint_id, started_at_ms)
+            if address in self._up_ids_by_address:
+                self._contested_addresses[address] = None
+
+    def _reconsider_ended(self, endpoint_id: str, record: EndpointRecord, is_new: bool) -> None:
+        """Forget an ended process that is up again, or after which another one came up at its address.
+
+        The latter may be of unknown age: it is a new one if it is listed as up only after the other has gone.
+        """
+        ended = self._ended_processes.get(record.address)
+        if ended is None:
+            return
+        is_same = ended.endpoint_id == endpoint_id
+        is_successor = is_new and not record.endpoint.started_at_ms and ended.endpoint_id not in self.records
+        if is_same or is_successor:
+            del self._ended_processes[record.address]
+            self._contested_addresses[record.address] = None
+
+    def _forget_ended(self, address: Address) -> None:
+        """Forget an ended process that is no longer listed at an address where no endpoint is up."""
+        ended = self._ended_processes.get(address)
+        if ended is None or address in self._up_ids_by_address:
+            return
+        record = self.records.get(ended.endpoint_id)
+        if record is None or record.address != address:
+            del self._ended_processes[address]
+
+    def _is_replaced(self, record: EndpointRecord) -> bool:
+        """Whether a later process has ended at the address of a record."""
+        ended = self._ended_processes.get(record.address)
+        return ended is not None and record.endpoint.started_at_ms < ended.started_at_ms
 
     def resolve_contested(self, sources: Mapping[str, Source], changes: Changes) -> list[str]:
         """Choose one endpoint for each contested address; returns log lines on the shadowed ones.
@@ -135,9 +190,17 @@
     def _resolve_address(
         self, address: Address, candidates: Changes, changes: Changes, log_lines: list[str]
     ) -> None:
-        """Use the endpoint that started last; if several started at the same time, the last to arrive."""
+        """Use the endpoint that started last; if several started at the same time, the last to arrive.
+
+        None is used if a later process has ended at the address.
+        """
         # Reversed, because `max` returns the first of several equal items.
         winner = max(reversed(candidates), key=lambda one: candidates[one].endpoint.started_at_ms)
+        if self._is_replaced(candidates[winner]):
+            winner = self._ended_processes[address].endpoint_id
+            reason = f"{winner!r:.300} started later and has ended at the same address"
+        else:
+            reason = f"{winner!r:.300} is up at the same address"
         for endpoint_id, merged in candidates.items():
             if endpoint_id == winner:
                 self.shadowed_ids.discard(endpoint_id)
@@ -145,8 +208,7 @@
                 continue
             if endpoint_id not in self.shadowed_ids:
                 self.shadowed_ids.add(endpoint_id)
-                text = f"{endpoint_id!r:.300} left out: {winner!r:.300} is up at the same address"
-                log_lines.append(f"{text} {address[0]}:{address[1]}")
+                log_lines.append(f"{endpoint_id!r:.300} left out: {reason} {address[0]}:{address[1]}")
             self._set_record(endpoint_id, None, changes)
 
     def _set_record(self, endpoint_id: str, record: EndpointRecord | None, changes: Changes) -> None:
@@ -158,3 +220,5 @@
             del self.records[endpoint_id]
             removed = replace(previous.endpoint, phase=Phase.REMOVED)
             changes[endpoint_id] = EndpointRecord(removed, previous.address)
+        if previous is not None:
+            self._forget_ended(previous.address)
