Connections to a backend are not reused once it has restarted at its address

Seen: unsafe requests failed with 502 after discovery had told that their backend started anew at its address.

Cause: the pool keyed connections and response times by the backend's id and dropped them when its address changed, not when its process did. Old connections were written to; a machine that is back resets them.

Change: a later start of an endpoint closes its idle connections and clears its response times; a waiting attempt goes on with a new connection, a connection in use is closed after its response.

--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -91,6 +91,7 @@
 
     def __init__(self, pool: BackendPool, backend: BackendConnections) -> None:
         self.pool, self.backend, self.address = pool, backend, backend.address
+        self.process_started_at_ms = backend.started_at_ms
         self.allowance = ParsingAllowance()
         family = socket.AF_INET6 if ":" in backend.address[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
@@ -166,12 +167,20 @@
             # the removal may not have been read yet, as timers can run before it.
             self.reuse_timer = None
             self._fail(AttemptStatus.NOT_STARTED)
+        elif self.reuse_timer is not None and not self.is_to_current_process:
+            self._fail(AttemptStatus.NOT_STARTED)  # goes on with a new connection
         elif not self.is_clean:
             self._fail(AttemptStatus.CONNECT_FAILED)
         else:
             self.reuse_timer = None
             self.write(attempt)
 
+    @property
+    def is_to_current_process(self) -> bool:
+        """Whether it was opened to the process that now runs under the backend's id, as far as is known."""
+        backend = self.backend
+        return (self.address, self.process_started_at_ms) == (backend.address, backend.started_at_ms)
+
     @property
     def is_clean(self) -> bool:
         """Whether the connection is up, as far as this side knows, and has no unread input.
--- a/balancer/net/backend_pool.py
+++ b/balancer/net/backend_pool.py
@@ -34,12 +34,15 @@
 
 
 class BackendConnections:
-    """One backend: its address, whether it takes requests, its idle connections, last used last."""
+    """One backend: its address, whether it takes requests, its idle connections, last used last.
 
-    __slots__ = ("address", "history", "idle", "is_listed")
+    `started_at_ms` is when its process started, in Unix time; 0 if that is unknown or long ago.
+    """
 
-    def __init__(self, address: Address) -> None:
-        self.address, self.is_listed = address, True
+    __slots__ = ("address", "history", "idle", "is_listed", "started_at_ms")
+
+    def __init__(self, address: Address, started_at_ms: float) -> None:
+        self.address, self.started_at_ms, self.is_listed = address, started_at_ms, True
         self.idle: list[BackendConnection] = []
         self.history = ResponseHistory()
 
@@ -68,18 +71,20 @@
         self.loop = asyncio.get_running_loop()
 
     def update(self, records: Iterable[EndpointRecord], removed: Iterable[str] = ()) -> None:
-        """Apply changes of the endpoint list; closes idle connections to backends that leave or move."""
+        """Apply changes of the list; closes idle connections to backends that leave, move or restart."""
         for name in removed:
             self._remove(name)
         for record in records:
-            name = record.endpoint.id
+            name, started_at_ms = record.endpoint.id, record.endpoint.started_at_ms
             if (backend := self.backends.get(name)) is None:
-                backend = self.backends[name] = BackendConnections(record.address)
+                backend = self.backends[name] = BackendConnections(record.address, started_at_ms)
             backend.is_listed = record.endpoint.phase is api.Phase.UP
-            if not backend.is_listed or backend.address != record.address:
+            is_other_process = backend.address != record.address or started_at_ms > backend.started_at_ms
+            if is_other_process or not backend.is_listed:
                 self.close_idle(name)
-            if backend.address != record.address:
-                backend.address, backend.history = record.address, ResponseHistory()
+            if is_other_process:
+                backend.address, backend.started_at_ms = record.address, started_at_ms
+                backend.history = ResponseHistory()
 
     def _remove(self, name: str) -> None:
         """Remove a backend; its running attempts end on their own."""
@@ -165,7 +170,7 @@
         if (
             not is_reusable
             or not backend.is_listed
-            or backend.address != connection.address
+            or not connection.is_to_current_process
             or connection.is_closed
         ):
             connection.close()
