All incomplete and unanswered requests together have a memory budget

Seen: 800 clients that stop after 64,000 of 65,000 bytes took a node with memory_mb 64 to 91 MB; over its limit a process is killed, with all that it has taken.

Cause: the first 64 KiB of each body, heads and input that waits for the parser were in no budget; the number of connections alone bounded them. A head and its target stayed with a connection until its next request.

Over it the oldest incomplete requests get 503, as nothing ran; a complete one gets it if unanswered ones hold all.

--- a/balancer/net/application.py
+++ b/balancer/net/application.py
@@ -30,6 +30,7 @@
 )
 from balancer.core.discovery.endpoint_merger import EndpointsListed
 from balancer.core.discovery.source_state import Source
+from balancer.core.request_memory import request_memory_bytes
 from balancer.net import clock
 from balancer.net.config import Config, ConfigError, load
 from balancer.net.discovery import platform
@@ -105,7 +106,13 @@
         node.on_list_failed,
     )
     max_connections, overload_connections = connection_limits(config.max_client_sockets)
-    server = HttpServer(node, max_connections, unread_budget_bytes(config.memory_mb), overload_connections)
+    server = HttpServer(
+        node,
+        max_connections,
+        unread_budget_bytes(config.memory_mb),
+        overload_connections,
+        request_memory_bytes(config.memory_mb),
+    )
     components: Components | None = None
     stop = asyncio.Event()
 
--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -26,6 +26,7 @@
     UnreadResponses,
 )
 from balancer.core.parsing_budget import ParsingAllowance
+from balancer.core.request_memory import MIN_REQUEST_MEMORY_BYTES, RequestMemory
 from balancer.core.shutdown_deadlines import FIRST_BYTE_TIMEOUT_MS, ShutdownDeadlines
 from balancer.endpoints import Address
 from balancer.interface import Idempotency
@@ -140,17 +141,17 @@
         self._reset()
 
     def _reset(self) -> None:
-        self.target = b""
-        self.headers: dict[bytes, bytes] = {}
-        self._release_body()
-        self.head_bytes = self.size_bytes = self.request_bytes = 0
+        self.headers: dict[bytes, bytes]
+        self._release_request()
+        self.head_bytes = self.size_bytes = self.request_bytes = self.kept_bytes = 0
         self.is_in_body = False
 
-    def _release_body(self) -> None:
-        """Drop the buffered body, so that idle connections hold no memory for bodies."""
-        self.body = bytearray()
+    def _release_request(self) -> None:
+        """Drop what is held of a request, so that idle connections hold no memory for it."""
+        self.target, self.headers, self.body = b"", {}, bytearray()
         self.node.large_body_budget.release(self.reserved_body_bytes)
         self.reserved_body_bytes = 0
+        self.server.request_memory.discard(self)
 
     # --- asyncio.BufferedProtocol
 
@@ -163,7 +164,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection; its open request is cancelled."""
         self.is_closing = True
-        self._release_body()
+        self._release_request()
         self.node.input_queue.discard(self)
         self.server.input_discarder.remove(self)
         self.server.unregister(self)
@@ -221,6 +222,8 @@
     def data_received(self, data: bytes) -> None:
         """Handle input: it is parsed at once, or in turns if it takes much time."""
         self.node.input_queue.receive(self, data)
+        if self in self.node.input_queue:
+            self._account_incomplete()
 
     @property
     def is_discarding(self) -> bool:
@@ -306,6 +309,21 @@
             self._lingering_close()  # a request was left unread behind responses that are written
         if self.is_receiving_request and not (self.is_closing or self.is_write_blocked):
             self.server.incomplete.setdefault(self, self.server.loop.time())
+            self._account_incomplete()
+
+    def _account_incomplete(self) -> None:
+        """Record what is held of a request that is not complete. It may be rejected for that."""
+        if self.request_id is None and not self.is_discarding:
+            body_bytes = min(len(self.body), UNBUDGETED_BODY_BYTES)
+            queued_bytes = self.node.input_queue.queued_bytes(self)
+            head_bytes = self.head_bytes + len(self.request_line)  # which is there twice
+            self.server.account(self, head_bytes + body_bytes + queued_bytes)
+
+    def reject_incomplete(self) -> None:
+        """Reject a request that is not complete, as requests hold too much memory; the client may retry."""
+        self.node.input_queue.discard(self)
+        self._reject(503, "too many incomplete requests")
+        self.resume_input()
 
     def _escape_request_line(self, data: bytes) -> bytes:
         """Percent-encode bytes outside ASCII in the request line, which clients send and the parser refuses.
@@ -392,6 +410,7 @@
             raise BadRequestError(413, "body too large")
         if key in KEPT_HEADERS:  # others only count: each would take ten times its length
             self.headers[key] = value
+            self.kept_bytes += len(key) + len(value)
 
     def on_headers_complete(self) -> None:
         """Check the size of the head; from here on the size is that of the body."""
@@ -464,7 +483,14 @@
             # The request must not be open when SIGKILL comes.
             timeout_ms = min(timeout_ms, max(0.0, self.server.shutdown_deadlines.respond_until_ms - now))
         idempotency_keys = parse_qs(query.decode("latin-1")).get("obj")
-        if node.is_full() or self.is_over_limit or self.server.unread.is_over_budget:
+        held_bytes = len(self.target) + self.kept_bytes + min(len(self.body), UNBUDGETED_BODY_BYTES)
+        self.server.account(self, held_bytes)
+        if (
+            node.is_full()
+            or self.is_over_limit
+            or self.server.unread.is_over_budget
+            or self.server.request_memory.is_over_budget
+        ):
             # Bounds descriptors, open requests and memory; nothing ran, so the client may retry.
             self._write(503, b"too many requests\n")
             return
@@ -511,10 +537,11 @@
             self.closes_after_response = True  # the previous request gets its own response first
             return
         self.is_receiving_request = self.closes_after_response = True
+        self.request_line = b""
         self._write(code, reason.encode() + b"\n")
 
     def _write(self, code: int, body: bytes, extra: bytes = b"") -> None:
-        self._release_body()
+        self._release_request()
         if self.is_closing or self.transport is None:
             return
         must_close = self.closes_after_response or self.node.is_stopping or not self.keep_alive
@@ -572,10 +599,12 @@
         max_connections: int,
         unread_budget_bytes: int = MIN_UNREAD_BUDGET_BYTES,
         max_overload_connections: int = MAX_OVERLOAD_CONNECTIONS,
+        request_memory_bytes: int = MIN_REQUEST_MEMORY_BYTES,
     ) -> None:
         """Serve at most `max_connections`, and `max_overload_connections` more that get one response.
 
-        `unread_budget_bytes` bounds the responses that clients have not read.
+        `unread_budget_bytes` bounds the responses that clients have not read, `request_memory_bytes` the
+        requests that are incomplete or not answered.
         """
         self.node, self.max_connections, self.max_overload_connections = (
             node,
@@ -583,6 +612,9 @@
             max_overload_connections,
         )
         self.unread: UnreadResponses[ClientConnection] = UnreadResponses(unread_budget_bytes)
+        self.request_memory: RequestMemory[ClientConnection] = RequestMemory(request_memory_bytes)
+        # Incomplete requests rejected for their memory since the last log line, and when that was written.
+        self.rejected_count, self.rejections_logged_at_s = 0, -LOG_INTERVAL_S
         # Connections aborted for unread responses since the last log line, and when that was written.
         self.aborted_count, self.logged_at_s = 0, -LOG_INTERVAL_S
         self.loop = asyncio.get_running_loop()
@@ -685,6 +717,29 @@
             connection.close()
         self._abort_stalled()
 
+    def account(self, connection: ClientConnection, held_bytes: int) -> None:
+        """Record what a connection holds of its request; over budget the oldest incomplete ones are rejected.
+
+        Usual requests arrive in one piece: a request is young while it still makes progress.
+        """
+        self.request_memory.update(connection, held_bytes)
+        if self.request_memory.is_over_budget:
+            self._reject_oldest_incomplete()
+
+    def _reject_oldest_incomplete(self) -> None:
+        for connection in list(self.incomplete):
+            if not self.request_memory.is_over_budget:
+                break
+            if connection in self.request_memory:
+                self.rejected_count += 1
+                connection.reject_incomplete()
+        if self.rejected_count and self.loop.time() - self.rejections_logged_at_s >= LOG_INTERVAL_S:
+            log.warning(
+                "http server: %d incomplete requests rejected: requests hold too much memory",
+                self.rejected_count,
+            )
+            self.rejected_count, self.rejections_logged_at_s = 0, self.loop.time()
+
     def on_write_blocked(self, connection: ClientConnection) -> None:
         """Record the unread bytes of a connection, and abort connections over the budget."""
         transport = connection.transport
--- a/balancer/net/input_queue.py
+++ b/balancer/net/input_queue.py
@@ -65,6 +65,10 @@
     def __contains__(self, connection: object) -> bool:
         return connection in self._waiting
 
+    def queued_bytes(self, connection: InputParser) -> int:
+        """Return how much input of a connection waits."""
+        return len(self._waiting.get(connection, b""))
+
     def receive(self, connection: InputParser, data: bytes) -> None:
         """Parse input, or as much of it as its connection may have parsed now; the rest waits."""
         if connection in self._waiting:
--- a/tests/net/test_connection_memory.py
+++ b/tests/net/test_connection_memory.py
@@ -4,11 +4,28 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
-from balancer.net.http_server import MAX_HEAD_BYTES
+import pytest
+
+from balancer.core.connection_admission import MAX_FORWARDED_BODY_BYTES
+from balancer.core.parsing_budget import ALLOWANCE_MS, SLICE_BYTES
+from balancer.net.http_server import MAX_HEAD_BYTES, HttpServer
+from balancer.net.input_queue import READ_BUFFER_BYTES
+from tests.net.test_graceful_shutdown import never_respond
 from tests.net.test_http_server import run, running_http_server, until
-from tests.sockets import PATIENT, Client
+from tests.sockets import PATIENT, Backend, Client
+
+BUDGET_BYTES = 200_000
+HEAD = b"POST /once HTTP/1.1\r\nRequest-Id: m%d\r\n"
+BODY = HEAD + b"Content-Length: 60000\r\n\r\n"
+STUCK = {
+    "head": HEAD + b"X: " + b"x" * 14_000,
+    "target": b"GET /read?%d" + b"q" * 14_000,
+    "body": BODY + b"x" * 50_000,
+    "chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"40\r\n" + b"x" * 64 + b"\r\n",
+}
 
 
 def test_head_of_many_fields_takes_no_more_memory_than_its_bytes(tmp_path: Path) -> None:
@@ -28,3 +45,96 @@
             client.writer.transport.abort()
 
     run(test)
+
+
+async def connect(http_server: HttpServer, data: bytes) -> Client:
+    """Connect a client that has sent some bytes."""
+    client = Client(*await asyncio.open_connection(*http_server.address))
+    client.writer.write(data)
+    return client
+
+
+@pytest.mark.parametrize("kind", [*STUCK])
+def test_requests_that_never_become_complete_stay_within_the_budget(tmp_path: Path, kind: str) -> None:
+    """Guards against a process that is killed: 800 clients with half a small body took 91 MB of 64."""
+    repeats = 700 if kind == "chunks" else 1
+
+    async def test() -> None:
+        async with running_http_server(
+            tmp_path, Backend("b0"), request_memory_bytes=BUDGET_BYTES, settings=PATIENT
+        ) as http_server:
+            memory, most = http_server.request_memory, 0
+            usual = Client(*await asyncio.open_connection(*http_server.address))
+            stuck = list[Client]()
+            for number in range(40):
+                data = STUCK[kind] % number
+                body = data.partition(b"\r\n\r\n")[2] * (repeats - 1)
+                stuck.append(await connect(http_server, data + body))
+                assert (await usual.ask("/read")).code == 200
+                most = max(most, memory.total_bytes)
+            assert BUDGET_BYTES / 2 < most <= BUDGET_BYTES
+            assert (await stuck[0].answer()).code == 503  # the oldest; the latest is still there
+            closing = [one for one in http_server.connections if one.is_closing]
+            assert closing and not any(one.request_line or one.target or one.body for one in closing)
+            assert len(http_server.incomplete) >= 2
+            for client in (usual, *stuck):
+                client.writer.transport.abort()
+            await until(lambda: not http_server.connections)
+            assert memory.total_bytes == len(memory) == 0
+
+    run(test)
+
+
+def test_requests_that_await_a_response_count_and_further_ones_are_rejected(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running_http_server(
+            tmp_path, Backend("b0", never_respond), request_memory_bytes=BUDGET_BYTES, settings=PATIENT
+        ) as http_server:
+            node = http_server.node
+            clients = [await connect(http_server, BODY % n + b"x" * 60_000) for n in range(3)]
+            await until(lambda: len(node.open_requests) == 3)
+            assert 180_000 < http_server.request_memory.total_bytes <= BUDGET_BYTES
+            late = await connect(http_server, BODY % 3 + b"x" * 60_000)
+            assert (await late.answer()).code == 503
+            assert http_server.request_memory.total_bytes <= BUDGET_BYTES and len(node.open_requests) == 3
+            for client in (late, *clients):
+                client.writer.transport.abort()
+            await until(lambda: not http_server.connections)
+            assert http_server.request_memory.total_bytes == 0
+
+    run(test)
+
+
+def test_input_that_waits_for_its_turn_counts(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running_http_server(tmp_path, Backend("b0"), settings=PATIENT) as http_server:
+            client = await connect(http_server, b"")
+            await until(lambda: http_server.connections)
+            (connection,) = http_server.connections
+            connection.allowance.charge(time.monotonic() * 1000, ALLOWANCE_MS, SLICE_BYTES)
+            connection.data_received(HEAD % 1 + b"X: " + b"x" * (READ_BUFFER_BYTES // 2))
+            assert http_server.request_memory.total_bytes > READ_BUFFER_BYTES // 2
+            http_server.request_memory.budget_bytes = READ_BUFFER_BYTES // 2
+            connection.data_received(b"x")
+            assert connection not in http_server.node.input_queue
+            assert (await client.answer()).code == 503
+            client.writer.transport.abort()
+
+    run(test)
+
+
+def test_answered_request_holds_nothing_on_a_kept_connection(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running_http_server(tmp_path, Backend("b0"), settings=PATIENT) as http_server:
+            client = await connect(http_server, b"")
+            body = b"x" * MAX_FORWARDED_BODY_BYTES
+            for _ in range(3):
+                assert (
+                    await client.ask("/once", "Tenant: " + "t" * 4_000, method="POST", body=body)
+                ).code == 200
+            (connection,) = http_server.connections
+            assert not (connection.headers or connection.body or connection.target)
+            assert http_server.request_memory.total_bytes == 0
+            client.writer.transport.abort()
+
+    run(test)
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -23,6 +23,7 @@
 from balancer.core.connection_admission import MAX_OVERLOAD_CONNECTIONS
 from balancer.core.discovery.endpoint_merger import EndpointsListed
 from balancer.core.discovery.source_state import Source
+from balancer.core.request_memory import MIN_REQUEST_MEMORY_BYTES
 from balancer.net.config import load
 from balancer.net.endpoint_view import EndpointView
 from balancer.net.http_server import (
@@ -73,6 +74,7 @@
     max_connections: int = 50,
     unread_budget_bytes: int = 1 << 20,
     max_overload_connections: int = MAX_OVERLOAD_CONNECTIONS,
+    request_memory_bytes: int = MIN_REQUEST_MEMORY_BYTES,
     settings: Mapping[str, Any] = MappingProxyType({}),
 ) -> AsyncIterator[HttpServer]:
     """Run an HTTP server with its node in this process; `settings` replace others of that name."""
@@ -85,7 +87,9 @@
     EndpointView(node, [Source("platform")]).handle(
         EndpointsListed("platform", "here", config.configured_endpoints, is_cached=True)
     )
-    http_server = HttpServer(node, max_connections, unread_budget_bytes, max_overload_connections)
+    http_server = HttpServer(
+        node, max_connections, unread_budget_bytes, max_overload_connections, request_memory_bytes
+    )
     await http_server.listen(("127.0.0.1", 0))
     try:
         yield http_server
