A start loads probing, learned state and new limits only where needed

Change: policy/probing loads with the first probe, policy/learned_state with the first restore or export, net/input_discard and core/executed_requests with the first request; the memory of requests moves to core/connection_admission, whose subject it is. is_worthwhile moves to subsetting, which has the figures that it compares.

--- a/balancer/core/connection_admission.py
+++ b/balancer/core/connection_admission.py
@@ -1,9 +1,10 @@
-"""Limits on what clients can make a node hold: descriptors, large bodies, unread responses.
+"""Limits on what clients can make a node hold: descriptors, requests, large bodies, unread responses.
 
 The module computes with numbers only: it uses no sockets and no clock.
 
 - `descriptor_quotas`, `connection_limits`: how many descriptors clients and backends may hold.
 - `LargeBodyBudget`: a memory budget shared by all large bodies.
+- `RequestMemory`: the memory of requests that are incomplete or await a response.
 - `UnreadResponses`: the memory of responses that clients do not read, and the connections to close for it.
 """
 
@@ -24,6 +25,9 @@
 LARGE_BODY_BUDGET_DIVISOR = 16  # of the node's memory; up to 3 copies of a body exist at a time
 MIN_LARGE_BODY_BUDGET_BYTES = 2 * MAX_FORWARDED_BODY_BYTES
 
+REQUEST_MEMORY_DIVISOR = 8  # of the node's memory; up to 3 copies of a body exist at a time
+MIN_REQUEST_MEMORY_BYTES = 4 * 1024 * 1024
+
 UNREAD_BUDGET_DIVISOR = 8  # of the node's memory
 MIN_UNREAD_BUDGET_BYTES = 4 * 1024 * 1024
 READ_STALL_TIMEOUT_MS = 5_000.0  # without progress; kernel buffers hide shorter pauses of a reading client
@@ -51,6 +55,11 @@
     return max(MIN_UNREAD_BUDGET_BYTES, int(memory_mb * 1024 * 1024 / UNREAD_BUDGET_DIVISOR))
 
 
+def request_memory_bytes(memory_mb: float) -> int:
+    """Return the bytes of requests that a node with `memory_mb` of memory may hold."""
+    return max(MIN_REQUEST_MEMORY_BYTES, int(memory_mb * 1024 * 1024 / REQUEST_MEMORY_DIVISOR))
+
+
 def large_body_budget_bytes(memory_mb: float) -> int:
     """Return the budget of all bodies, for their bytes beyond `UNBUDGETED_BODY_BYTES` each."""
     return max(MIN_LARGE_BODY_BUDGET_BYTES, int(memory_mb * 1024 * 1024 / LARGE_BODY_BUDGET_DIVISOR))
@@ -94,6 +103,42 @@
         self.reserved_bytes -= held_bytes
 
 
+class RequestMemory(Generic[Key]):
+    """The bytes that each connection holds for a request that is incomplete or unanswered, and their sum.
+
+    Without it, hundreds of requests that never become complete could exhaust the memory.
+
+    Large bodies have a budget of their own for what exceeds `UNBUDGETED_BODY_BYTES`.
+    """
+
+    def __init__(self, budget_bytes: int) -> None:
+        self.budget_bytes, self.total_bytes = budget_bytes, 0
+        self._held_bytes: dict[Key, int] = {}
+
+    def __repr__(self) -> str:
+        return f"<RequestMemory {self.total_bytes} of {self.budget_bytes} bytes on {len(self)} connections>"
+
+    def __len__(self) -> int:
+        return len(self._held_bytes)
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._held_bytes
+
+    @property
+    def is_over_budget(self) -> bool:
+        """Whether requests have to be rejected."""
+        return self.total_bytes > self.budget_bytes
+
+    def update(self, key: Key, held_bytes: int) -> None:
+        """Record how many bytes a connection holds now."""
+        self.total_bytes += held_bytes - self._held_bytes.get(key, 0)
+        self._held_bytes[key] = held_bytes
+
+    def discard(self, key: Key) -> None:
+        """Remove a connection whose request is answered, or that was closed."""
+        self.total_bytes -= self._held_bytes.pop(key, 0)
+
+
 @dataclass(slots=True)
 class _UnreadConnection:
     unread_bytes: int
--- a/balancer/net/application.py
+++ b/balancer/net/application.py
@@ -26,11 +26,11 @@
     RESERVED_DESCRIPTORS,
     connection_limits,
     descriptor_quotas,
+    request_memory_bytes,
     unread_budget_bytes,
 )
 from balancer.core.discovery.endpoint_merger import EndpointsListed
 from balancer.core.discovery.source_state import Source
-from balancer.core.request_memory import request_memory_bytes
 from balancer.net import clock
 from balancer.net.config import Config, ConfigError, load
 from balancer.net.discovery import platform
--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -11,8 +11,8 @@
 import logging
 import re
 import socket
-from functools import partial
-from typing import cast
+from functools import cached_property, partial
+from typing import TYPE_CHECKING, cast
 from urllib.parse import parse_qs
 
 import httptools
@@ -21,20 +21,23 @@
 from balancer.core.connection_admission import (
     MAX_FORWARDED_BODY_BYTES,
     MAX_OVERLOAD_CONNECTIONS,
+    MIN_REQUEST_MEMORY_BYTES,
     MIN_UNREAD_BUDGET_BYTES,
     UNBUDGETED_BODY_BYTES,
+    RequestMemory,
     UnreadResponses,
 )
 from balancer.core.parsing_budget import ParsingAllowance
-from balancer.core.request_memory import MIN_REQUEST_MEMORY_BYTES, RequestMemory
 from balancer.core.shutdown_deadlines import FIRST_BYTE_TIMEOUT_MS, ShutdownDeadlines
 from balancer.endpoints import Address
 from balancer.interface import Idempotency
-from balancer.net.input_discard import InputDiscarder
 from balancer.net.input_queue import READ_BUFFER_BYTES
 from balancer.net.listener import Listener, SlotState
 from balancer.net.request_dispatcher import RequestDispatcher
 
+if TYPE_CHECKING:
+    from balancer.net.input_discard import InputDiscarder
+
 log = logging.getLogger(__name__)
 
 MAX_HEAD_BYTES = 16 * 1024
@@ -618,7 +621,6 @@
         # Connections aborted for unread responses since the last log line, and when that was written.
         self.aborted_count, self.logged_at_s = 0, -LOG_INTERVAL_S
         self.loop = asyncio.get_running_loop()
-        self.input_discarder = InputDiscarder()
         self.connections: set[ClientConnection] = set()
         # Connections and when they got there, in loop time, oldest first: without an open request, without
         # any request yet, with an incomplete request.
@@ -635,6 +637,13 @@
             self.loop.time(),
         )
 
+    @cached_property
+    def input_discarder(self) -> InputDiscarder:
+        """What discards input behind last requests; loaded with the first request, not at the start."""
+        from balancer.net.input_discard import InputDiscarder
+
+        return InputDiscarder()
+
     @property
     def is_over_limit(self) -> bool:
         """Whether there are more client connections than the limit."""
--- a/balancer/net/request_dispatcher.py
+++ b/balancer/net/request_dispatcher.py
@@ -11,13 +11,12 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import replace
-from functools import partial
+from functools import cached_property, partial
 from typing import TYPE_CHECKING, Protocol
 
 from balancer import interface as api
 from balancer.core.connection_admission import LargeBodyBudget, large_body_budget_bytes
 from balancer.core.discovery.endpoint_merger import ApplyEndpoints
-from balancer.core.executed_requests import ExecutedRequests, max_executed_requests
 from balancer.core.shutdown_deadlines import ShutdownDeadlines, deadlines_after_signal
 from balancer.core.stall_detector import HEARTBEAT_INTERVAL_MS, SETTLE_DURATION_MS, StallDetector
 from balancer.endpoints import EndpointRecord
@@ -30,6 +29,7 @@
 from balancer.protocol.class_path import ClassPaths
 
 if TYPE_CHECKING:
+    from balancer.core.executed_requests import ExecutedRequests
     from balancer.net.bulk_update import BulkUpdate
     from balancer.ports import Observer
 
@@ -108,7 +108,7 @@
     """One load-balancer node around one `Balancer`, which makes all decisions."""
 
     def __init__(self, config: Config) -> None:
-        self.settings = config.settings
+        self.settings, self._memory_mb = config.settings, config.memory_mb
         self.class_paths = ClassPaths(config.settings.classes)
         # This program does not perform probes, so no decision may wait for one.
         self.balancer = Balancer(replace(config.settings, probing_enabled=False), config.seed)
@@ -121,7 +121,6 @@
             config.settings, config.max_backend_sockets, self.large_body_budget, self.input_queue
         )
         self.open_requests: dict[str, PendingRequest] = {}
-        self.executed_requests = ExecutedRequests(max_executed_requests(config.memory_mb))
         self.discovery: DiscoveryControl | None = None
         self.observer: Observer | None = None
         self.on_backend_moved: Callable[[str], None] | None = None  # receives the id; the address changed
@@ -136,6 +135,13 @@
         self._heartbeat()
         self._on_drained: Callable[[], None] = lambda: None
 
+    @cached_property
+    def executed_requests(self) -> ExecutedRequests:
+        """The requests that may have had an effect; loaded with the first request, not at the start."""
+        from balancer.core.executed_requests import ExecutedRequests, max_executed_requests
+
+        return ExecutedRequests(max_executed_requests(self._memory_mb))
+
     def now(self) -> float:
         """Return a monotonic time in milliseconds since the Unix epoch."""
         return self._clock_offset_ms + time.monotonic() * 1000
--- a/balancer/policy/balancer.py
+++ b/balancer/policy/balancer.py
@@ -27,8 +27,6 @@
 from balancer.policy import (
     concurrency_limit,
     final_answers,
-    learned_state,
-    probing,
     retries,
     routing,
     subsetting,
@@ -51,6 +49,20 @@
         callback(state, argument)
 
 
+def probe_finished(state: NodeState, event: api.ProbeFinished) -> None:
+    """Handle the outcome of a probe. Most nodes never probe, so the module is loaded with the first one."""
+    from balancer.policy import probing
+
+    probing.probe_finished(state, event)
+
+
+def restore_learned_state(state: NodeState, event: api.LearnedStateRestored) -> None:
+    """Take over statistics from before a restart. Only nodes that keep them load the module."""
+    from balancer.policy import learned_state
+
+    learned_state.restore(state, event)
+
+
 def ignore_peer_message(state: NodeState, event: api.PeerMessageReceived) -> None:
     """Ignore messages from other nodes: they do not affect decisions."""
 
@@ -58,13 +70,13 @@
 HANDLERS: dict[type, Callable[[NodeState, Any], None]] = {
     api.RequestArrived: routing.request_arrived,
     api.AttemptFinished: routing.attempt_finished,
-    api.ProbeFinished: probing.probe_finished,
+    api.ProbeFinished: probe_finished,
     api.TimerFired: timer_fired,
     api.EndpointsUpdated: subsetting.update_endpoints,
     api.ClientLeft: final_answers.client_left,
     api.StreamStarted: routing.stream_started,
     api.PeerMessageReceived: ignore_peer_message,
-    api.LearnedStateRestored: learned_state.restore,
+    api.LearnedStateRestored: restore_learned_state,
 }
 """The handler of each event type. A table is faster than `match` for the last cases."""
 
@@ -86,7 +98,7 @@
             c.name: ClassState(c, max(MIN_EXPECTED_LATENCY_MS, c.latency_objective_ms / 4)) for c in classes
         },
         index=index,
-        probing_enabled=probing.is_worthwhile(settings),
+        probing_enabled=subsetting.is_probing_worthwhile(settings),
         longest_objective_ms=max(c.latency_objective_ms for c in classes),
         fleet_size_decay_ms=max(decay_ms, 1.0),
         concurrency_limit=concurrency_limit.MIN_LIMIT_PER_BACKEND,
@@ -127,6 +139,8 @@
 
     def learned(self, now_ms: float) -> api.LearnedState:
         """Return the statistics to keep over a restart; `LearnedStateRestored` brings them back."""
+        from balancer.policy import learned_state
+
         return learned_state.export(self.state, now_ms)
 
     # Views of the state for other packages.
--- a/balancer/policy/probing.py
+++ b/balancer/policy/probing.py
@@ -20,21 +20,12 @@
 from balancer.policy.latency_objective import REQUIRED_LATENCY_FRACTION
 from balancer.policy.records import EWMA_WEIGHT, Backend, Request
 from balancer.policy.state import NodeState
-from balancer.policy.subsetting import MAX_PROBE_ROUNDS, NEGLIGIBLE_PRICE, PROBES_PER_ROUND
+from balancer.policy.subsetting import MAX_PROBE_ROUNDS, PROBES_PER_ROUND
 
 PROBE_TIMEOUT_ROUND_TRIPS = 3.0
 """A probe is overdue after this many expected round trips: the backend has stalled."""
 
 
-def is_worthwhile(settings: api.Settings) -> bool:
-    """Return whether the site answers probes, and a round of them has a negligible price."""
-    return (
-        settings.probing_enabled
-        and settings.load_report_source is not api.LoadReportSource.NONE
-        and settings.prices.probe * PROBES_PER_ROUND <= NEGLIGIBLE_PRICE
-    )
-
-
 def begin(state: NodeState, request: Request) -> None:
     """Start probing for an attempt with the first round."""
     request.probe_rounds, request.probed = 0, []
--- a/balancer/policy/routing.py
+++ b/balancer/policy/routing.py
@@ -11,7 +11,6 @@
     latency_objective,
     load_shedding,
     outcomes,
-    probing,
     retries,
     selection,
     subsetting,
@@ -86,6 +85,8 @@
 def _route(state: NodeState, request: Request) -> None:
     """Probe, shed, send or queue a request for its next attempt."""
     if state.probing_enabled:
+        from balancer.policy import probing
+
         probing.begin(state, request)
     elif load_shedding.is_shed(state, request):
         final_answers.finish(state, request, api.DecisionReason.SHED_BY_SUCCESS_RATE)
--- a/balancer/policy/subsetting.py
+++ b/balancer/policy/subsetting.py
@@ -38,6 +38,15 @@
 JOINED_SUBSET, LEFT_SUBSET = api.BackendDecision.JOINED_SUBSET, api.BackendDecision.LEFT_SUBSET
 
 
+def is_probing_worthwhile(settings: api.Settings) -> bool:
+    """Return whether the site answers probes, and a round of them has a negligible price."""
+    return (
+        settings.probing_enabled
+        and settings.load_report_source is not api.LoadReportSource.NONE
+        and settings.prices.probe * PROBES_PER_ROUND <= NEGLIGIBLE_PRICE
+    )
+
+
 def update_endpoints(state: NodeState, event: api.EndpointsUpdated) -> None:
     """Apply an update of the endpoint list."""
     if event.kind is api.EndpointUpdateKind.FAILED:
--- a/tests/core/test_request_memory.py
+++ b/tests/core/test_request_memory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from balancer.core.request_memory import MIN_REQUEST_MEMORY_BYTES, RequestMemory, request_memory_bytes
+from balancer.core.connection_admission import MIN_REQUEST_MEMORY_BYTES, RequestMemory, request_memory_bytes
 
 
 def test_total_follows_updates_and_removals() -> None:
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -20,10 +20,9 @@
 import uvloop
 
 from balancer.core import connection_admission as admission
-from balancer.core.connection_admission import MAX_OVERLOAD_CONNECTIONS
+from balancer.core.connection_admission import MAX_OVERLOAD_CONNECTIONS, MIN_REQUEST_MEMORY_BYTES
 from balancer.core.discovery.endpoint_merger import EndpointsListed
 from balancer.core.discovery.source_state import Source
-from balancer.core.request_memory import MIN_REQUEST_MEMORY_BYTES
 from balancer.net.config import load
 from balancer.net.endpoint_view import EndpointView
 from balancer.net.http_server import (
