The HTTP server gives up two jobs: client memory and the headers of requests

Change: net/client_memory is the one owner of what client connections hold, requests and unread responses alike, and of what is rejected or aborted for it; protocol/http_request has the headers that count, their values and the rendering. Nothing else changes; tests follow the names of the attributes.

--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -1,7 +1,7 @@
 """The HTTP/1.1 server for clients: parses requests, answers `/up`, writes responses, closes connections.
 
 - `ClientConnection`: one connection; it parses requests and hands them to the `RequestDispatcher`.
-- `HttpServer`: the listener, the limits on connections and unread responses, timeouts and shutdown.
+- `HttpServer`: the listener, the limits on connections, timeouts and shutdown.
 """
 
 from __future__ import annotations
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import logging
-import re
 import socket
 from functools import cached_property, partial
 from typing import TYPE_CHECKING, cast
@@ -24,16 +23,24 @@
     MIN_REQUEST_MEMORY_BYTES,
     MIN_UNREAD_BUDGET_BYTES,
     UNBUDGETED_BODY_BYTES,
-    RequestMemory,
-    UnreadResponses,
 )
 from balancer.core.parsing_budget import ParsingAllowance
 from balancer.core.shutdown_deadlines import FIRST_BYTE_TIMEOUT_MS, ShutdownDeadlines
 from balancer.endpoints import Address
 from balancer.interface import Idempotency
+from balancer.net.client_memory import ClientMemory
 from balancer.net.input_queue import READ_BUFFER_BYTES
 from balancer.net.listener import Listener, SlotState
 from balancer.net.request_dispatcher import RequestDispatcher
+from balancer.protocol.http_request import (
+    KEPT_HEADERS,
+    REQUEST_HEADERS,
+    SINGLE_VALUE_HEADERS,
+    BadRequestError,
+    parse_timeout,
+    parse_work_hint,
+    render,
+)
 
 if TYPE_CHECKING:
     from balancer.net.input_discard import InputDiscarder
@@ -47,7 +54,6 @@
 LINGERING_CLOSE_S = 0.5  # for a client to read its last response before the connection is aborted
 # Unread bytes beyond which further requests of a received packet are not parsed.
 WRITE_HIGH_WATER_BYTES = 64 * 1024
-LOG_INTERVAL_S = 10.0  # between log lines about clients that do not read
 # For a complete request, from the connect or, on a used connection, from its first byte.
 SLOW_REQUEST_TIMEOUT_S = 2.3
 SILENT_CONNECTION_TIMEOUT_S = 1.0  # without a byte, after which a new connection is evicted before used ones
@@ -56,19 +62,6 @@
 IDLE_PRESSURE_RATIO = 1 / 8
 CLOSE_POLL_INTERVAL_S = 0.02  # between checks for open work during shutdown
 SWEEP_INTERVAL_S = 0.2  # between checks for timed-out connections
-REQUEST_HEADERS = frozenset(
-    {  # headers of a request to a class; a health check of `/up` has none of them
-        b"request-id",
-        b"request-timeout",
-        b"tenant",
-        b"idempotency-key",
-        b"client-retry",
-        b"work-hint",
-        b"request-info",
-    }
-)
-KEPT_HEADERS = REQUEST_HEADERS | {b"host", b"content-type"}
-SINGLE_VALUE_HEADERS = frozenset({b"request-id", b"idempotency-key", b"request-timeout", b"host"})
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -83,40 +76,6 @@
     503: "Service Unavailable",
 }
 TCP_ESTABLISHED = 1  # tcp_info.tcpi_state in <linux/tcp.h>; any other: an end or a reset has arrived
-TIMEOUT_PATTERN = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
-
-
-class BadRequestError(ValueError):
-    """The request of a client cannot be served; `code` is the status of the response."""
-
-    def __init__(self, code: int, reason: str) -> None:
-        super().__init__(reason)
-        self.code = code
-
-
-def parse_timeout(value: bytes) -> float:
-    """Parse a `Request-Timeout` header into milliseconds; raises BadRequestError."""
-    match = TIMEOUT_PATTERN.fullmatch(value.strip())
-    if match is None or not (number := float(match[1])):
-        raise BadRequestError(400, "bad Request-Timeout")
-    return number if match[2] == b"m" else number / 1000
-
-
-def render(method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait_ms: float) -> bytes:
-    """Render the request that is sent to a backend; the node waits `wait_ms` for its response."""
-    lines = [
-        b"%b %b HTTP/1.1" % (method, target),
-        b"Host: " + headers.get(b"host", b"backend"),
-        b"Request-Id: " + headers[b"request-id"],
-        b"Request-Timeout: %du" % max(1, int(wait_ms * 1000)),
-    ]
-    if b"idempotency-key" in headers:
-        lines.append(b"Idempotency-Key: " + headers[b"idempotency-key"])
-    if b"content-type" in headers:
-        lines.append(b"Content-Type: " + headers[b"content-type"])
-    if body or method != b"GET":
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -154,7 +113,7 @@
         self.target, self.headers, self.body = b"", {}, bytearray()
         self.node.large_body_budget.release(self.reserved_body_bytes)
         self.reserved_body_bytes = 0
-        self.server.request_memory.discard(self)
+        self.server.memory.requests.discard(self)
 
     # --- asyncio.BufferedProtocol
 
@@ -185,13 +144,13 @@
         self.transport.pause_reading()
         if not self.is_closing:
             self.server.untrack(self)
-        self.server.on_write_blocked(self)
+        self.server.memory.update_unread(self)
 
     def resume_writing(self) -> None:
         """The kernel has taken everything: continue as if it had done so at once."""
         assert self.transport is not None
         self.is_write_blocked = False
-        self.server.unread.discard(self)
+        self.server.memory.unread.discard(self)
         if self.is_closing:
             self.server.loop.call_later(LINGERING_CLOSE_S, self.transport.abort)
             return
@@ -207,7 +166,7 @@
         if self.transport is not None:
             self.is_closing = self.is_aborted = True
             self.server.untrack(self)
-            self.server.unread.discard(self)
+            self.server.memory.unread.discard(self)
             self.server.closing_connections.add(self)
             self.transport.abort()
 
@@ -320,7 +279,7 @@
             body_bytes = min(len(self.body), UNBUDGETED_BODY_BYTES)
             queued_bytes = self.node.input_queue.queued_bytes(self)
             head_bytes = self.head_bytes + len(self.request_line)  # which is there twice
-            self.server.account(self, head_bytes + body_bytes + queued_bytes)
+            self.server.memory.update_request(self, head_bytes + body_bytes + queued_bytes)
 
     def reject_incomplete(self) -> None:
         """Reject a request that is not complete, as requests hold too much memory; the client may retry."""
@@ -487,13 +446,8 @@
             timeout_ms = min(timeout_ms, max(0.0, self.server.shutdown_deadlines.respond_until_ms - now))
         idempotency_keys = parse_qs(query.decode("latin-1")).get("obj")
         held_bytes = len(self.target) + self.kept_bytes + min(len(self.body), UNBUDGETED_BODY_BYTES)
-        self.server.account(self, held_bytes)
-        if (
-            node.is_full()
-            or self.is_over_limit
-            or self.server.unread.is_over_budget
-            or self.server.request_memory.is_over_budget
-        ):
+        self.server.memory.update_request(self, held_bytes)
+        if node.is_full() or self.is_over_limit or self.server.memory.is_over_budget:
             # Bounds descriptors, open requests and memory; nothing ran, so the client may retry.
             self._write(503, b"too many requests\n")
             return
@@ -504,17 +458,13 @@
             is_retry=headers.get(b"client-retry") == b"1",
             idempotency_key=idempotency_keys[0] if idempotency_keys else None,
             tenant=headers[b"tenant"].decode("latin-1") if b"tenant" in headers else None,
-            work_hint=self._parse_work_hint(),
+            work_hint=parse_work_hint(headers.get(b"work-hint", b"")),
             is_write=request_class.idempotency is not Idempotency.IDEMPOTENT,
         )
         self.request_id, self.latest_deadline_ms = request_id, max(self.latest_deadline_ms, event.deadline_ms)
         target, body, self.body = self.raw_target or self.target, bytes(self.body), bytearray()
         node.request_arrived(event, self, partial(render, method, target, headers, body))
 
-    def _parse_work_hint(self) -> float | None:
-        value = self.headers.get(b"work-hint", b"")
-        return int(value) / 1000 if value.isdigit() and len(value) < 13 else None
-
     # --- responses
 
     def served(self, body: bytes, content_type: bytes) -> None:
@@ -556,7 +506,7 @@
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n"
         self.transport.write(head % (code, REASON_PHRASES[code].encode(), extra, len(body)) + body)
         if self.is_write_blocked:
-            self.server.on_write_blocked(self)  # the unread bytes have increased
+            self.server.memory.update_unread(self)  # the unread bytes have increased
         if must_close:
             self._lingering_close()
         elif not self.is_write_blocked:
@@ -614,12 +564,6 @@
             max_connections,
             max_overload_connections,
         )
-        self.unread: UnreadResponses[ClientConnection] = UnreadResponses(unread_budget_bytes)
-        self.request_memory: RequestMemory[ClientConnection] = RequestMemory(request_memory_bytes)
-        # Incomplete requests rejected for their memory since the last log line, and when that was written.
-        self.rejected_count, self.rejections_logged_at_s = 0, -LOG_INTERVAL_S
-        # Connections aborted for unread responses since the last log line, and when that was written.
-        self.aborted_count, self.logged_at_s = 0, -LOG_INTERVAL_S
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
         # Connections and when they got there, in loop time, oldest first: without an open request, without
@@ -627,6 +571,7 @@
         self.idle: dict[ClientConnection, float] = {}
         self.unused: dict[ClientConnection, float] = {}
         self.incomplete: dict[ClientConnection, float] = {}
+        self.memory = ClientMemory(node.now, self.incomplete, unread_budget_bytes, request_memory_bytes)
         # Closed; their descriptors are free in a turn or two of the loop.
         self.closing_connections: set[ClientConnection] = set()
         # Set once the node has been told to shut down.
@@ -724,57 +669,7 @@
             ):
                 break
             connection.close()
-        self._abort_stalled()
-
-    def account(self, connection: ClientConnection, held_bytes: int) -> None:
-        """Record what a connection holds of its request; over budget the oldest incomplete ones are rejected.
-
-        Usual requests arrive in one piece: a request is young while it still makes progress.
-        """
-        self.request_memory.update(connection, held_bytes)
-        if self.request_memory.is_over_budget:
-            self._reject_oldest_incomplete()
-
-    def _reject_oldest_incomplete(self) -> None:
-        for connection in list(self.incomplete):
-            if not self.request_memory.is_over_budget:
-                break
-            if connection in self.request_memory:
-                self.rejected_count += 1
-                connection.reject_incomplete()
-        if self.rejected_count and self.loop.time() - self.rejections_logged_at_s >= LOG_INTERVAL_S:
-            log.warning(
-                "http server: %d incomplete requests rejected: requests hold too much memory",
-                self.rejected_count,
-            )
-            self.rejected_count, self.rejections_logged_at_s = 0, self.loop.time()
-
-    def on_write_blocked(self, connection: ClientConnection) -> None:
-        """Record the unread bytes of a connection, and abort connections over the budget."""
-        transport = connection.transport
-        if transport is None or connection.is_aborted:
-            return
-        self.unread.update(
-            connection, transport.get_write_buffer_size(), self.node.now(), connection.latest_deadline_ms
-        )
-        if self.unread.is_over_budget:
-            self._abort(self.unread.excess(self.node.now()))
-
-    def _abort_stalled(self) -> None:
-        """Update the unread bytes of all connections, and abort those whose clients stopped reading."""
-        for connection in list(self.unread):
-            self.on_write_blocked(connection)
-        self._abort(self.unread.stalled(self.node.now()))
-        if self.aborted_count and self.loop.time() - self.logged_at_s >= LOG_INTERVAL_S:
-            log.warning(
-                "http server: %d connections aborted: their clients do not read responses", self.aborted_count
-            )
-            self.aborted_count, self.logged_at_s = 0, self.loop.time()
-
-    def _abort(self, connections: list[ClientConnection]) -> None:
-        for connection in connections:
-            self.aborted_count += 1
-            connection.abort()
+        self.memory.abort_stalled()
 
     def untrack(self, connection: ClientConnection) -> None:
         """Remove a connection from the tables of idle, unused and incomplete ones."""
@@ -786,7 +681,7 @@
         self.connections.discard(connection)
         self.closing_connections.discard(connection)
         self.untrack(connection)
-        self.unread.discard(connection)
+        self.memory.discard(connection)
 
     def stop(self) -> None:
         """Accept the whole backlog and then no more; requests that still arrive are served."""
--- a/tests/net/test_connection_memory.py
+++ b/tests/net/test_connection_memory.py
@@ -63,7 +63,7 @@
         async with running_http_server(
             tmp_path, Backend("b0"), request_memory_bytes=BUDGET_BYTES, settings=PATIENT
         ) as http_server:
-            memory, most = http_server.request_memory, 0
+            memory, most = http_server.memory.requests, 0
             usual = Client(*await asyncio.open_connection(*http_server.address))
             stuck = list[Client]()
             for number in range(40):
@@ -93,14 +93,14 @@
             node = http_server.node
             clients = [await connect(http_server, BODY % n + b"x" * 60_000) for n in range(3)]
             await until(lambda: len(node.open_requests) == 3)
-            assert 180_000 < http_server.request_memory.total_bytes <= BUDGET_BYTES
+            assert 180_000 < http_server.memory.requests.total_bytes <= BUDGET_BYTES
             late = await connect(http_server, BODY % 3 + b"x" * 60_000)
             assert (await late.answer()).code == 503
-            assert http_server.request_memory.total_bytes <= BUDGET_BYTES and len(node.open_requests) == 3
+            assert http_server.memory.requests.total_bytes <= BUDGET_BYTES and len(node.open_requests) == 3
             for client in (late, *clients):
                 client.writer.transport.abort()
             await until(lambda: not http_server.connections)
-            assert http_server.request_memory.total_bytes == 0
+            assert http_server.memory.requests.total_bytes == 0
 
     run(test)
 
@@ -113,8 +113,8 @@
             (connection,) = http_server.connections
             connection.allowance.charge(time.monotonic() * 1000, ALLOWANCE_MS, SLICE_BYTES)
             connection.data_received(HEAD % 1 + b"X: " + b"x" * (READ_BUFFER_BYTES // 2))
-            assert http_server.request_memory.total_bytes > READ_BUFFER_BYTES // 2
-            http_server.request_memory.budget_bytes = READ_BUFFER_BYTES // 2
+            assert http_server.memory.requests.total_bytes > READ_BUFFER_BYTES // 2
+            http_server.memory.requests.budget_bytes = READ_BUFFER_BYTES // 2
             connection.data_received(b"x")
             assert connection not in http_server.node.input_queue
             assert (await client.answer()).code == 503
@@ -134,7 +134,7 @@
                 ).code == 200
             (connection,) = http_server.connections
             assert not (connection.headers or connection.body or connection.target)
-            assert http_server.request_memory.total_bytes == 0
+            assert http_server.memory.requests.total_bytes == 0
             client.writer.transport.abort()
 
     run(test)
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -477,10 +477,10 @@
             # Its length divides a read and a slice, so that the input never ends within a request.
             request = b"GET /up HTTP/1.1\r\nX-Fill: " + b"x" * 34 + b"\r\n\r\n"
             assert len(request) == 64
-            while not http_server.unread.total_bytes:
+            while not http_server.memory.unread.total_bytes:
                 client.send(request * 20)
                 await asyncio.sleep(0.001)
-                if http_server.unread.total_bytes:
+                if http_server.memory.unread.total_bytes:
                     await asyncio.sleep(0.3)  # the client's kernel may take the rest
             (connection,) = http_server.connections
             assert connection.is_write_blocked
@@ -536,7 +536,11 @@
                 http_server.closing_connections,
                 http_server.listener.connecting,
             )
-            assert not any(tables) and not len(http_server.unread) and not http_server.unread.total_bytes
+            assert (
+                not any(tables)
+                and not len(http_server.memory.unread)
+                and not http_server.memory.unread.total_bytes
+            )
             for sock in socks:
                 sock.close()
         assert not faults and not [r for r in caplog.records if r.exc_info]
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -158,11 +158,11 @@
 
 async def fill_write_buffer(client: NonReadingClient, http_server: HttpServer) -> None:
     """Send requests until a response exceeds the kernels' buffers, so that some of it stays at the node."""
-    before = len(http_server.unread) + http_server.aborted_count
+    before = len(http_server.memory.unread) + http_server.memory.aborted_count
     for request_count in itertools.count(1):
         client.send(read_request())
         await until(partial(_has_answered, http_server, request_count))
-        if len(http_server.unread) + http_server.aborted_count > before:
+        if len(http_server.memory.unread) + http_server.memory.aborted_count > before:
             break
 
 
@@ -192,7 +192,7 @@
         async with running_http_server(tmp_path) as http_server:
             client, packet = non_reading_client(http_server), 70
             while True:
-                while not http_server.unread.total_bytes:
+                while not http_server.memory.unread.total_bytes:
                     client.send(UP * packet)
                     await asyncio.sleep(0.001)
                 (connection,) = http_server.connections
@@ -226,7 +226,7 @@
             assert connection.is_closing
             assert (
                 WRITE_HIGH_WATER_BYTES
-                < http_server.unread.total_bytes
+                < http_server.memory.unread.total_bytes
                 < WRITE_HIGH_WATER_BYTES + 65536 + 1024
             )
 
@@ -246,7 +246,7 @@
             loop, got = asyncio.get_running_loop(), 0
             while got < connection.request_count * 65536 or connection.is_write_blocked:
                 got += len(await loop.sock_recv(client.sock, 1 << 16))
-            assert http_server.unread.total_bytes == 0 and not connection.is_closing
+            assert http_server.memory.unread.total_bytes == 0 and not connection.is_closing
             await until(lambda: connection in http_server.idle)
             client.send(UP)
             seen = b""
@@ -271,7 +271,7 @@
             due = connection.latest_deadline_ms
             await until(lambda: not http_server.connections)
             assert http_server.node.now() >= due  # 4 s after its request arrived
-            assert http_server.unread.total_bytes == 0
+            assert http_server.memory.unread.total_bytes == 0
 
     run(test)
 
@@ -288,12 +288,12 @@
             other = Client(*await asyncio.open_connection(*http_server.address))
             monkeypatch.setattr(admission, "READ_PROGRESS_GRACE_MS", 1e9)
             await fill_write_buffer(non_reading_client(http_server), http_server)
-            assert http_server.unread.is_over_budget
+            assert http_server.memory.unread.is_over_budget
             assert (await other.ask("/read")).code == 503
             assert (await other.ask("/up")).code == 200
             monkeypatch.setattr(admission, "READ_PROGRESS_GRACE_MS", 200.0)
-            (greedy,) = http_server.unread
-            await until(lambda: not http_server.unread.total_bytes)
+            (greedy,) = http_server.memory.unread
+            await until(lambda: not http_server.memory.unread.total_bytes)
             assert http_server.node.now() < greedy.latest_deadline_ms
             await until(lambda: len(http_server.connections) == 1)
             assert (await other.ask("/read")).code == 200
@@ -348,8 +348,8 @@
             await fill_write_buffer(client, http_server)
             (connection,) = http_server.connections
             held, connection.latest_deadline_ms = settled_descriptors(), 0.0
-            http_server.unread.discard(connection)
-            http_server.on_write_blocked(connection)  # with a deadline in the past
+            http_server.memory.unread.discard(connection)
+            http_server.memory.update_unread(connection)  # with a deadline in the past
             if client_closes:
                 client.sock.shutdown(socket.SHUT_WR)
             else:
