A request whose client may be gone ends before its attempt, without retries

Seen: with the check at the write alone, an attempt for a client that had gone counted as not started, and the decision module tried again up to three times: each took a retry from the budget of all, and a warm connection was closed.

Change: the dispatcher asks the client's connection before an attempt takes a connection, and again as it is written, and ends the request then: rejected, or failed if an attempt of it may have had an effect.

--- a/balancer/core/connection_admission.py
+++ b/balancer/core/connection_admission.py
@@ -115,12 +115,6 @@
         self.budget_bytes, self.total_bytes = budget_bytes, 0
         self._held_bytes: dict[Key, int] = {}
 
-    def __repr__(self) -> str:
-        return f"<RequestMemory {self.total_bytes} of {self.budget_bytes} bytes on {len(self)} connections>"
-
-    def __len__(self) -> int:
-        return len(self._held_bytes)
-
     def __contains__(self, key: object) -> bool:
         return key in self._held_bytes
 
--- a/balancer/core/discovery/merged_view.py
+++ b/balancer/core/discovery/merged_view.py
@@ -16,7 +16,6 @@
 
 from collections.abc import Mapping
 from dataclasses import replace
-from typing import NamedTuple
 
 from balancer.core.discovery.source_state import Source, SourceRole
 from balancer.endpoints import Address, EndpointRecord
@@ -70,13 +69,6 @@
     return EndpointRecord(merged, record.address)
 
 
-class EndedProcess(NamedTuple):
-    """The process that started last at an address, and drains or has gone."""
-
-    endpoint_id: str
-    started_at_ms: float
-
-
 class MergedView:
     """The current view. Updates record what they changed in `changes`; the caller announces it."""
 
@@ -86,8 +78,9 @@
         # The endpoints listed as up at an address, in order of arrival, and the inverse.
         self._up_ids_by_address: dict[Address, dict[str, None]] = {}
         self._address_by_up_id: dict[str, Address] = {}
-        # Only for addresses with endpoints that are listed as up, or whose process still drains.
-        self._ended_processes: dict[Address, EndedProcess] = {}
+        # The endpoint whose process started last at an address, where it drains or has gone. Only for
+        # addresses with endpoints that are listed as up, or whose process still drains.
+        self._ended_processes: dict[Address, EndpointRecord] = {}
         # Addresses that several endpoints share or shared, and whose endpoints changed since the last
         # `resolve_contested`.
         self._contested_addresses: dict[Address, None] = {}
@@ -107,7 +100,7 @@
         if previous_address is not None and previous_address != address:
             self._withdraw_from_address(endpoint_id, previous_address)
         if merged is not None and address is None:
-            self._note_ended(endpoint_id, merged)
+            self._note_ended(merged)
         if merged is not None and address is not None:
             self._reconsider_ended(endpoint_id, merged, is_new=previous_address != address)
             up_ids = self._up_ids_by_address.setdefault(address, {})
@@ -126,17 +119,17 @@
         if up_ids:
             self._contested_addresses[address] = None
             if (record := self.records.get(endpoint_id)) is not None:
-                self._note_ended(endpoint_id, record)
+                self._note_ended(record)
         else:
             del self._up_ids_by_address[address]
             self._forget_ended(address)
 
-    def _note_ended(self, endpoint_id: str, record: EndpointRecord) -> None:
+    def _note_ended(self, record: EndpointRecord) -> None:
         """Note that the process of a record drains or has gone: any that started before it there has gone."""
         address, started_at_ms = record.address, record.endpoint.started_at_ms
         ended = self._ended_processes.get(address)
-        if started_at_ms > (0.0 if ended is None else ended.started_at_ms):
-            self._ended_processes[address] = EndedProcess(endpoint_id, started_at_ms)
+        if started_at_ms > (0.0 if ended is None else ended.endpoint.started_at_ms):
+            self._ended_processes[address] = record
             if address in self._up_ids_by_address:
                 self._contested_addresses[address] = None
 
@@ -148,8 +141,8 @@
         ended = self._ended_processes.get(record.address)
         if ended is None:
             return
-        is_same = ended.endpoint_id == endpoint_id
-        is_successor = is_new and not record.endpoint.started_at_ms and ended.endpoint_id not in self.records
+        is_same = ended.endpoint.id == endpoint_id
+        is_successor = is_new and not record.endpoint.started_at_ms and ended.endpoint.id not in self.records
         if is_same or is_successor:
             del self._ended_processes[record.address]
             self._contested_addresses[record.address] = None
@@ -159,14 +152,14 @@
         ended = self._ended_processes.get(address)
         if ended is None or address in self._up_ids_by_address:
             return
-        record = self.records.get(ended.endpoint_id)
+        record = self.records.get(ended.endpoint.id)
         if record is None or record.address != address:
             del self._ended_processes[address]
 
     def _is_replaced(self, record: EndpointRecord) -> bool:
         """Whether a later process has ended at the address of a record."""
         ended = self._ended_processes.get(record.address)
-        return ended is not None and record.endpoint.started_at_ms < ended.started_at_ms
+        return ended is not None and record.endpoint.started_at_ms < ended.endpoint.started_at_ms
 
     def resolve_contested(self, sources: Mapping[str, Source], changes: Changes) -> list[str]:
         """Choose one endpoint for each contested address; returns log lines on the shadowed ones.
@@ -197,7 +190,7 @@
         # Reversed, because `max` returns the first of several equal items.
         winner = max(reversed(candidates), key=lambda one: candidates[one].endpoint.started_at_ms)
         if self._is_replaced(candidates[winner]):
-            winner = self._ended_processes[address].endpoint_id
+            winner = self._ended_processes[address].endpoint.id
             reason = f"{winner!r:.300} started later and has ended at the same address"
         else:
             reason = f"{winner!r:.300} is up at the same address"
--- a/balancer/core/parsing_budget.py
+++ b/balancer/core/parsing_budget.py
@@ -6,7 +6,7 @@
 - A connection whose input took little time so far is parsed as it is read, one slice in a turn of the loop.
 - All other input waits. In each turn it gets `TURN_BUDGET_MS`, the connection that took least so far first,
   and it gets at most `MAX_QUEUE_SHARE` of the time.
-- Input that nobody will parse is discarded in turns of its own, for at most `MAX_DISCARD_SHARE` of the time.
+- Input that nobody will parse is discarded in turns of its own: `core/discard_budget`.
 
 Times are in milliseconds. The module uses no clock and no sockets.
 """
@@ -21,13 +21,6 @@
 MAX_SPENT_MS = 2 * ALLOWANCE_MS  # so that costly connections take turns, and each gets its own in the end
 TURN_BUDGET_MS = 2.0  # for the input that waits, in one turn of the event loop
 MAX_QUEUE_SHARE = 0.5  # of the time, for the input that waits
-DISCARD_TURN_BUDGET_MS = 2.0  # for input that is discarded unparsed, in one turn of the event loop
-MAX_DISCARD_SHARE = 0.5  # of the time, for input that is discarded
-ENDLESS_INPUT_BYTES = (
-    16 * 1024 * 1024
-)  # discarded of a connection: more than the buffers of both kernels hold
-MAX_ENDLESS_DISCARD_SHARE = 0.125  # of the time, where only such connections have input
-MAX_CHARGED_DISCARD_MS = 2 * DISCARD_TURN_BUDGET_MS  # of a turn; beyond it the process was held up
 
 
 class ParsingAllowance:
@@ -60,13 +53,3 @@
 def pause_after_ms(work_ms: float, max_share: float = MAX_QUEUE_SHARE) -> float:
     """Return the pause after work on input, so that such work keeps to its share of the time."""
     return work_ms * (1 / max_share - 1)
-
-
-def discard_pause_ms(work_ms: float, least_discarded_bytes: int) -> float:
-    """Return the pause after a turn of discarding, so that it keeps to its share of the time.
-
-    `least_discarded_bytes` is that of the connection that comes next.
-    """
-    is_endless = least_discarded_bytes > ENDLESS_INPUT_BYTES
-    max_share = MAX_ENDLESS_DISCARD_SHARE if is_endless else MAX_DISCARD_SHARE
-    return pause_after_ms(min(work_ms, MAX_CHARGED_DISCARD_MS), max_share)
--- a/balancer/net/input_discard.py
+++ b/balancer/net/input_discard.py
@@ -14,7 +14,7 @@
 import time
 from typing import Protocol
 
-from balancer.core.parsing_budget import DISCARD_TURN_BUDGET_MS, discard_pause_ms
+from balancer.core.discard_budget import DISCARD_TURN_BUDGET_MS, discard_pause_ms
 
 DISCARD_BYTES = 1024 * 1024  # of one connection at a time
 SOCKET_DISCARD_FLAG = socket.MSG_TRUNC  # tcp(7): received bytes are dropped in the kernel, without a copy
--- a/balancer/net/request_dispatcher.py
+++ b/balancer/net/request_dispatcher.py
@@ -362,6 +362,7 @@
             self._finish_attempt(attempt, BackendResponse(api.AttemptStatus.NOT_STARTED))
             return
         request.attempts.append(attempt)
+        self._end_if_client_may_be_gone(action.request, request)
         remaining_ms = request.deadline_ms - now_ms
         timeout_ms = min(action.timeout_ms, remaining_ms) if action.timeout_ms else remaining_ms
         if request.is_answered or action.backend not in self.pool.backends or timeout_ms <= 0:
@@ -369,19 +370,26 @@
             return
         attempt.timer = self.loop.call_later(timeout_ms / 1000, self._on_timeout, attempt)
         start_before_s = (action.start_before_ms - self._clock_offset_ms) / 1000
-        render = partial(self._render_attempt, request, now_ms + timeout_ms)
+        render = partial(self._render_attempt, action.request, request, now_ms + timeout_ms)
         on_done = partial(self._finish_attempt, attempt)
         exchange = self.pool.start(action.backend, render, on_done, start_before_s)
         attempt.exchange = None if attempt.is_over else exchange
 
-    def _render_attempt(self, request: PendingRequest, timeout_at_ms: float) -> bytes:
-        """Render an attempt as it is about to be written; nothing if its client may be gone.
+    def _render_attempt(self, request_id: str, request: PendingRequest, timeout_at_ms: float) -> bytes:
+        """Render an attempt as it is about to be written; nothing if its request has ended meanwhile."""
+        self._end_if_client_may_be_gone(request_id, request)
+        return request.render(timeout_at_ms - self.now())
+
+    def _end_if_client_may_be_gone(self, request_id: str, request: PendingRequest) -> None:
+        """End a request whose client has disconnected or may have done so, before something is sent for it.
 
-        The disconnect itself is reported by the client's connection, which may read it later.
+        In the latter case the client reads the response: a rejection, as no attempt that had an effect may
+        have another one.
         """
-        if not request.is_answered and request.client.may_be_gone():
-            return b""
-        return request.render(timeout_at_ms - self.now())
+        if request.is_answered or not request.client.may_be_gone():
+            return
+        is_executed = request.is_write and self.executed_requests.contains(request_id, self.now())
+        self._answer(request_id, lambda client: client.failed() if is_executed else client.refused(0.0))
 
     def _on_timeout(self, attempt: Attempt, is_recheck: bool = False) -> None:
         connection, status = (
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from balancer.core.parsing_budget import (
+from balancer.core.discard_budget import (
     DISCARD_TURN_BUDGET_MS,
     ENDLESS_INPUT_BYTES,
     MAX_ENDLESS_DISCARD_SHARE,
