Tests of request memory and hidden disconnects do not depend on a machine's speed

Need: on a busy machine the time limit of slow requests could answer 408 before the budget is used up, and a retry could come before input had hidden the end for 50 ms. Change: that limit is out of the way, and the backend waits longer.

--- a/tests/net/test_connection_memory.py
+++ b/tests/net/test_connection_memory.py
@@ -11,11 +11,12 @@
 
 from balancer.core.connection_admission import MAX_FORWARDED_BODY_BYTES
 from balancer.core.parsing_budget import ALLOWANCE_MS, SLICE_BYTES
+from balancer.net import http_server as http_server_module
 from balancer.net.http_server import MAX_HEAD_BYTES, HttpServer
 from balancer.net.input_queue import READ_BUFFER_BYTES
 from tests.net.test_graceful_shutdown import never_respond
 from tests.net.test_http_server import run, running_http_server, until
-from tests.sockets import PATIENT, Backend, Client
+from tests.sockets import HOUR, PATIENT, Backend, Client
 
 BUDGET_BYTES = 200_000
 HEAD = b"POST /once HTTP/1.1\r\nRequest-Id: m%d\r\n"
@@ -55,8 +56,13 @@
 
 
 @pytest.mark.parametrize("kind", [*STUCK])
-def test_requests_that_never_become_complete_stay_within_the_budget(tmp_path: Path, kind: str) -> None:
+def test_requests_that_never_become_complete_stay_within_the_budget(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, kind: str
+) -> None:
     """Guards against a process that is killed: 800 clients with half a small body took 91 MB of 64."""
+    monkeypatch.setattr(
+        http_server_module, "SLOW_REQUEST_TIMEOUT_S", HOUR
+    )  # on a busy machine it comes first
     repeats = 700 if kind == "chunks" else 1
 
     async def test() -> None:
--- a/tests/net/test_input_discard.py
+++ b/tests/net/test_input_discard.py
@@ -155,7 +155,7 @@
 
 async def reset_first_request(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
     """Break the connection once the test says so, so that the node may try again."""
-    await asyncio.sleep(2 * MAX_HIDDEN_DISCONNECT_MS / 1000)
+    await asyncio.sleep(10 * MAX_HIDDEN_DISCONNECT_MS / 1000)
     writer.transport.abort()
 
 
