A client's state that the system does not tell is no disconnect

Need: by reading, a system without TCP_INFO would have taken every client for gone, and the node would have rejected all. Change: where the call fails, only a closed descriptor counts.

--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -75,7 +75,7 @@
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
-TCP_ESTABLISHED = 1  # tcp_info.tcpi_state in <linux/tcp.h>; any other: an end or a reset has arrived
+TCP_ESTABLISHED = b"\x01"  # tcp_info.tcpi_state in <linux/tcp.h>; any other: an end or a reset has arrived
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -211,15 +211,16 @@
 
     def may_be_gone(self) -> bool:
         """Whether the client has disconnected, or may have done so for longer than is noticed in time."""
-        if self.transport is None or self.transport.is_closing():
-            return True
-        if self.server.input_discarder.pending_ms(self) > MAX_HIDDEN_DISCONNECT_MS:
+        if (
+            self.transport is None
+            or self.transport.is_closing()
+            or self.server.input_discarder.pending_ms(self) > MAX_HIDDEN_DISCONNECT_MS
+        ):
             return True
         try:
-            tcp_state = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-        except OSError:  # the descriptor is closed
-            return True
-        return tcp_state != TCP_ESTABLISHED
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1) != TCP_ESTABLISHED
+        except OSError:  # the descriptor is closed, or the system does not tell
+            return self.sock.fileno() < 0
 
     @property
     def may_parse(self) -> bool:
--- a/tests/net/test_input_discard.py
+++ b/tests/net/test_input_discard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -200,3 +201,29 @@
             assert connection.may_be_gone()
 
     run(test)
+
+
+@pytest.mark.parametrize(("descriptor", "may_be_gone"), [(5, False), (-1, True)])
+def test_client_is_served_where_the_system_does_not_tell_its_state(
+    tmp_path: Path, descriptor: int, may_be_gone: bool
+) -> None:
+    """Guards against a node that rejects everything where TCP_INFO is not supported."""
+
+    class UnsupportedSocket:
+        def getsockopt(self, level: int, option: int, byte_count: int) -> bytes:
+            raise OSError(errno.ENOPROTOOPT, "not supported")
+
+        def fileno(self) -> int:
+            return descriptor
+
+    async def test() -> None:
+        async with running_http_server(tmp_path, settings=PATIENT) as http_server:
+            sock = connect_client(http_server)
+            await until(lambda: http_server.connections)
+            (connection,) = http_server.connections
+            unsupported: Any = UnsupportedSocket()
+            connection.sock = unsupported
+            assert connection.may_be_gone() is may_be_gone
+            sock.close()
+
+    run(test)
