One memory budget for all that a node holds, of what its process leaves of the limit

Callers saw: a node killed over memory_mb. Cause: requests, long bodies, unread responses and the answers of backends had a fixed part of the limit each. No part knew of the others, nor of what the process held already (27 MB, 32 with 3,200 endpoints, more with fragmentation), nor of a connection's cost; the first 64 KiB of each response were in none; bodies lived in two to three copies on the heap, where lengths of all kinds leave gaps. Class: limits on parts where the limit is on the sum. Change: core/memory_budget, the one owner: the limit less a reserve less what nobody charges, which is observed as resident memory beyond the most ever charged (proc statm). Growth into the reserve costs as much of what may be held, once. Client and backend connections, requests, queued input, responses and unread bytes are charged to it; each use fills it up to a ratio of its own, so that large requests leave room for small ones, connections and responses. Over it the incomplete requests that are stalled go first, then the youngest, so that arriving ones get complete. Bodies over 16 KiB live once, in pages of their own, and are written from there. Which of three long requests is rejected is no longer the last to come; one is, as before.

--- a/balancer/net/application.py
+++ b/balancer/net/application.py
@@ -26,8 +26,6 @@
     RESERVED_DESCRIPTORS,
     connection_limits,
     descriptor_quotas,
-    request_memory_bytes,
-    unread_budget_bytes,
 )
 from balancer.core.discovery.endpoint_merger import EndpointsListed
 from balancer.core.discovery.source_state import Source
@@ -106,13 +104,7 @@
         node.on_list_failed,
     )
     max_connections, overload_connections = connection_limits(config.max_client_sockets)
-    server = HttpServer(
-        node,
-        max_connections,
-        unread_budget_bytes(config.memory_mb),
-        overload_connections,
-        request_memory_bytes(config.memory_mb),
-    )
+    server = HttpServer(node, max_connections, overload_connections)
     components: Components | None = None
     stop = asyncio.Event()
 
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -19,11 +19,17 @@
 import httptools
 
 from balancer import interface as api
-from balancer.core.connection_admission import MAX_FORWARDED_BODY_BYTES, UNBUDGETED_BODY_BYTES
+from balancer.core.connection_admission import (
+    MAX_FORWARDED_BODY_BYTES,
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+)
 from balancer.core.parsing_budget import ParsingAllowance
 from balancer.core.response_attribution import LOOP_DELAY_TOLERANCE_MS, is_implausible
 from balancer.core.stall_detector import STALL_THRESHOLD_MS
 from balancer.interface import AttemptStatus
+from balancer.net.body_buffer import BodyBuffer
+from balancer.protocol.http_request import RenderedRequest
 from balancer.protocol.load_report import parse_load_report
 
 if TYPE_CHECKING:
@@ -31,13 +37,10 @@
 
 log = logging.getLogger(__name__)
 
-MAX_HEAD_BYTES = 16 * 1024
-# Of a response besides its body: one-byte chunks take six times the body.
-MAX_FRAMING_BYTES = 8 * UNBUDGETED_BODY_BYTES
 RESPONSE_START = b"HTTP/1."
 MIN_LOGGED_DELAY_CHANGE_MS = 4.0  # of the reuse delay of a backend
 # A request, or a callable that renders it at write time with the time then left.
-RequestData = bytes | Callable[[], bytes]
+RequestData = bytes | Callable[[], RenderedRequest]
 
 
 @dataclass(slots=True)
@@ -46,7 +49,7 @@
 
     status: AttemptStatus
     report: api.LoadReport | None = None
-    body: bytes = b""
+    body: bytes | memoryview = b""
     content_type: bytes = b""
 
 
@@ -111,7 +114,7 @@
         self.plausibility_timer: asyncio.TimerHandle | None = None
         self.is_implausible = False  # input may have arrived sooner than a response can
         self.previous_digest: int | None = None  # of the content of the previous response
-        self.reserved_body_bytes = 0  # what the response's body holds of the large-body budget
+        self.pool.memory.add(self)
         self._reset()
 
     def _reset(self) -> None:
@@ -124,9 +127,8 @@
 
     def _release_body(self) -> None:
         """Drop the buffered body, so that idle connections hold no memory for bodies."""
-        self.body = bytearray()
-        self.pool.large_bodies.release(self.reserved_body_bytes)
-        self.reserved_body_bytes = 0
+        self.body = BodyBuffer()
+        self.pool.memory.update(self, 0)
 
     # --- opening, closing
 
@@ -214,7 +216,8 @@
         self.is_closed = True
         self.pool.input_queue.discard(self)
         self.pool.connection_count -= 1
-        self._release_body()
+        self.body = BodyBuffer()
+        self.pool.memory.discard(self)
         if self.reuse_timer is not None:
             self.reuse_timer.cancel()
         self._cancel_plausibility_timer()
@@ -260,10 +263,13 @@
             return
         data, attempt.data = attempt.data, b""
         # Only the transport holds what has not left, since bodies may be long.
-        if not (data := data if isinstance(data, bytes) else data()):
+        if not (rendered := data if isinstance(data, bytes) else data()):
             self._fail(AttemptStatus.NOT_STARTED)  # its request has already ended
             return
-        self.transport.write(data)
+        if isinstance(rendered, bytes):
+            self.transport.write(rendered)
+        else:
+            self.transport.writelines(rendered)
         self.has_written = True
         self._expect_response()
         # A write that fails at once closes the transport: nothing left, so this is no reset.
@@ -462,14 +468,10 @@
         if self.is_complete or self.is_closed:
             return
         self.body_bytes += len(body)
-        reserved_bytes = self.pool.large_bodies.reserve(self.reserved_body_bytes, self.body_bytes)
-        self.is_too_large = (
-            self.is_too_large or self.body_bytes > MAX_FORWARDED_BODY_BYTES or reserved_bytes is None
-        )
-        if reserved_bytes is not None:
-            self.reserved_body_bytes = reserved_bytes
+        self.is_too_large = self.is_too_large or self.body_bytes > MAX_FORWARDED_BODY_BYTES
         if not self.is_too_large:
-            self.body += body
+            self.body.append(body)
+            self.is_too_large = not self.pool.memory.update(self, self.body.held_bytes)
 
     def on_message_complete(self) -> None:
         """Note that the response is complete, unless it was an interim one."""
@@ -484,7 +486,7 @@
 
     def _finish(self, is_clean: bool) -> None:
         assert self.attempt is not None
-        body = bytes(self.body)
+        body = self.body.take()
         digest = hash(body) if self.code == 200 else None
         history = self.backend.history
         if digest is not None and history.is_copy(
--- a/balancer/net/backend_pool.py
+++ b/balancer/net/backend_pool.py
@@ -7,9 +7,10 @@
 import math
 import time
 from collections.abc import Callable, Iterable
+from functools import cached_property
+from typing import TYPE_CHECKING
 
 from balancer import interface as api
-from balancer.core.connection_admission import LargeBodyBudget
 from balancer.core.response_attribution import (
     MAX_REUSE_WAIT_MS,
     REUSE_DELAY_MS,
@@ -26,6 +27,10 @@
 )
 from balancer.net.input_queue import InputQueue
 
+if TYPE_CHECKING:
+    from balancer.core.memory_budget import MemoryBudget
+    from balancer.net.backend_memory import BackendMemory
+
 log = logging.getLogger(__name__)
 
 IDLE_LIMIT_RATIO = 0.7  # of the backend's idle limit, after which this side closes
@@ -54,15 +59,16 @@
         self,
         settings: api.Settings,
         max_connections: int,
-        large_bodies: LargeBodyBudget | None = None,
+        memory_budget: Callable[[], MemoryBudget] | None = None,
         input_queue: InputQueue | None = None,
     ) -> None:
         """Open at most `max_connections`.
 
-        Their large bodies count into `large_bodies`, and their input takes its turns in `input_queue`.
+        They and their responses are charged to the budget that `memory_budget` returns, which is called with
+        the first connection. Their input takes its turns in `input_queue`.
         """
         self.input_queue = InputQueue() if input_queue is None else input_queue
-        self.large_bodies = large_bodies or LargeBodyBudget()
+        self._memory_budget = memory_budget
         self.connect_timeout_s = settings.connect_timeout_ms / 1000
         self.idle_limit_s = settings.connection_idle_ms / 1000
         self.max_connections, self.connection_count = max_connections, 0
@@ -70,6 +76,14 @@
         self.sweep_timer: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
 
+    @cached_property
+    def memory(self) -> BackendMemory:
+        """What the connections hold; loaded with the first one, not at the start."""
+        from balancer.core.memory_budget import MemoryBudget
+        from balancer.net.backend_memory import BackendMemory
+
+        return BackendMemory(self._memory_budget() if self._memory_budget else MemoryBudget(math.inf))
+
     def update(self, records: Iterable[EndpointRecord], removed: Iterable[str] = ()) -> None:
         """Apply changes of the list; closes idle connections to backends that leave, move or restart."""
         for name in removed:
@@ -142,7 +156,7 @@
 
     def connect(self, backend: BackendConnections, attempt: Exchange) -> None:
         """Start an attempt on a new connection."""
-        if not backend.is_listed or (self.connection_count >= self.max_connections and not self._evict()):
+        if not backend.is_listed or (self._is_full() and not self._evict()):
             attempt.report_outcome(BackendResponse(AttemptStatus.NOT_STARTED))
             return
         try:
@@ -155,6 +169,10 @@
         connection.attempt, attempt.connection = attempt, connection
         connection.task = self.loop.create_task(connection.open())
 
+    def _is_full(self) -> bool:
+        """Whether there may be no more connections than there are."""
+        return self.connection_count >= self.max_connections or not self.memory.may_connect()
+
     def _evict(self) -> bool:
         """Close the connection that has been idle longest; False if none is idle."""
         idle = [backend.idle[0] for backend in self.backends.values() if backend.idle]
--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -19,15 +19,15 @@
 from balancer import interface as api
 from balancer.core.connection_admission import (
     MAX_FORWARDED_BODY_BYTES,
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
     MAX_OVERLOAD_CONNECTIONS,
-    MIN_REQUEST_MEMORY_BYTES,
-    MIN_UNREAD_BUDGET_BYTES,
-    UNBUDGETED_BODY_BYTES,
 )
 from balancer.core.parsing_budget import ParsingAllowance
 from balancer.core.shutdown_deadlines import FIRST_BYTE_TIMEOUT_MS, ShutdownDeadlines
 from balancer.endpoints import Address
 from balancer.interface import Idempotency
+from balancer.net.body_buffer import BodyBuffer
 from balancer.net.input_queue import READ_BUFFER_BYTES
 from balancer.net.listener import Listener, SlotState
 from balancer.net.request_dispatcher import RequestDispatcher
@@ -47,10 +47,7 @@
 
 log = logging.getLogger(__name__)
 
-MAX_HEAD_BYTES = 16 * 1024
 MAX_HIDDEN_DISCONNECT_MS = 50.0  # for which input may hide a disconnect before no attempt is sent
-# Of a request besides its body: one-byte chunks take six times the body.
-MAX_FRAMING_BYTES = 8 * UNBUDGETED_BODY_BYTES
 LINGERING_CLOSE_S = 0.5  # for a client to read its last response before the connection is aborted
 # Unread bytes beyond which further requests of a received packet are not parsed.
 WRITE_HIGH_WATER_BYTES = 64 * 1024
@@ -99,7 +96,6 @@
         # Whether a request line is being received, and what has come of it so far.
         self.is_in_request_line, self.request_line = True, b""
         self.raw_target = b""  # the received target, if the parser got an escaped one
-        self.reserved_body_bytes = 0  # what the request's body holds of the large-body budget
         self._reset()
 
     def _reset(self) -> None:
@@ -110,10 +106,8 @@
 
     def _release_request(self) -> None:
         """Drop what is held of a request, so that idle connections hold no memory for it."""
-        self.target, self.headers, self.body = b"", {}, bytearray()
-        self.node.large_body_budget.release(self.reserved_body_bytes)
-        self.reserved_body_bytes = 0
-        self.server.memory.requests.discard(self)
+        self.target, self.headers, self.body = b"", {}, BodyBuffer()
+        self.server.memory.release_request(self)
 
     # --- asyncio.BufferedProtocol
 
@@ -278,10 +272,9 @@
     def _account_incomplete(self) -> None:
         """Record what is held of a request that is not complete. It may be rejected for that."""
         if self.request_id is None and not self.is_discarding:
-            body_bytes = min(len(self.body), UNBUDGETED_BODY_BYTES)
             queued_bytes = self.node.input_queue.queued_bytes(self)
             head_bytes = self.head_bytes + len(self.request_line)  # which is there twice
-            self.server.memory.update_request(self, head_bytes + body_bytes + queued_bytes)
+            self.server.memory.update_incomplete(self, head_bytes + self.body.held_bytes + queued_bytes)
 
     def reject_incomplete(self) -> None:
         """Reject a request that is not complete, as requests hold too much memory; the client may retry."""
@@ -390,12 +383,7 @@
         self.size_bytes += len(body)
         if self.size_bytes > MAX_FORWARDED_BODY_BYTES:
             raise BadRequestError(413, "body too large")
-        if (
-            reserved_bytes := self.node.large_body_budget.reserve(self.reserved_body_bytes, self.size_bytes)
-        ) is None:
-            raise BadRequestError(503, "too many long requests")  # nothing ran, so the client may retry
-        self.reserved_body_bytes = reserved_bytes
-        self.body += body
+        self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Dispatch the complete request."""
@@ -447,9 +435,9 @@
             # The request must not be open when SIGKILL comes.
             timeout_ms = min(timeout_ms, max(0.0, self.server.shutdown_deadlines.respond_until_ms - now))
         idempotency_keys = parse_qs(query.decode("latin-1")).get("obj")
-        held_bytes = len(self.target) + self.kept_bytes + min(len(self.body), UNBUDGETED_BODY_BYTES)
-        self.server.memory.update_request(self, held_bytes)
-        if node.is_full() or self.is_over_limit or self.server.memory.is_over_budget:
+        held_bytes = len(self.target) + self.kept_bytes + self.body.held_bytes
+        is_admitted = self.server.memory.admit_complete(self, held_bytes)
+        if node.is_full() or self.is_over_limit or not is_admitted:
             # Bounds descriptors, open requests and memory; nothing ran, so the client may retry.
             self._write(503, b"too many requests\n")
             return
@@ -464,12 +452,12 @@
             is_write=request_class.idempotency is not Idempotency.IDEMPOTENT,
         )
         self.request_id, self.latest_deadline_ms = request_id, max(self.latest_deadline_ms, event.deadline_ms)
-        target, body, self.body = self.raw_target or self.target, bytes(self.body), bytearray()
-        node.request_arrived(event, self, partial(render, method, target, headers, body))
+        target = self.raw_target or self.target
+        node.request_arrived(event, self, partial(render, method, target, headers, self.body.take()))
 
     # --- responses
 
-    def served(self, body: bytes, content_type: bytes) -> None:
+    def served(self, body: bytes | memoryview, content_type: bytes) -> None:
         """Forward a backend's response."""
         self.request_id = None
         self._write(200, body, b"Content-Type: %b\r\n" % content_type if content_type else b"")
@@ -495,7 +483,7 @@
         self.request_line = b""
         self._write(code, reason.encode() + b"\n")
 
-    def _write(self, code: int, body: bytes, extra: bytes = b"") -> None:
+    def _write(self, code: int, body: bytes | memoryview, extra: bytes = b"") -> None:
         self._release_request()
         if self.is_closing or self.transport is None:
             return
@@ -506,7 +494,11 @@
         if must_close:
             extra += b"Connection: close\r\n"
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n"
-        self.transport.write(head % (code, REASON_PHRASES[code].encode(), extra, len(body)) + body)
+        head %= (code, REASON_PHRASES[code].encode(), extra, len(body))
+        if isinstance(body, bytes):
+            self.transport.write(head + body)
+        else:
+            self.transport.writelines((head, body))  # long, so it is not copied
         if self.is_write_blocked:
             self.server.memory.update_unread(self)  # the unread bytes have increased
         if must_close:
@@ -552,15 +544,9 @@
         self,
         node: RequestDispatcher,
         max_connections: int,
-        unread_budget_bytes: int = MIN_UNREAD_BUDGET_BYTES,
         max_overload_connections: int = MAX_OVERLOAD_CONNECTIONS,
-        request_memory_bytes: int = MIN_REQUEST_MEMORY_BYTES,
     ) -> None:
-        """Serve at most `max_connections`, and `max_overload_connections` more that get one response.
-
-        `unread_budget_bytes` bounds the responses that clients have not read, `request_memory_bytes` the
-        requests that are incomplete or not answered.
-        """
+        """Serve at most `max_connections`, and `max_overload_connections` more that get one response."""
         self.node, self.max_connections, self.max_overload_connections = (
             node,
             max_connections,
@@ -573,7 +559,6 @@
         self.idle: dict[ClientConnection, float] = {}
         self.unused: dict[ClientConnection, float] = {}
         self.incomplete: dict[ClientConnection, float] = {}
-        self._unread_budget_bytes, self._request_memory_bytes = unread_budget_bytes, request_memory_bytes
         # Closed; their descriptors are free in a turn or two of the loop.
         self.closing_connections: set[ClientConnection] = set()
         # Set once the node has been told to shut down.
@@ -589,9 +574,7 @@
         """What all connections hold; loaded with the first connection, not at the start."""
         from balancer.net.client_memory import ClientMemory
 
-        return ClientMemory(
-            self.node.now, self.incomplete, self._unread_budget_bytes, self._request_memory_bytes
-        )
+        return ClientMemory(self.node.now, self.incomplete, self.node.memory_budget)
 
     @cached_property
     def input_discarder(self) -> InputDiscarder:
@@ -602,8 +585,8 @@
 
     @property
     def is_over_limit(self) -> bool:
-        """Whether there are more client connections than the limit."""
-        return len(self.connections) > self.max_connections
+        """Whether there are more client connections than the limit, or than memory allows."""
+        return len(self.connections) > self.max_connections or not self.memory.may_hold_connections
 
     @property
     def is_under_idle_pressure(self) -> bool:
@@ -641,6 +624,7 @@
     def connection_accepted(self, connection: ClientConnection) -> None:
         """Register a connection; over the limit an unused or idle one is closed."""
         self.connections.add(connection)
+        self.memory.add(connection)
         self.listener.on_connected(connection)
         if self.is_over_limit:
             # Only new connections are rejected: a surge must not displace existing clients.
@@ -681,7 +665,7 @@
                 break
             connection.close()
         if self.connections:
-            self.memory.abort_stalled()
+            self.memory.sweep()
 
     def untrack(self, connection: ClientConnection) -> None:
         """Remove a connection from the tables of idle, unused and incomplete ones."""
--- a/balancer/net/request_dispatcher.py
+++ b/balancer/net/request_dispatcher.py
@@ -15,7 +15,6 @@
 from typing import TYPE_CHECKING, Protocol
 
 from balancer import interface as api
-from balancer.core.connection_admission import LargeBodyBudget, large_body_budget_bytes
 from balancer.core.discovery.endpoint_merger import ApplyEndpoints
 from balancer.core.shutdown_deadlines import ShutdownDeadlines, deadlines_after_signal
 from balancer.core.stall_detector import HEARTBEAT_INTERVAL_MS, SETTLE_DURATION_MS, StallDetector
@@ -27,9 +26,11 @@
 from balancer.net.input_queue import InputQueue
 from balancer.policy.balancer import Balancer
 from balancer.protocol.class_path import ClassPaths
+from balancer.protocol.http_request import RenderedRequest
 
 if TYPE_CHECKING:
     from balancer.core.executed_requests import ExecutedRequests
+    from balancer.core.memory_budget import MemoryBudget
     from balancer.net.bulk_update import BulkUpdate
     from balancer.ports import Observer
 
@@ -51,7 +52,7 @@
 class RequestClient(Protocol):
     """Receives the response of one request."""
 
-    def served(self, body: bytes, content_type: bytes) -> None:
+    def served(self, body: bytes | memoryview, content_type: bytes) -> None:
         """Respond with the body of a backend's response."""
 
     def refused(self, retry_after_ms: float) -> None:
@@ -83,7 +84,7 @@
         self,
         client: RequestClient,
         deadline_ms: float,
-        render: Callable[[float], bytes],
+        render: Callable[[float], RenderedRequest],
         is_write: bool = False,
     ) -> None:
         self.client, self.deadline_ms, self.render, self.is_write = client, deadline_ms, render, is_write
@@ -115,10 +116,9 @@
         self.loop = asyncio.get_running_loop()
         # The clock is monotonic and set to Unix time at the start, so `up_since_ms` needs no conversion.
         self._clock_offset_ms = wall_ms() - time.monotonic() * 1000
-        self.large_body_budget = LargeBodyBudget(large_body_budget_bytes(config.memory_mb))
         self.input_queue = InputQueue()  # of clients and backends
         self.pool = BackendPool(
-            config.settings, config.max_backend_sockets, self.large_body_budget, self.input_queue
+            config.settings, config.max_backend_sockets, lambda: self.memory_budget, self.input_queue
         )
         self.open_requests: dict[str, PendingRequest] = {}
         self.discovery: DiscoveryControl | None = None
@@ -135,6 +135,14 @@
         self._heartbeat()
         self._on_drained: Callable[[], None] = lambda: None
 
+    @cached_property
+    def memory_budget(self) -> MemoryBudget:
+        """The memory of this process; loaded with the first connection, not at the start."""
+        from balancer.core.memory_budget import MemoryBudget
+        from balancer.net.process_memory import resident_bytes
+
+        return MemoryBudget.of_process(self._memory_mb, resident_bytes)
+
     @cached_property
     def executed_requests(self) -> ExecutedRequests:
         """The requests that may have had an effect; loaded with the first request, not at the start."""
@@ -231,7 +239,7 @@
             self._stop_attempt(attempt, api.AttemptStatus.CANCELLED)
 
     def request_arrived(
-        self, event: api.RequestArrived, client: RequestClient, render: Callable[[float], bytes]
+        self, event: api.RequestArrived, client: RequestClient, render: Callable[[float], RenderedRequest]
     ) -> None:
         """Handle a client's request; `render` returns its bytes, given the time that remains in ms."""
         self._record_turn()
@@ -375,7 +383,9 @@
         exchange = self.pool.start(action.backend, render, on_done, start_before_s)
         attempt.exchange = None if attempt.is_over else exchange
 
-    def _render_attempt(self, request_id: str, request: PendingRequest, timeout_at_ms: float) -> bytes:
+    def _render_attempt(
+        self, request_id: str, request: PendingRequest, timeout_at_ms: float
+    ) -> RenderedRequest:
         """Render an attempt as it is about to be written; nothing if its request has ended meanwhile."""
         self._end_if_client_may_be_gone(request_id, request)
         return request.render(timeout_at_ms - self.now())
--- a/balancer/protocol/http_request.py
+++ b/balancer/protocol/http_request.py
@@ -17,6 +17,8 @@
 )
 KEPT_HEADERS = REQUEST_HEADERS | {b"host", b"content-type"}
 SINGLE_VALUE_HEADERS = frozenset({b"request-id", b"idempotency-key", b"request-timeout", b"host"})
+# A request as it is written; a long body stays in its own memory, behind the head.
+RenderedRequest = bytes | tuple[bytes, memoryview]
 TIMEOUT_PATTERN = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
 
 
@@ -36,7 +38,9 @@
     return number if match[2] == b"m" else number / 1000
 
 
-def render(method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes, wait_ms: float) -> bytes:
+def render(
+    method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes | memoryview, wait_ms: float
+) -> RenderedRequest:
     """Render the request that is sent to a backend; the node waits `wait_ms` for its response."""
     lines = [
         b"%b %b HTTP/1.1" % (method, target),
@@ -50,7 +54,8 @@
         lines.append(b"Content-Type: " + headers[b"content-type"])
     if body or method != b"GET":
         lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head + body if isinstance(body, bytes) else (head, body)
 
 
 def parse_work_hint(value: bytes) -> float | None:
--- a/tests/net/test_other_deployments.py
+++ b/tests/net/test_other_deployments.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from balancer.net.http_server import MAX_HEAD_BYTES
+from balancer.core.connection_admission import MAX_HEAD_BYTES
 from tests.net.test_client_gone import fronting, run, until
 from tests.sockets import LIMITS, Backend, Client
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).parents[1]
 WAIT = 20.0  # s until a test that waits for something that does not come fails
 HOUR = 3_600_000  # ms: no time-out or idle limit comes to the help of a test that does not set its own
+DOCUMENTED_BODY_BYTES = 64 * 1024  # the longest body of the protocol's page; longer ones occur
 IDS = itertools.count(1)
 CLASSES: list[dict[str, Any]] = [
     {"name": "read", "effect": "retryable", "give-up": 4000, "objective": 3000},
