Clients stuck on every connection no longer shut out others

Cause: at the limit only connections that are idle or silent were closed for a new one. Those that had an incomplete request, or their last response and half a second to read it, kept their places; kept connections of others were closed instead, and new ones rejected. Besides, each accept at the limit closed one connection more, for nobody: the slot was made before it was known that a connection waits. Change: at the limit a connection that has had its last response for 0.1 s goes first, then the oldest incomplete request of 0.5 s, with 503. Unless many are idle that comes before idle ones. A slot is made only for a connection that surely waits. The log line of rejections counts these, too.

--- a/balancer/net/client_memory.py
+++ b/balancer/net/client_memory.py
@@ -55,9 +55,9 @@
         self.unread: UnreadResponses[MemoryHolder] = UnreadResponses(budget)
         self._progress_s: dict[MemoryHolder, float] = {}  # of incomplete requests, least recent first
         budget.reclaim = self.reclaim
-        # Since the last log line: connections that were aborted as their clients do not read, and incomplete
-        # requests that were rejected.
-        self.aborted_count = self.rejected_count = 0
+        # Since the last log line: connections that were aborted as their clients do not read, incomplete
+        # requests that were rejected for memory, and those that were rejected for a new connection.
+        self.aborted_count = self.rejected_count = self.evicted_count = 0
         self.logged_at_s = -LOG_INTERVAL_S
 
     @property
@@ -151,19 +151,20 @@
             connection.abort()
 
     def _log(self) -> None:
-        if not (self.aborted_count or self.rejected_count):
+        if not (self.aborted_count or self.rejected_count or self.evicted_count):
             return
         budget, self.logged_at_s = self.budget, self.loop.time()
         log.warning(
-            "http server: %d incomplete requests rejected for memory; %d connections aborted: their clients "
-            "do not read; memory: %.1f MB resident, %.1f MB held of %.1f",
+            "http server: %d incomplete requests rejected for memory, %d for new connections; %d connections "
+            "aborted: their clients do not read; memory: %.1f MB resident, %.1f MB held of %.1f",
             self.rejected_count,
+            self.evicted_count,
             self.aborted_count,
             budget.resident_bytes / BYTES_PER_MB,
             budget.charged_bytes / BYTES_PER_MB,
             budget.capacity_bytes / BYTES_PER_MB,
         )
-        self.rejected_count = self.aborted_count = 0
+        self.rejected_count = self.evicted_count = self.aborted_count = 0
 
 
 def _use(held_bytes: int) -> Use:
--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -54,6 +54,9 @@
 # For a complete request, from the connect or, on a used connection, from its first byte.
 SLOW_REQUEST_TIMEOUT_S = 2.3
 SILENT_CONNECTION_TIMEOUT_S = 1.0  # without a byte, after which a new connection is evicted before used ones
+# At the limit on connections: before one is closed in favor of a new one.
+MIN_INCOMPLETE_S = 0.5  # since it began to send a request
+MIN_LINGERING_S = 0.1  # since its last response
 IDLE_TIMEOUT_S = 60.0  # between two requests of a connection
 IDLE_TIMEOUT_UNDER_PRESSURE_S = 2.1  # the same under idle pressure; first responses then close
 IDLE_PRESSURE_RATIO = 1 / 8
@@ -161,6 +164,7 @@
         if self.transport is not None:
             self.is_closing = self.is_aborted = True
             self.server.untrack(self)
+            self.server.lingering.pop(self, None)
             self.server.memory.unread.discard(self)
             self.server.closing_connections.add(self)
             self.transport.abort()
@@ -282,6 +286,13 @@
         self._reject(503, "too many incomplete requests")
         self.resume_input()
 
+    def evict(self) -> None:
+        """Reject an incomplete request and close at once, without waiting for the client to read."""
+        self.reject_incomplete()
+        with contextlib.suppress(OSError):  # a close over unread bytes would reset the connection
+            self.sock.recv(64 * 1024)
+        self.abort()
+
     def _escape_request_line(self, data: bytes) -> bytes:
         """Percent-encode bytes outside ASCII in the request line, which clients send and the parser refuses.
 
@@ -531,6 +542,7 @@
         if not self.is_closing and self.transport is not None:
             self.is_closing = True
             self.server.untrack(self)
+            self.server.lingering[self] = self.server.loop.time()
             with contextlib.suppress(OSError):  # the client closed first, and its end is about to be read
                 self.transport.write_eof()
             if not self.is_write_blocked:  # else `resume_writing` closes it, or the stall timeout
@@ -559,6 +571,8 @@
         self.idle: dict[ClientConnection, float] = {}
         self.unused: dict[ClientConnection, float] = {}
         self.incomplete: dict[ClientConnection, float] = {}
+        # With their last response written, and since when, oldest first.
+        self.lingering: dict[ClientConnection, float] = {}
         # Closed; their descriptors are free in a turn or two of the loop.
         self.closing_connections: set[ClientConnection] = set()
         # Set once the node has been told to shut down.
@@ -604,45 +618,63 @@
         """Listen on this address only; raises OSError."""
         await self.listener.listen(address)
 
-    def _slot_state(self) -> SlotState:
+    def _slot_state(self, is_waiting: bool) -> SlotState:
         """Whether one more connection may be accepted: a descriptor counts from accept until it is free.
 
-        If an idle connection can be closed, the new one waits for its slot instead of taking another
-        descriptor.
+        If another connection can be closed, a new one that waits gets its slot instead of a descriptor more.
         """
         if (
             len(self.connections) + len(self.listener.connecting)
             < self.max_connections + self.max_overload_connections
         ):
             return SlotState.FREE
-        if not self.closing_connections:
-            if (evicted := self._connection_to_evict()) is None:
-                return SlotState.NONE
-            evicted.close()
-        return SlotState.SOON_FREE
+        if not is_waiting or self.closing_connections or self._evict():
+            return SlotState.SOON_FREE
+        return SlotState.NONE
 
     def connection_accepted(self, connection: ClientConnection) -> None:
-        """Register a connection; over the limit an unused or idle one is closed."""
+        """Register a connection; over the limit another one is closed, if one may be."""
         self.connections.add(connection)
         self.memory.add(connection)
         self.listener.on_connected(connection)
-        if self.is_over_limit:
-            # Only new connections are rejected: a surge must not displace existing clients.
-            if (evicted := self._connection_to_evict()) is not None:
-                evicted.close()
-            else:
-                connection.is_over_limit = True
+        # Only new connections are rejected: a surge must not displace existing clients.
+        if self.is_over_limit and not self._evict():
+            connection.is_over_limit = True
         self.unused[connection] = self.incomplete[connection] = self.loop.time()
 
-    def _connection_to_evict(self) -> ClientConnection | None:
-        """A connection that stayed silent for long, else the one that has been idle longest.
+    def _evict(self) -> bool:
+        """Close a connection in favor of a new one; False if there is none that may be closed.
 
-        A close of any other might cross its first request.
+        First one that has had its last response, then one that stayed silent for long, the one that has been
+        idle longest, and the one that has been sending its request for longest. Unless many are idle, the
+        latter two change places, as clients that are stuck would shut out those that keep connections. A
+        close of any other might cross its first request.
         """
+        now_s = self.loop.time()
+        closed, since_s = next(iter(self.lingering.items()), (None, 0.0))
+        if closed is not None and now_s - since_s >= MIN_LINGERING_S:
+            closed.abort()
+            return True
         silent, since_s = next(iter(self.unused.items()), (None, 0.0))
-        if silent is not None and self.loop.time() - since_s > SILENT_CONNECTION_TIMEOUT_S:
-            return silent
-        return next(iter(self.idle), silent)
+        if silent is not None and now_s - since_s > SILENT_CONNECTION_TIMEOUT_S:
+            silent.close()
+            return True
+        if not self.is_under_idle_pressure and self._evict_incomplete(now_s):
+            return True
+        if (evicted := next(iter(self.idle), silent)) is not None:
+            evicted.close()
+            return True
+        return self._evict_incomplete(now_s)
+
+    def _evict_incomplete(self, now_s: float) -> bool:
+        for connection, since_s in self.incomplete.items():
+            if now_s - since_s < MIN_INCOMPLETE_S:
+                break
+            if connection.is_receiving_request:
+                connection.evict()
+                self.memory.evicted_count += 1
+                return True
+        return False
 
     def _sweep(self) -> None:
         """Close connections whose request is late or that have been idle for too long.
@@ -676,6 +708,7 @@
         """Remove a connection that has ended."""
         self.connections.discard(connection)
         self.closing_connections.discard(connection)
+        self.lingering.pop(connection, None)
         self.untrack(connection)
         self.memory.discard(connection)
 
--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -50,9 +50,13 @@
     def __init__(
         self,
         protocol_factory: Callable[[socket.socket], asyncio.BaseProtocol],
-        slot_state: Callable[[], SlotState],
+        slot_state: Callable[[bool], SlotState],
     ) -> None:
-        """`protocol_factory` is called with each accepted socket, `slot_state` before each accept."""
+        """`protocol_factory` is called with each accepted socket, `slot_state` before each accept.
+
+        The argument of `slot_state` is whether a connection surely waits, so that another may be closed for
+        it.
+        """
         self.protocol_factory, self.slot_state = protocol_factory, slot_state
         self.loop = asyncio.get_running_loop()
         # Accepted, without a transport yet.
@@ -104,8 +108,8 @@
 
     def _accept(self, max_accepts: int, is_last: bool = False) -> None:
         """Accept up to `max_accepts`; without a slot a connection waits, or with `is_last` is rejected."""
-        for _ in range(max_accepts):
-            slot_state = self.slot_state()
+        for accepted_count in range(max_accepts):
+            slot_state = self.slot_state(accepted_count == 0 and not is_last)
             if self.sock is None or (slot_state is SlotState.SOON_FREE and not is_last):
                 return
             try:
