Responses that arrive while the loop is held up are served, not failed

Callers saw: after hold-ups (input queue, crowds) one log line after another, 'response not attributed: sooner than any response can arrive', 13 to 60 ms after the request; each is an attempt that counts as reset: a retry, or 502 where the request is not safe to repeat. Cause: a response that was read more than 5 ms after the end of the time in which none is plausible was taken for a copy, as the loop could not tell when it had arrived; uvloop runs that timer before it reads. Change: the system tells when the last input of the connection came (tcp_info, to a tick); what came in plausible time is the response. Input that fills a read, or whose time is unknown, is not attributed, as before.

--- a/balancer/core/response_attribution.py
+++ b/balancer/core/response_attribution.py
@@ -8,7 +8,8 @@
   lateness of the second responses that were seen on idle connections.
 - *Time since the request*: no response can arrive sooner than the network and the backend allow. A copy that
   left the backend before the reuse delay was over can only be late by the variation of the network delay,
-  which is less than half of the shortest response time.
+  which is less than half of the shortest response time. After the event loop was held up, the system tells
+  when the input arrived, to a tick of its clock.
 - *Content*: where a backend's responses differ from each other, one that equals its predecessor on the
   connection is a copy.
 
@@ -118,10 +119,13 @@
         )
 
 
-def is_implausible(response_ms: float, min_plausible_ms: float) -> bool:
+def is_implausible(response_ms: float, min_plausible_ms: float, arrival_age_ms: float = math.inf) -> bool:
     """Whether a response whose plausibility timer has not fired yet cannot answer the request.
 
     `response_ms` is the time from the request to the read of the response. A read long after the timer was
-    due means that the event loop was stalled, so that the time of the arrival is unknown.
+    due means that the event loop was held up. What counts then is the earliest time of the arrival:
+    `arrival_age_ms` before the read at most, infinite if that is unknown.
     """
-    return response_ms < min_plausible_ms or response_ms > min_plausible_ms + LOOP_DELAY_TOLERANCE_MS
+    if response_ms <= min_plausible_ms + LOOP_DELAY_TOLERANCE_MS:
+        return response_ms < min_plausible_ms
+    return response_ms - arrival_age_ms < min_plausible_ms
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -29,6 +29,7 @@
 from balancer.core.stall_detector import STALL_THRESHOLD_MS
 from balancer.interface import AttemptStatus
 from balancer.net.body_buffer import BodyBuffer
+from balancer.net.input_queue import READ_BUFFER_BYTES
 from balancer.protocol.http_request import RenderedRequest
 from balancer.protocol.load_report import parse_load_report
 
@@ -201,6 +202,13 @@
             return not isinstance(err, BlockingIOError)
         return True
 
+    def _peek(self) -> int:
+        """Return how many bytes wait to be read, up to one read."""
+        try:
+            return len(self.sock.recv(READ_BUFFER_BYTES, socket.MSG_PEEK))
+        except OSError:
+            return 0
+
     def _fail(self, status: AttemptStatus) -> None:
         attempt, self.attempt, reuse_timer = self.attempt, None, self.reuse_timer
         self.close()
@@ -291,11 +299,13 @@
     def _on_response_plausible(self) -> None:
         """End the time in which no response is plausible.
 
-        uvloop runs timers before it reads sockets: after a stall, input may have arrived at any time in it.
+        uvloop runs timers before it reads sockets: after the loop was held up, input may have arrived at any
+        time.
         """
         self.plausibility_timer = None
-        late_ms = (time.monotonic() - self.written_s) * 1000 - self.min_plausible_ms
-        self.is_implausible = late_ms > LOOP_DELAY_TOLERANCE_MS and self._has_input()
+        elapsed_ms = (time.monotonic() - self.written_s) * 1000
+        if elapsed_ms > self.min_plausible_ms + LOOP_DELAY_TOLERANCE_MS and (byte_count := self._peek()):
+            self.is_implausible = self._has_arrived_early(elapsed_ms, byte_count)
 
     def _cancel_plausibility_timer(self) -> None:
         if self.plausibility_timer is not None:
@@ -351,7 +361,7 @@
             return
         if not self.response_bytes:
             self.response_ms = (time.monotonic() - self.written_s) * 1000
-            if self._is_too_early():
+            if self._is_too_early(nbytes):
                 self._fail_unattributed("sooner than any response can arrive")
                 return
         self.pool.input_queue.receive(self, data)
@@ -402,12 +412,21 @@
             log.warning("backend %s:%d: %s", *self.address, parse_error or "answer too large")
             self._fail(AttemptStatus.RESET)
 
-    def _is_too_early(self) -> bool:
+    def _is_too_early(self, byte_count: int) -> bool:
         """Whether the first bytes since the request may have arrived sooner than a response to it can."""
         if self.plausibility_timer is None:
             return self.is_implausible
         self._cancel_plausibility_timer()
-        return is_implausible(self.response_ms, self.min_plausible_ms)
+        return self._has_arrived_early(self.response_ms, byte_count)
+
+    def _has_arrived_early(self, elapsed_ms: float, byte_count: int) -> bool:
+        """Whether the input, which is looked at `elapsed_ms` after the request, cannot be the response."""
+        arrival_age_ms = math.inf
+        if elapsed_ms > self.min_plausible_ms + LOOP_DELAY_TOLERANCE_MS:
+            from balancer.net import arrival_time  # loaded only once the loop was held up
+
+            arrival_age_ms = arrival_time.max_age_ms(self.sock, byte_count)
+        return is_implausible(elapsed_ms, self.min_plausible_ms, arrival_age_ms)
 
     def _fail_unattributed(self, reason: str) -> None:
         """Fail the attempt whose response may belong to the previous request; its own is still to come.
--- a/tests/core/test_response_attribution.py
+++ b/tests/core/test_response_attribution.py
@@ -130,3 +130,9 @@
     assert is_implausible(4.9, 5.0)
     assert not is_implausible(5.0 + LOOP_DELAY_TOLERANCE_MS, 5.0)
     assert is_implausible(5.1 + LOOP_DELAY_TOLERANCE_MS, 5.0)
+
+
+def test_response_read_after_a_stall_counts_from_its_earliest_arrival() -> None:
+    assert not is_implausible(40.0, 5.0, arrival_age_ms=35.0)
+    assert is_implausible(40.0, 5.0, arrival_age_ms=35.1)
+    assert is_implausible(4.9, 5.0, arrival_age_ms=0.0)
--- a/tests/net/test_late_second_response.py
+++ b/tests/net/test_late_second_response.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 import time
 
@@ -16,6 +17,8 @@
     REUSE_DELAY_MS,
 )
 from balancer.interface import AttemptStatus
+from balancer.net import arrival_time
+from balancer.net.input_queue import READ_BUFFER_BYTES
 from tests.net.test_backend_pool import LOOPS, NewLoop, PoolHarness, run
 from tests.sockets import answer
 
@@ -67,6 +70,30 @@
     run(test, new_loop)
 
 
+@LOOPS
+def test_own_response_that_arrives_in_plausible_time_of_a_stall_is_served(new_loop: NewLoop) -> None:
+    """Guards against responses that are failed because the loop was held up as they arrived."""
+
+    async def test() -> None:
+        harness = PoolHarness()
+        harness.measure([50.0] * MIN_RESPONSE_TIMES)
+        peer = await reuse_connection(harness, answer(b"mine"), 50.0)
+        time.sleep(0.3)  # the loop is held up from the request on, until long after the response
+        peer.sendall(answer(b"yours"))
+        time.sleep(0.05)
+        assert (await harness.wait_ended(2)).body == b"yours"
+        harness.close()
+
+    run(test, new_loop)
+
+
+def test_arrival_time_of_input_that_fills_a_read_is_unknown() -> None:
+    left, right = socket.socketpair()  # no TCP either
+    with left, right:
+        assert arrival_time.max_age_ms(left, READ_BUFFER_BYTES) == math.inf
+        assert arrival_time.max_age_ms(left, 1) == math.inf
+
+
 @LOOPS
 def test_own_response_in_plausible_time_is_served_and_keeps_connection(new_loop: NewLoop) -> None:
     async def test() -> None:
