A new connection is not closed for another new one before its first request

Callers saw: one first request in some thousands reset, without an answer, while connections are at their limit. Cause: where no connection was idle the youngest silent one was closed for the next to come, and the close crossed its first request. Change: only a connection that is silent for a second is; where there is none, the new one gets 503.

--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -53,7 +53,7 @@
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 # For a complete request, from the connect or, on a used connection, from its first byte.
 SLOW_REQUEST_TIMEOUT_S = 2.3
-SILENT_CONNECTION_TIMEOUT_S = 1.0  # without a byte, after which a new connection is evicted before used ones
+SILENT_CONNECTION_TIMEOUT_S = 1.0  # without a byte, after which a new connection may be evicted
 # At the limit on connections: before one is closed in favor of a new one.
 MIN_INCOMPLETE_S = 0.5  # since it began to send a request
 MIN_LINGERING_S = 0.1  # since its last response
@@ -661,8 +661,8 @@
             return True
         if not self.is_under_idle_pressure and self._evict_incomplete(now_s):
             return True
-        if (evicted := next(iter(self.idle), silent)) is not None:
-            evicted.close()
+        if (idle := next(iter(self.idle), None)) is not None:
+            idle.close()
             return True
         return self._evict_incomplete(now_s)
 
--- a/tests/net/test_connection_eviction.py
+++ b/tests/net/test_connection_eviction.py
@@ -10,6 +10,7 @@
 from balancer.net import http_server as http_server_module
 from balancer.net.http_server import HttpServer
 from tests.net.test_connection_memory import connect
+from tests.net.test_graceful_shutdown import never_respond
 from tests.net.test_http_server import run, running_http_server, until
 from tests.sockets import HOUR, PATIENT, Backend, Client
 
@@ -114,6 +115,32 @@
     run(test)
 
 
+def test_new_connection_keeps_its_place_where_all_others_are_busy(tmp_path: Path) -> None:
+    """Guards against a first request that is reset, as its connection was closed for another new one."""
+
+    async def test() -> None:
+        async with running_http_server(
+            tmp_path,
+            Backend("b0", never_respond),
+            max_connections=2,
+            max_overload_connections=1,
+            settings=PATIENT,
+        ) as http_server:
+            busy = Client(*await asyncio.open_connection(*http_server.address))
+            busy.send("/read")
+            await until(lambda: http_server.node.open_requests)
+            new = Client(*await asyncio.open_connection(*http_server.address))
+            await until(lambda: http_server.unused)
+            rejected = [await connect(http_server, b"") for _ in range(2)]
+            assert {(await client.ask("/read")).code for client in rejected} == {503}
+            new.send("/read")
+            await until(lambda: len(http_server.node.open_requests) == 2)
+            for client in (busy, new, *rejected):
+                client.writer.transport.abort()
+
+    run(test)
+
+
 def test_connection_that_has_had_its_last_response_gives_its_place(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
