At the limit on connections new ones wait briefly, and their deadlines count from arrival

Cause: at the limit one slot was made in two to three turns of the loop, however many waited, so the backlog of the listening socket took over a second; a request's time began only as it was read. Change: the system tells how many wait; as many slots are made at once. What exceeds them waits 0.05 s at most (net/accept_backlog), then gets its 503; connections that were closed meanwhile take no slot. The deadline of a first request counts from its arrival, as the system tells it, where its connection had to wait. A connection silent for 0.03 s may be closed if nothing has arrived on it.

--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -29,7 +29,7 @@
 from balancer.interface import Idempotency
 from balancer.net.body_buffer import BodyBuffer
 from balancer.net.input_queue import READ_BUFFER_BYTES
-from balancer.net.listener import Listener, SlotState
+from balancer.net.listener import Listener
 from balancer.net.request_dispatcher import RequestDispatcher
 from balancer.protocol.http_request import (
     KEPT_HEADERS,
@@ -57,6 +57,8 @@
 # At the limit on connections: before one is closed in favor of a new one.
 MIN_INCOMPLETE_S = 0.5  # since it began to send a request
 MIN_LINGERING_S = 0.1  # since its last response
+MIN_SILENT_S = 0.03  # since it was accepted, without a byte
+MAX_EVICTIONS = 64  # in a turn of the loop
 IDLE_TIMEOUT_S = 60.0  # between two requests of a connection
 IDLE_TIMEOUT_UNDER_PRESSURE_S = 2.1  # the same under idle pressure; first responses then close
 IDLE_PRESSURE_RATIO = 1 / 8
@@ -81,8 +83,10 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """One client connection; it carries one request at a time."""
 
-    def __init__(self, server: HttpServer, sock: socket.socket) -> None:
+    def __init__(self, server: HttpServer, sock: socket.socket, max_wait_s: float = 0.0) -> None:
+        """`max_wait_s` is for how long the connection may have waited to be accepted."""
         self.server, self.node, self.sock = server, server.node, sock
+        self.max_wait_s = max_wait_s
         self.allowance = ParsingAllowance()
         self.transport: asyncio.Transport | None = None
         self.request_id: str | None = None  # ID of the open request
@@ -221,6 +225,16 @@
         except OSError:  # the descriptor is closed, or the system does not tell
             return self.sock.fileno() < 0
 
+    def has_input(self) -> bool:
+        """Whether input, or the end of the connection, waits to be read or parsed."""
+        if self in self.node.input_queue:
+            return True
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except OSError as err:
+            return not isinstance(err, BlockingIOError)
+        return True
+
     @property
     def may_parse(self) -> bool:
         """Bounds memory against clients that send requests and do not read responses."""
@@ -455,7 +469,7 @@
         event = api.RequestArrived(
             request=request_id,
             class_name=request_class.name,
-            deadline_ms=now + timeout_ms,
+            deadline_ms=now + timeout_ms - self._wait_ms(),
             is_retry=headers.get(b"client-retry") == b"1",
             idempotency_key=idempotency_keys[0] if idempotency_keys else None,
             tenant=headers[b"tenant"].decode("latin-1") if b"tenant" in headers else None,
@@ -466,6 +480,15 @@
         target = self.raw_target or self.target
         node.request_arrived(event, self, partial(render, method, target, headers, self.body.take()))
 
+    def _wait_ms(self) -> float:
+        """Return for how long the first request waited, as its connection was not accepted at once."""
+        max_wait_ms, self.max_wait_s = self.max_wait_s * 1000, 0.0
+        if not max_wait_ms:
+            return 0.0
+        from balancer.net import arrival_time  # loaded only once connections wait
+
+        return min(max_wait_ms, arrival_time.max_age_ms(self.sock, self.request_bytes))
+
     # --- responses
 
     def served(self, body: bytes | memoryview, content_type: bytes) -> None:
@@ -577,7 +600,7 @@
         self.closing_connections: set[ClientConnection] = set()
         # Set once the node has been told to shut down.
         self.shutdown_deadlines: ShutdownDeadlines | None = None
-        self.listener = Listener(partial(ClientConnection, self), self._slot_state)
+        self.listener = Listener(partial(ClientConnection, self), self._has_slot, self._make_slots)
         self.sweep_timer, self.swept_at_s = (
             self.loop.call_later(SWEEP_INTERVAL_S, self._sweep),
             self.loop.time(),
@@ -600,7 +623,8 @@
     @property
     def is_over_limit(self) -> bool:
         """Whether there are more client connections than the limit, or than memory allows."""
-        return len(self.connections) > self.max_connections or not self.memory.may_hold_connections
+        served_count = len(self.connections) - len(self.closing_connections)
+        return served_count > self.max_connections or not self.memory.may_hold_connections
 
     @property
     def is_under_idle_pressure(self) -> bool:
@@ -618,28 +642,27 @@
         """Listen on this address only; raises OSError."""
         await self.listener.listen(address)
 
-    def _slot_state(self, is_waiting: bool) -> SlotState:
-        """Whether one more connection may be accepted: a descriptor counts from accept until it is free.
+    def _has_slot(self, is_for_one_response: bool) -> bool:
+        """Whether one more connection may be accepted: a descriptor counts from accept until it is free."""
+        count = len(self.connections) + len(self.listener.connecting)
+        if is_for_one_response or count >= self.max_connections + self.max_overload_connections:
+            return count < self.max_connections + self.max_overload_connections
+        has_place = count - len(self.closing_connections) < self.max_connections
+        return has_place and self.memory.may_hold_connections
 
-        If another connection can be closed, a new one that waits gets its slot instead of a descriptor more.
-        """
-        if (
-            len(self.connections) + len(self.listener.connecting)
-            < self.max_connections + self.max_overload_connections
-        ):
-            return SlotState.FREE
-        if not is_waiting or self.closing_connections or self._evict():
-            return SlotState.SOON_FREE
-        return SlotState.NONE
+    def _make_slots(self, wanted_count: int) -> int:
+        """Close connections for so many new ones, as far as they may be; returns how many close."""
+        while len(self.closing_connections) < min(wanted_count, MAX_EVICTIONS) and self._evict():
+            pass
+        return len(self.closing_connections)
 
     def connection_accepted(self, connection: ClientConnection) -> None:
-        """Register a connection; over the limit another one is closed, if one may be."""
+        """Register a connection; over the limit it gets one response."""
         self.connections.add(connection)
         self.memory.add(connection)
         self.listener.on_connected(connection)
         # Only new connections are rejected: a surge must not displace existing clients.
-        if self.is_over_limit and not self._evict():
-            connection.is_over_limit = True
+        connection.is_over_limit = self.is_over_limit
         self.unused[connection] = self.incomplete[connection] = self.loop.time()
 
     def _evict(self) -> bool:
@@ -647,24 +670,31 @@
 
         First one that has had its last response, then one that stayed silent for long, the one that has been
         idle longest, and the one that has been sending its request for longest. Unless many are idle, the
-        latter two change places, as clients that are stuck would shut out those that keep connections. A
-        close of any other might cross its first request.
+        latter two change places, as clients that are stuck would shut out those that keep connections. Last
+        comes one that is silent for a moment. A close of any other might cross its first request.
         """
         now_s = self.loop.time()
         closed, since_s = next(iter(self.lingering.items()), (None, 0.0))
         if closed is not None and now_s - since_s >= MIN_LINGERING_S:
             closed.abort()
             return True
-        silent, since_s = next(iter(self.unused.items()), (None, 0.0))
-        if silent is not None and now_s - since_s > SILENT_CONNECTION_TIMEOUT_S:
-            silent.close()
+        if self._evict_silent(now_s, SILENT_CONNECTION_TIMEOUT_S):
             return True
         if not self.is_under_idle_pressure and self._evict_incomplete(now_s):
             return True
         if (idle := next(iter(self.idle), None)) is not None:
             idle.close()
             return True
-        return self._evict_incomplete(now_s)
+        return self._evict_incomplete(now_s) or self._evict_silent(now_s, MIN_SILENT_S)
+
+    def _evict_silent(self, now_s: float, min_silent_s: float) -> bool:
+        for connection, since_s in self.unused.items():
+            if now_s - since_s < min_silent_s:
+                break
+            if not connection.has_input():
+                connection.close()
+                return True
+        return False
 
     def _evict_incomplete(self, now_s: float) -> bool:
         for connection, since_s in self.incomplete.items():
--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import enum
 import errno
 import logging
 import os
@@ -16,14 +15,19 @@
 import socket
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING
 
 from balancer.endpoints import Address
 
+if TYPE_CHECKING:
+    from balancer.net.accept_backlog import AcceptBacklog
+
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
 ACCEPT_BATCH = 64  # between two turns of the loop
 ACCEPT_PAUSE_S = 0.1  # until the next attempt if the reserve descriptor does not help either
+BACKLOG_POLL_S = 0.005  # between looks for a free slot while connections wait
 LOG_INTERVAL_S = 10.0  # between log lines about a shortage of descriptors
 SERVICE_UNAVAILABLE_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 5\r\n\r\nbusy\n"
@@ -31,33 +35,27 @@
 DESCRIPTOR_ERRNOS = (errno.EMFILE, errno.ENFILE)
 
 
-class SlotState(enum.Enum):
-    """What happens to the next connection."""
-
-    FREE = enum.auto()  # it is accepted
-    SOON_FREE = enum.auto()  # it waits until a closing one is gone, a turn or two of the loop
-    NONE = enum.auto()  # it is rejected
-
-
 class Listener:
     """Accepts connections on one address and makes a protocol of each.
 
     One descriptor is kept in reserve. On EMFILE and ENFILE (accept(2)) it is closed for a moment, to answer a
-    waiting client with 503; else connections hang in the kernel while the loop spins over them. Accepts as
-    many connections as `slot_state` allows, and `ACCEPT_BATCH` between two turns of the loop.
+    waiting client with 503; else connections hang in the kernel while the loop spins over them. Accepts
+    connections while there are slots, and `ACCEPT_BATCH` between two turns of the loop.
     """
 
     def __init__(
         self,
-        protocol_factory: Callable[[socket.socket], asyncio.BaseProtocol],
-        slot_state: Callable[[bool], SlotState],
+        protocol_factory: Callable[[socket.socket, float], asyncio.BaseProtocol],
+        has_slot: Callable[[bool], bool],
+        make_slots: Callable[[int], int],
     ) -> None:
-        """`protocol_factory` is called with each accepted socket, `slot_state` before each accept.
+        """`protocol_factory` is called with each accepted socket and for how long it may have waited, in s.
 
-        The argument of `slot_state` is whether a connection surely waits, so that another may be closed for
-        it.
+        `has_slot` is called before each accept, and with True for a slot that only gets one response. Without
+        a slot `make_slots` is, with the number of connections that wait; it returns how many slots become
+        free in a turn or two of the loop.
         """
-        self.protocol_factory, self.slot_state = protocol_factory, slot_state
+        self.protocol_factory, self.has_slot, self.make_slots = protocol_factory, has_slot, make_slots
         self.loop = asyncio.get_running_loop()
         # Accepted, without a transport yet.
         self.connecting: dict[asyncio.BaseProtocol, asyncio.Task[object]] = {}
@@ -65,6 +63,7 @@
         self._reserve_descriptor: int | None = None
         self._resume_timer: asyncio.TimerHandle | None = None
         self._logged_at_s = -LOG_INTERVAL_S
+        self._backlog: AcceptBacklog | None = None  # set once a connection had to wait
 
     async def listen(self, address: Address) -> None:
         """Listen on this address only; raises OSError."""
@@ -107,14 +106,20 @@
         self._accept(ACCEPT_BATCH)
 
     def _accept(self, max_accepts: int, is_last: bool = False) -> None:
-        """Accept up to `max_accepts`; without a slot a connection waits, or with `is_last` is rejected."""
-        for accepted_count in range(max_accepts):
-            slot_state = self.slot_state(accepted_count == 0 and not is_last)
-            if self.sock is None or (slot_state is SlotState.SOON_FREE and not is_last):
+        """Accept up to `max_accepts`; without a slot a connection waits for one that becomes free.
+
+        It is rejected if there is none, if too many wait for too long, or with `is_last`.
+        """
+        for _ in range(max_accepts):
+            if self.sock is None:
+                return
+            if not (self.has_slot(False) or is_last) and self._leave_waiting():
                 return
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
+                if self._backlog is not None:
+                    self._backlog.clear()
                 return
             except ConnectionError:
                 continue  # the client has already disconnected
@@ -122,16 +127,48 @@
                 if err.errno in DESCRIPTOR_ERRNOS and self._reject_with_reserve():
                     continue
                 if not is_last:
-                    self._pause(err)
+                    self._log_limited(
+                        f"listener: accept failed: {err.strerror}; next attempt in {ACCEPT_PAUSE_S:g} s"
+                    )
+                    self._pause(ACCEPT_PAUSE_S)
                 return
-            if slot_state is SlotState.FREE:
-                self._connect(sock)
-            else:
-                _reject(sock)
+            self._handle_accepted(sock)
+
+    def _handle_accepted(self, sock: socket.socket) -> None:
+        max_wait_s = 0.0
+        if (backlog := self._backlog) is not None:
+            from balancer.net.accept_backlog import has_ended
+
+            backlog.group_count -= 1
+            max_wait_s = backlog.max_wait_s(self.loop.time())
+            if max_wait_s and has_ended(sock):
+                sock.close()  # the client gave up while it waited
+                return
+        if self.has_slot(True):
+            self._connect(sock, max_wait_s)
+        else:
+            _reject(sock)
+
+    def _leave_waiting(self) -> bool:
+        """Leave the connections in the backlog for slots that become free; False if the next is rejected."""
+        assert self.sock is not None
+        if (backlog := self._backlog) is None:
+            from balancer.net.accept_backlog import AcceptBacklog
+
+            backlog = self._backlog = AcceptBacklog(self.sock)
+        if not (waiting_count := backlog.waiting_count()):
+            backlog.clear()
+            return True
+        has_waited = backlog.has_waited(self.loop.time(), waiting_count)
+        if self.make_slots(waiting_count) >= waiting_count:
+            return True
+        if not has_waited:
+            self._pause(BACKLOG_POLL_S)
+        return not has_waited
 
-    def _connect(self, sock: socket.socket) -> None:
+    def _connect(self, sock: socket.socket, max_wait_s: float) -> None:
         sock.setblocking(False)
-        protocol = self.protocol_factory(sock)
+        protocol = self.protocol_factory(sock, max_wait_s)
         task: asyncio.Task[object] = self.loop.create_task(
             self.loop.connect_accepted_socket(lambda: protocol, sock)
         )
@@ -164,12 +201,11 @@
         finally:
             self._open_reserve()
 
-    def _pause(self, err: OSError) -> None:
+    def _pause(self, duration_s: float) -> None:
         """Pause accepting: the loop would spin over a connection that it cannot accept."""
-        self._log_limited(f"listener: accept failed: {err.strerror}; next attempt in {ACCEPT_PAUSE_S:g} s")
         assert self.sock is not None
         self.loop.remove_reader(self.sock)
-        self._resume_timer = self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+        self._resume_timer = self.loop.call_later(duration_s, self._resume)
 
     def _resume(self) -> None:
         if self.sock is not None:
--- a/tests/net/test_connection_eviction.py
+++ b/tests/net/test_connection_eviction.py
@@ -115,8 +115,11 @@
     run(test)
 
 
-def test_new_connection_keeps_its_place_where_all_others_are_busy(tmp_path: Path) -> None:
+def test_new_connection_keeps_its_place_where_all_others_are_busy(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against a first request that is reset, as its connection was closed for another new one."""
+    monkeypatch.setattr(http_server_module, "MIN_SILENT_S", HOUR)
 
     async def test() -> None:
         async with running_http_server(
@@ -141,6 +144,28 @@
     run(test)
 
 
+def test_silent_connection_whose_request_has_arrived_is_not_closed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_server_module, "MIN_SILENT_S", 0.0)
+
+    async def test() -> None:
+        async with running_http_server(tmp_path, Backend("b0"), settings=PATIENT) as http_server:
+            client = Client(*await asyncio.open_connection(*http_server.address))
+            await until(lambda: http_server.unused)
+            client.send("/read")  # the kernel has it, and the node's loop does not turn
+            assert not http_server._evict()
+            assert (await client.answer()).code == 200
+            silent = Client(*await asyncio.open_connection(*http_server.address))
+            await until(lambda: http_server.unused)
+            http_server.idle.clear()
+            assert http_server._evict()
+            assert await silent.ended() == b""
+            client.writer.transport.abort()
+
+    run(test)
+
+
 def test_connection_that_has_had_its_last_response_gives_its_place(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
