--- a/balancer/testbed/backend_emulator.py
+++ b/balancer/testbed/backend_emulator.py
@@ -37,7 +37,7 @@
 from balancer.testbed.service_profile import RequestClass, Site
 from balancer.testbed.slow_start_model import ColdStartBudget, warm_up_share
 
-MAX_BODY_BYTES = 64 * 1024
+MAX_BODY_BYTES = 1024 * 1024
 MAX_REMEMBERED_KEYS = 100_000  # that a group remembers; the oldest are evicted
 FLEET_NUMBERS = itertools.count()  # numbers the fleets of this process
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0: a close resets the connection
--- a/balancer/testbed/cluster.py
+++ b/balancer/testbed/cluster.py
@@ -123,7 +123,7 @@
             "listen": f"{self.host}:{self.port}",
             "discovery": self.agent.identity,
             "seed": f"{world.rng.getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": world.memory_limit_mb, "sockets": world.descriptor_limit},
             "known": self.known,
             "settings": world.site.settings(self.number, world.node_count),
         }
@@ -345,6 +345,7 @@
     ) -> None:
         self.program = program
         self.memory = self.known_stays = self.gossip = False
+        self.memory_limit_mb, self.descriptor_limit = 192, 1024  # the limits in the nodes' configurations
         self.hub: UdpFaultMesh | None = None
         self.short = tempfile.TemporaryDirectory(prefix="dp-")  # a Unix socket's name may not be long
         self.wired, self.paths = wired, dict[tuple[str, str], list[TcpFaultProxy]]()
--- a/balancer/testbed/memory_load/clients.py
+++ b/balancer/testbed/memory_load/clients.py
@@ -61,6 +61,7 @@
     seconds: float
     seed: int
     counts: Mapping[Behavior, int]
+    id_prefix: str = "stuck"  # of the ids of requests
 
     def to_json(self) -> str:
         """Return the form that the program takes as its argument."""
@@ -111,7 +112,7 @@
 
     def _head(self, *fields: str, has_body: bool = True) -> bytes:
         self.request_count += 1
-        request_id = f"{self.plan.seed & 0xFFFF:04x}f{self.number:04x}{self.request_count:07x}"
+        request_id = f"{self.plan.id_prefix}-{self.number}-{self.request_count}"
         line = f"POST {self.plan.path}" if has_body else f"GET {self.plan.read_path}"
         lines = [
             f"{line} HTTP/1.1",
--- a/balancer/testbed/memory_load/slow_backends.py
+++ b/balancer/testbed/memory_load/slow_backends.py
@@ -29,6 +29,7 @@
     backends: int = 24
     delay_s: float = 2.5  # of requests with a body
     response_bytes: int = 200  # to requests without a body
+    list_interval_s: float = 0.0  # between two snapshots of the list on a watch; 0: none
     seed: int = 1
 
     def to_json(self) -> str:
@@ -43,6 +44,7 @@
         self.plan = plan
         self.rng = random.Random(plan.seed)
         self.ports: list[int] = []
+        self.revision = 41
         self.servers: list[asyncio.Server] = []
 
     async def start(self) -> dict[str, Any]:
@@ -70,7 +72,7 @@
             }
             for number, port in enumerate(self.ports)
         ]
-        return {"revision": 41, "complete": True, "members": members}
+        return {"revision": self.revision, "complete": True, "members": members}
 
     async def _serve_backend(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
@@ -98,7 +100,11 @@
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             while not writer.is_closing():
                 writer.write(b"1\r\n\n\r\n")
-                await asyncio.sleep(HEARTBEAT_S)
+                await asyncio.sleep(self.plan.list_interval_s or HEARTBEAT_S)
+                if self.plan.list_interval_s:
+                    self.revision += 1
+                    data = json.dumps(self._list()).encode() + b"\n"
+                    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
 
 
 async def run(plan: BackendPlan) -> None:
--- a/benchmarks/memory_mixes.py
+++ b/benchmarks/memory_mixes.py
@@ -24,6 +24,7 @@
     parser.add_argument("--sockets", type=int, default=1024)
     parser.add_argument("--backends", type=int, default=24)
     parser.add_argument("--delay", type=float, default=2.5, help="of backends, in seconds")
+    parser.add_argument("--list-interval", type=float, default=0.0, help="between snapshots, in seconds")
     parser.add_argument("--response-bytes", type=int, default=200)
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--seed", type=int, default=1)
@@ -32,7 +33,10 @@
     options = parser.parse_args()
     counts = {Behavior(name): int(count) for name, _, count in (one.partition("=") for one in options.counts)}
     backend_plan = BackendPlan(
-        backends=options.backends, delay_s=options.delay, response_bytes=options.response_bytes
+        backends=options.backends,
+        delay_s=options.delay,
+        response_bytes=options.response_bytes,
+        list_interval_s=options.list_interval,
     )
     with tempfile.TemporaryDirectory() as directory:
         result = uvloop.run(
--- a/tests/testbed/test_invariant_checker.py
+++ b/tests/testbed/test_invariant_checker.py
@@ -248,6 +248,10 @@
     late = [*asked("r1", "read", 1_000), *answered("r1", 5_200, status=503)]
     assert verdict(*stop, late).ok
     one(verdict(late), 1, "r1", "after its deadline")
+    # Any other signal waits until it goes on.
+    told_to_end = NodeSignalled("n0", 1_200, "SIGTERM")
+    assert verdict(stop[0], told_to_end, stop[1], late).ok
+    one(verdict(stop[0], replace(stop[1], at_ms=1_200), late), 1, "r1", "after its deadline")
     # Its clients give up while it stands still; one that is asked once it goes on is owed as ever.
     assert verdict(*stop, asked("r1", "read", 1_000), served("r2", "read", 9_000)).ok
     one(verdict(*stop, asked("r1", "read", 5_200), served("r2", "read", 19_000)), 1, "r1", "no answer")
