Which connection gives its place is decided in net/connection_eviction

Need: http_server has had several jobs for long. Change: the choice moves to a module of its own, loaded only once every slot is taken; at most 64 connections close in a turn, as many as are accepted. The memory measurement tells the node's processor time.

--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -53,12 +53,6 @@
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 # For a complete request, from the connect or, on a used connection, from its first byte.
 SLOW_REQUEST_TIMEOUT_S = 2.3
-SILENT_CONNECTION_TIMEOUT_S = 1.0  # without a byte, after which a new connection may be evicted
-# At the limit on connections: before one is closed in favor of a new one.
-MIN_INCOMPLETE_S = 0.5  # since it began to send a request
-MIN_LINGERING_S = 0.1  # since its last response
-MIN_SILENT_S = 0.03  # since it was accepted, without a byte
-MAX_EVICTIONS = 64  # in a turn of the loop
 IDLE_TIMEOUT_S = 60.0  # between two requests of a connection
 IDLE_TIMEOUT_UNDER_PRESSURE_S = 2.1  # the same under idle pressure; first responses then close
 IDLE_PRESSURE_RATIO = 1 / 8
@@ -652,7 +646,9 @@
 
     def _make_slots(self, wanted_count: int) -> int:
         """Close connections for so many new ones, as far as they may be; returns how many close."""
-        while len(self.closing_connections) < min(wanted_count, MAX_EVICTIONS) and self._evict():
+        from balancer.net.connection_eviction import evict  # loaded only once every slot is taken
+
+        while len(self.closing_connections) < wanted_count and evict(self):
             pass
         return len(self.closing_connections)
 
@@ -665,47 +661,6 @@
         connection.is_over_limit = self.is_over_limit
         self.unused[connection] = self.incomplete[connection] = self.loop.time()
 
-    def _evict(self) -> bool:
-        """Close a connection in favor of a new one; False if there is none that may be closed.
-
-        First one that has had its last response, then one that stayed silent for long, the one that has been
-        idle longest, and the one that has been sending its request for longest. Unless many are idle, the
-        latter two change places, as clients that are stuck would shut out those that keep connections. Last
-        comes one that is silent for a moment. A close of any other might cross its first request.
-        """
-        now_s = self.loop.time()
-        closed, since_s = next(iter(self.lingering.items()), (None, 0.0))
-        if closed is not None and now_s - since_s >= MIN_LINGERING_S:
-            closed.abort()
-            return True
-        if self._evict_silent(now_s, SILENT_CONNECTION_TIMEOUT_S):
-            return True
-        if not self.is_under_idle_pressure and self._evict_incomplete(now_s):
-            return True
-        if (idle := next(iter(self.idle), None)) is not None:
-            idle.close()
-            return True
-        return self._evict_incomplete(now_s) or self._evict_silent(now_s, MIN_SILENT_S)
-
-    def _evict_silent(self, now_s: float, min_silent_s: float) -> bool:
-        for connection, since_s in self.unused.items():
-            if now_s - since_s < min_silent_s:
-                break
-            if not connection.has_input():
-                connection.close()
-                return True
-        return False
-
-    def _evict_incomplete(self, now_s: float) -> bool:
-        for connection, since_s in self.incomplete.items():
-            if now_s - since_s < MIN_INCOMPLETE_S:
-                break
-            if connection.is_receiving_request:
-                connection.evict()
-                self.memory.evicted_count += 1
-                return True
-        return False
-
     def _sweep(self) -> None:
         """Close connections whose request is late or that have been idle for too long.
 
--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -160,7 +160,7 @@
             backlog.clear()
             return True
         has_waited = backlog.has_waited(self.loop.time(), waiting_count)
-        if self.make_slots(waiting_count) >= waiting_count:
+        if self.make_slots(min(waiting_count, ACCEPT_BATCH)) >= waiting_count:
             return True
         if not has_waited:
             self._pause(BACKLOG_POLL_S)
--- a/balancer/testbed/memory_load/measurement.py
+++ b/balancer/testbed/memory_load/measurement.py
@@ -58,6 +58,7 @@
     idle_mb: float = 0.0
     peak_mb: float = 0.0
     final_mb: float = 0.0
+    cpu_s: float = 0.0  # processor time of the node under load
     exit_code: int | None = None  # of a node that ended by itself
     usual: Counter[str] = field(default_factory=Counter)  # usual requests by status
     latencies_ms: list[float] = field(default_factory=list)  # of those that were served
@@ -78,6 +79,7 @@
         latencies = sorted(self.latencies_ms) or [0.0]
         return (
             f"idle {self.idle_mb:.1f} peak {self.peak_mb:.1f} final {self.final_mb:.1f} MB, "
+            f"{self.cpu_s:.2f} s of processor time, "
             f"usual served {self.served_ratio:.3f} of {self.usual.total()} {dict(self.usual)}, "
             f"p99 {latencies[int(0.99 * (len(latencies) - 1))]:.0f} ms, exit {self.exit_code}, {self.stuck}"
         )
@@ -93,6 +95,15 @@
     return int(lines[0].split()[1]) * 1024 / BYTES_PER_MB if lines else 0.0
 
 
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process, in seconds; 0 if it has ended."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return 0.0
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 @contextlib.asynccontextmanager
 async def program(*arguments: str, **options: Any) -> AsyncIterator[asyncio.subprocess.Process]:
     """Run a program of this repository; it is killed at the end."""
@@ -209,13 +220,14 @@
             port = await _log_until_ready(node, result.log)
             reading = asyncio.create_task(_read_log(node, result.log))
             await asyncio.sleep(SETTLE_S)
-            result.idle_mb = memory_mb(node.pid, "VmRSS")
+            result.idle_mb, started_cpu_s = memory_mb(node.pid, "VmRSS"), cpu_s(node.pid)
             plan = ClientPlan("127.0.0.1", port, "/booking", "/search", seconds, seed, counts)
             async with program(f"{name}.clients", plan.to_json(), stdout=pipe) as clients:
                 assert clients.stdout is not None
                 await UsualClients(port, result).run(seconds)
                 result.stuck = json.loads(await clients.stdout.readline() or "{}")
             result.peak_mb, result.final_mb = memory_mb(node.pid, "VmHWM"), memory_mb(node.pid, "VmRSS")
+            result.cpu_s = cpu_s(node.pid) - started_cpu_s
             result.exit_code = node.returncode
         await reading
     return result
--- a/tests/net/test_accept_backlog.py
+++ b/tests/net/test_accept_backlog.py
@@ -9,8 +9,7 @@
 import pytest
 
 from balancer import interface as api
-from balancer.net import accept_backlog
-from balancer.net import http_server as http_server_module
+from balancer.net import accept_backlog, connection_eviction
 from balancer.net.accept_backlog import MAX_WAIT_S, AcceptBacklog, has_ended
 from tests.net.test_graceful_shutdown import never_respond
 from tests.net.test_http_server import run, running_http_server, until
@@ -65,7 +64,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a first request that is rejected behind connections of clients that have left."""
-    monkeypatch.setattr(http_server_module, "MIN_SILENT_S", HOUR)
+    monkeypatch.setattr(connection_eviction, "MIN_SILENT_S", HOUR)
 
     async def test() -> None:
         async with running_http_server(
--- a/tests/net/test_connection_eviction.py
+++ b/tests/net/test_connection_eviction.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from balancer.net import connection_eviction
 from balancer.net import http_server as http_server_module
 from balancer.net.http_server import HttpServer
 from tests.net.test_connection_memory import connect
@@ -21,7 +22,7 @@
 @pytest.fixture(autouse=True)
 def slow_requests_are_not_timed_out(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(http_server_module, "SLOW_REQUEST_TIMEOUT_S", HOUR)
-    monkeypatch.setattr(http_server_module, "SILENT_CONNECTION_TIMEOUT_S", HOUR)
+    monkeypatch.setattr(connection_eviction, "SILENT_TIMEOUT_S", HOUR)
 
 
 async def stuck_clients(http_server: HttpServer, count: int) -> list[Client]:
@@ -37,7 +38,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against clients stuck in trailers on every connection: others were reset or rejected."""
-    monkeypatch.setattr(http_server_module, "MIN_INCOMPLETE_S", 0.0)
+    monkeypatch.setattr(connection_eviction, "MIN_INCOMPLETE_S", 0.0)
 
     async def test() -> None:
         async with running_http_server(
@@ -55,7 +56,7 @@
 
 
 def test_request_that_just_began_keeps_its_place(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(http_server_module, "MIN_INCOMPLETE_S", HOUR)
+    monkeypatch.setattr(connection_eviction, "MIN_INCOMPLETE_S", HOUR)
 
     async def test() -> None:
         async with running_http_server(
@@ -74,7 +75,7 @@
 def test_kept_connections_stay_while_requests_are_stuck(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(http_server_module, "MIN_INCOMPLETE_S", 0.0)
+    monkeypatch.setattr(connection_eviction, "MIN_INCOMPLETE_S", 0.0)
     monkeypatch.setattr(http_server_module, "IDLE_PRESSURE_RATIO", 0.5)
 
     async def test() -> None:
@@ -97,7 +98,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A close could cross its first request."""
-    monkeypatch.setattr(http_server_module, "MIN_INCOMPLETE_S", 0.0)
+    monkeypatch.setattr(connection_eviction, "MIN_INCOMPLETE_S", 0.0)
 
     async def test() -> None:
         async with running_http_server(
@@ -119,7 +120,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a first request that is reset, as its connection was closed for another new one."""
-    monkeypatch.setattr(http_server_module, "MIN_SILENT_S", HOUR)
+    monkeypatch.setattr(connection_eviction, "MIN_SILENT_S", HOUR)
 
     async def test() -> None:
         async with running_http_server(
@@ -147,19 +148,19 @@
 def test_silent_connection_whose_request_has_arrived_is_not_closed(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(http_server_module, "MIN_SILENT_S", 0.0)
+    monkeypatch.setattr(connection_eviction, "MIN_SILENT_S", 0.0)
 
     async def test() -> None:
         async with running_http_server(tmp_path, Backend("b0"), settings=PATIENT) as http_server:
             client = Client(*await asyncio.open_connection(*http_server.address))
             await until(lambda: http_server.unused)
             client.send("/read")  # the kernel has it, and the node's loop does not turn
-            assert not http_server._evict()
+            assert not connection_eviction.evict(http_server)
             assert (await client.answer()).code == 200
             silent = Client(*await asyncio.open_connection(*http_server.address))
             await until(lambda: http_server.unused)
             http_server.idle.clear()
-            assert http_server._evict()
+            assert connection_eviction.evict(http_server)
             assert await silent.ended() == b""
             client.writer.transport.abort()
 
@@ -169,7 +170,7 @@
 def test_connection_that_has_had_its_last_response_gives_its_place(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(http_server_module, "MIN_LINGERING_S", 0.0)
+    monkeypatch.setattr(connection_eviction, "MIN_LINGERING_S", 0.0)
     monkeypatch.setattr(http_server_module, "LINGERING_CLOSE_S", HOUR)
 
     async def test() -> None:
