--- a/tests/net/test_connection_eviction.py
+++ b/tests/net/test_connection_eviction.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
@@ -13,7 +15,7 @@
 from tests.net.test_connection_memory import connect
 from tests.net.test_graceful_shutdown import never_respond
 from tests.net.test_http_server import run, running_http_server, until
-from tests.sockets import HOUR, PATIENT, Backend, Client
+from tests.sockets import HOUR, PATIENT, Backend, Client, Respond, echo
 
 LIMIT = 4
 HALF = b"POST /once HTTP/1.1\r\nRequest-Id: h%d\r\nTransfer-Encoding: chunked\r\n\r\n1;"
@@ -25,6 +27,21 @@
     monkeypatch.setattr(connection_eviction, "SILENT_TIMEOUT_S", HOUR)
 
 
+@contextlib.asynccontextmanager
+async def limited_server(
+    tmp_path: Path, max_connections: int, max_overload_connections: int, respond: Respond = echo
+) -> AsyncIterator[HttpServer]:
+    """Run a server with few places."""
+    async with running_http_server(
+        tmp_path,
+        Backend("b0", respond),
+        max_connections=max_connections,
+        max_overload_connections=max_overload_connections,
+        settings=PATIENT,
+    ) as http_server:
+        yield http_server
+
+
 async def stuck_clients(http_server: HttpServer, count: int) -> list[Client]:
     """Connect clients that never end their requests, one after another."""
     clients = list[Client]()
@@ -41,16 +58,12 @@
     monkeypatch.setattr(connection_eviction, "MIN_INCOMPLETE_S", 0.0)
 
     async def test() -> None:
-        async with running_http_server(
-            tmp_path, Backend("b0"), max_connections=LIMIT, max_overload_connections=0, settings=PATIENT
-        ) as http_server:
+        async with limited_server(tmp_path, LIMIT, 0) as http_server:
             stuck = await stuck_clients(http_server, LIMIT)
             new = Client(*await asyncio.open_connection(*http_server.address))
             assert (await new.ask("/read")).code == 200
             assert (await stuck[0].answer()).code == 503  # the oldest, and only that one
             assert len(http_server.incomplete) == LIMIT - 1
-            for client in (new, *stuck):
-                client.writer.transport.abort()
 
     run(test)
 
@@ -59,15 +72,11 @@
     monkeypatch.setattr(connection_eviction, "MIN_INCOMPLETE_S", HOUR)
 
     async def test() -> None:
-        async with running_http_server(
-            tmp_path, Backend("b0"), max_connections=LIMIT, max_overload_connections=1, settings=PATIENT
-        ) as http_server:
+        async with limited_server(tmp_path, LIMIT, 1) as http_server:
             stuck = await stuck_clients(http_server, LIMIT)
             new = Client(*await asyncio.open_connection(*http_server.address))
             assert (await new.ask("/read")).code == 503
-            assert len(http_server.incomplete) == LIMIT
-            for client in (new, *stuck):
-                client.writer.transport.abort()
+            assert len(http_server.incomplete) == LIMIT == len(stuck)
 
     run(test)
 
@@ -79,17 +88,13 @@
     monkeypatch.setattr(http_server_module, "IDLE_PRESSURE_RATIO", 0.5)
 
     async def test() -> None:
-        async with running_http_server(
-            tmp_path, Backend("b0"), max_connections=LIMIT, max_overload_connections=0, settings=PATIENT
-        ) as http_server:
+        async with limited_server(tmp_path, LIMIT, 0) as http_server:
             kept = Client(*await asyncio.open_connection(*http_server.address))
             assert (await kept.ask("/read")).code == 200
             stuck = await stuck_clients(http_server, LIMIT - 1)
             for number in range(LIMIT, 3 * LIMIT):
                 stuck.append(await connect(http_server, HALF % number))
                 assert (await kept.ask("/read")).code == 200
-            for client in (kept, *stuck):
-                client.writer.transport.abort()
 
     run(test)
 
@@ -101,17 +106,14 @@
     monkeypatch.setattr(connection_eviction, "MIN_INCOMPLETE_S", 0.0)
 
     async def test() -> None:
-        async with running_http_server(
-            tmp_path, Backend("b0"), max_connections=LIMIT, max_overload_connections=0, settings=PATIENT
-        ) as http_server:
+        async with limited_server(tmp_path, LIMIT, 0) as http_server:
             silent = Client(*await asyncio.open_connection(*http_server.address))
             await until(lambda: http_server.unused)
             stuck = await stuck_clients(http_server, LIMIT - 1)
             new = Client(*await asyncio.open_connection(*http_server.address))
             assert (await new.ask("/read")).code == 200
             assert (await silent.ask("/read")).code == 200
-            for client in (new, silent, *stuck):
-                client.writer.transport.abort()
+            assert (await stuck[0].answer()).code == 503
 
     run(test)
 
@@ -123,13 +125,7 @@
     monkeypatch.setattr(connection_eviction, "MIN_SILENT_S", HOUR)
 
     async def test() -> None:
-        async with running_http_server(
-            tmp_path,
-            Backend("b0", never_respond),
-            max_connections=2,
-            max_overload_connections=1,
-            settings=PATIENT,
-        ) as http_server:
+        async with limited_server(tmp_path, 2, 1, never_respond) as http_server:
             busy = Client(*await asyncio.open_connection(*http_server.address))
             busy.send("/read")
             await until(lambda: http_server.node.open_requests)
@@ -139,8 +135,6 @@
             assert {(await client.ask("/read")).code for client in rejected} == {503}
             new.send("/read")
             await until(lambda: len(http_server.node.open_requests) == 2)
-            for client in (busy, new, *rejected):
-                client.writer.transport.abort()
 
     run(test)
 
@@ -174,16 +168,12 @@
     monkeypatch.setattr(http_server_module, "LINGERING_CLOSE_S", HOUR)
 
     async def test() -> None:
-        async with running_http_server(
-            tmp_path, Backend("b0"), max_connections=1, max_overload_connections=0, settings=PATIENT
-        ) as http_server:
+        async with limited_server(tmp_path, 1, 0) as http_server:
             rejected = await connect(http_server, b"bad\r\n\r\n")
             assert (await rejected.answer()).code == 400
             await until(lambda: http_server.lingering)
             new = Client(*await asyncio.open_connection(*http_server.address))
             assert (await new.ask("/read")).code == 200
             assert not http_server.lingering and len(http_server.connections) == 1
-            for client in (new, rejected):
-                client.writer.transport.abort()
 
     run(test)
