Charges that do not change cost nothing; an empty body is not replaced

Need: the memory budget's price for each request. Change: early returns, and one buffer for each connection until it holds something.

--- a/balancer/core/memory_budget.py
+++ b/balancer/core/memory_budget.py
@@ -73,7 +73,8 @@
     def charge(self, change_bytes: int) -> None:
         """Charge bytes that are held from now on, or release them if the change is negative."""
         self.charged_bytes += change_bytes
-        self._peak_charged_bytes = max(self._peak_charged_bytes, self.charged_bytes)
+        if self.charged_bytes > self._peak_charged_bytes:
+            self._peak_charged_bytes = self.charged_bytes
         if self.charged_bytes - self._observed_charged_bytes >= OBSERVATION_INTERVAL_BYTES:
             self.refresh()
 
@@ -129,11 +130,12 @@
         """Charge what a holder holds now, in place of what it held."""
         change_bytes = held_bytes - self._charged_bytes.get(key, 0)
         self._charged_bytes[key] = held_bytes
-        self.total_bytes += change_bytes
-        self.budget.charge(change_bytes)
+        if change_bytes:
+            self.total_bytes += change_bytes
+            self.budget.charge(change_bytes)
 
     def discard(self, key: Key) -> None:
         """Release what a holder held."""
-        released_bytes = self._charged_bytes.pop(key, 0)
-        self.total_bytes -= released_bytes
-        self.budget.charge(-released_bytes)
+        if released_bytes := self._charged_bytes.pop(key, 0):
+            self.total_bytes -= released_bytes
+            self.budget.charge(-released_bytes)
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -115,6 +115,7 @@
         self.plausibility_timer: asyncio.TimerHandle | None = None
         self.is_implausible = False  # input may have arrived sooner than a response can
         self.previous_digest: int | None = None  # of the content of the previous response
+        self.body, self.body_bytes = BodyBuffer(), 0
         self.pool.memory.add(self)
         self._reset()
 
@@ -128,8 +129,9 @@
 
     def _release_body(self) -> None:
         """Drop the buffered body, so that idle connections hold no memory for bodies."""
-        self.body = BodyBuffer()
-        self.pool.memory.update(self, 0)
+        if self.body.size or self.body_bytes:
+            self.body = BodyBuffer()
+            self.pool.memory.update(self, 0)
 
     # --- opening, closing
 
--- a/balancer/net/http_server.py
+++ b/balancer/net/http_server.py
@@ -97,6 +97,7 @@
         # Whether a request line is being received, and what has come of it so far.
         self.is_in_request_line, self.request_line = True, b""
         self.raw_target = b""  # the received target, if the parser got an escaped one
+        self.body = BodyBuffer()
         self._reset()
 
     def _reset(self) -> None:
@@ -107,7 +108,9 @@
 
     def _release_request(self) -> None:
         """Drop what is held of a request, so that idle connections hold no memory for it."""
-        self.target, self.headers, self.body = b"", {}, BodyBuffer()
+        self.target, self.headers = b"", {}
+        if self.body.size:
+            self.body = BodyBuffer()
         self.server.memory.release_request(self)
 
     # --- asyncio.BufferedProtocol
