--- a/tests/testbed/test_invariant_checker.py
+++ b/tests/testbed/test_invariant_checker.py
@@ -305,6 +305,15 @@
         NodeEnded("n0", 901, -9),
     )
     one(late, 1, "r9", "no answer")
+    # The SIGTERM was for the process before.
+    assert verdict(
+        NodeSignalled("n0", 100, "SIGTERM"),
+        NodeEnded("n0", 200, 0),
+        NodeStarted("n0", 300),
+        asked("r9", "read", 500),
+        NodeSignalled("n0", 900, "SIGKILL"),
+        NodeEnded("n0", 901, -9),
+    ).ok
 
 
 def test_a_crash() -> None:
