--- a/balancer/testbed/backend_emulator.py
+++ b/balancer/testbed/backend_emulator.py
@@ -37,7 +37,7 @@
 from balancer.testbed.service_profile import RequestClass, Site
 from balancer.testbed.slow_start_model import ColdStartBudget, warm_up_share
 
-MAX_BODY_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 64 * 1024  # of the protocol's page
 MAX_REMEMBERED_KEYS = 100_000  # that a group remembers; the oldest are evicted
 FLEET_NUMBERS = itertools.count()  # numbers the fleets of this process
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0: a close resets the connection
@@ -70,6 +70,7 @@
     report_delay_ms: float = 300.0  # age of a sample when responses begin to report it
     report_noise: float = 0.03
     drops: bool = False
+    max_body_bytes: int = MAX_BODY_BYTES
 
     @property
     def capacity(self) -> float:
@@ -214,7 +215,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self.body += body
-        if len(self.body) > MAX_BODY_BYTES:
+        if len(self.body) > self.server.machine.max_body_bytes:
             raise ValueError("body too large")
 
     def on_message_complete(self) -> None:
--- a/balancer/testbed/soak.py
+++ b/balancer/testbed/soak.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from balancer.core.connection_admission import MAX_FORWARDED_BODY_BYTES
 from balancer.interface import Idempotency
 from balancer.testbed.backend_emulator import Machine
 from balancer.testbed.cluster import ROOT, Node, World
@@ -363,7 +364,12 @@
         sockets,
         node_count,
         backend_count,
-        Machine(cores=2, speed=rng.choice((0.5, 1.0)), drops=rng.random() < 0.5),
+        Machine(
+            cores=2,
+            speed=rng.choice((0.5, 1.0)),
+            drops=rng.random() < 0.5,
+            max_body_bytes=MAX_FORWARDED_BODY_BYTES,
+        ),
         site,
         habits,
         rng.choice((20.0, 40.0, 60.0)),
