The listener takes a readable socket for a connection that waits, whatever the system tells

Cause: found on reading the change again: where the system answers the question how many wait with 0 (it need not tell), the listener left connections in the backlog for good at the limit. Change: the first look of a turn counts at least one. Measured: the new test hung and was ended after 15 s without the change, and passes; 295 tests of the server, the backlog, eviction, imports and the start passed.

--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -110,10 +110,11 @@
 
         It is rejected if there is none, if too many wait for too long, or with `is_last`.
         """
-        for _ in range(max_accepts):
+        for number in range(max_accepts):
             if self.sock is None:
                 return
-            if not (self.has_slot(False) or is_last) and self._leave_waiting():
+            # The socket is readable, so at least one connection waits, whatever the system tells.
+            if not (self.has_slot(False) or is_last) and self._leave_waiting(int(number == 0)):
                 return
             try:
                 sock, _ = self.sock.accept()
@@ -149,14 +150,14 @@
         else:
             _reject(sock)
 
-    def _leave_waiting(self) -> bool:
+    def _leave_waiting(self, min_count: int) -> bool:
         """Leave the connections in the backlog for slots that become free; False if the next is rejected."""
         assert self.sock is not None
         if (backlog := self._backlog) is None:
             from balancer.net.accept_backlog import AcceptBacklog
 
             backlog = self._backlog = AcceptBacklog(self.sock)
-        if not (waiting_count := backlog.waiting_count()):
+        if not (waiting_count := max(min_count, backlog.waiting_count())):
             backlog.clear()
             return True
         has_waited = backlog.has_waited(self.loop.time(), waiting_count)
--- a/tests/net/test_accept_backlog.py
+++ b/tests/net/test_accept_backlog.py
@@ -10,6 +10,7 @@
 
 from balancer import interface as api
 from balancer.net import accept_backlog, connection_eviction
+from balancer.net import http_server as http_server_module
 from balancer.net.accept_backlog import MAX_WAIT_S, AcceptBacklog, has_ended
 from tests.net.test_graceful_shutdown import never_respond
 from tests.net.test_http_server import run, running_http_server, until
@@ -81,6 +82,27 @@
     run(test)
 
 
+def test_connection_gets_its_slot_where_the_system_does_not_count_who_waits(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a listener that never accepts at the limit, as it believes that nobody waits."""
+    monkeypatch.setattr(AcceptBacklog, "waiting_count", lambda backlog: 0)
+    monkeypatch.setattr(http_server_module, "IDLE_TIMEOUT_UNDER_PRESSURE_S", HOUR)
+
+    async def test() -> None:
+        async with running_http_server(
+            tmp_path, Backend("b0"), max_connections=1, max_overload_connections=0, settings=PATIENT
+        ) as http_server:
+            idle = Client(*await asyncio.open_connection(*http_server.address))
+            assert (await idle.ask("/read")).code == 200
+            client = Client(*await asyncio.open_connection(*http_server.address))
+            assert (await client.ask("/read")).code == 200
+            assert await idle.ended() == b""
+            client.writer.transport.abort()
+
+    run(test)
+
+
 def test_deadline_of_a_request_counts_from_its_arrival_in_the_backlog(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
