At most one poll of discovery is scheduled, however many calls failed

Need: a new configuration within an outage calls discovery at once, beside the retry that is scheduled. Each such call failed and set a further timer, and every timer started a call that set the next: the retries of a node multiplied by its SIGHUPs until discovery was back.

Change: a failed call schedules nothing while a poll is scheduled.

--- a/balancer/policy/poll_schedule.py
+++ b/balancer/policy/poll_schedule.py
@@ -43,7 +43,12 @@
 
 
 def schedule_retry(state: NodeState) -> None:
-    """Schedule the next call after a failed one; the last list stays in force."""
+    """Schedule the next call after a failed one, unless one is scheduled. The last list stays in force.
+
+    A new address of discovery is called at once, whatever is scheduled, and that call may fail as well.
+    """
+    if state.is_poll_scheduled:
+        return
     state.failed_polls = min(state.failed_polls + 1, MAX_BACKOFF_DOUBLINGS)
     wait_ms = _retry_wait_ms(state)
     _schedule(state, wait_ms)
@@ -66,9 +71,10 @@
 
 
 def _schedule(state: NodeState, wait_ms: float) -> None:
+    state.is_poll_scheduled = True
     state.set_timer(state.now_ms + wait_ms, _poll, None)
 
 
 def _poll(state: NodeState, _: None) -> None:
-    state.poll_started_at_ms = state.now_ms
+    state.is_poll_scheduled, state.poll_started_at_ms = False, state.now_ms
     state.actions.append(api.SubscribeToEndpoints())
--- a/balancer/policy/state.py
+++ b/balancer/policy/state.py
@@ -61,6 +61,7 @@
     listed_at_ms: float = 0.0  # when the list was last updated
     failed_polls: int = 0  # in a row
     poll_started_at_ms: float = 0.0  # when the last poll began
+    is_poll_scheduled: bool = False
     capacity_by_kind: dict[str, Capacity] = field(default_factory=dict)
     miss_rates: list[float] = field(
         default_factory=lambda: [0.0, 0.0]
--- a/tests/policy/test_poll_schedule.py
+++ b/tests/policy/test_poll_schedule.py
@@ -64,6 +64,14 @@
     assert recovery.max_outage_calls_per_s <= 1000 / 2
 
 
+def test_new_configurations_within_an_outage_do_not_multiply_the_calls() -> None:
+    """Guards against a retry for each failed call of a new address, beside the one that was scheduled."""
+    outage = Outage(duration_ms=25_000.0)
+    usual, recovery = simulate(outage, 40), simulate(outage, 40, address_changes=8)
+    check_recovery(recovery, 40)
+    assert recovery.max_outage_calls_per_s <= 1.3 * usual.max_outage_calls_per_s
+
+
 @pytest.mark.parametrize("answer_delay_ms", [2000.0, 3500.0])
 def test_discovery_that_answers_slowly_is_still_heard(answer_delay_ms: float) -> None:
     outage = Outage(duration_ms=5000.0, answer_delay_ms=answer_delay_ms, calls_per_s=1000.0)
--- a/tests/policy/test_replay.py
+++ b/tests/policy/test_replay.py
@@ -9,8 +9,9 @@
 - No request waits for probes past the time by which it could be served (`looking`).
 - A retry is restricted by where its backend was listed when the attempt was sent. In `DIGESTS` backends move
   with every update, so all of them changed; `STEADY_DIGESTS`, where they do not move, are from before that.
-- The wait after a failed call to discovery is limited by the time until the next one has to be answered. The
-  streams have such failures, so all digests changed; with the former wait in its place they are as before.
+- The wait after a failed call to discovery is limited by the time until the next one has to be answered, and
+  at most one call is scheduled. The streams have such failures, so all digests changed; with the former
+  schedule in its place they are as before.
 
 `DIGESTS` and `STEADY_DIGESTS` are replayed as if no failed connection was just slow. `CURRENT_DIGESTS` use
 the current rule, under which slow connections eject like other failures.
@@ -59,25 +60,25 @@
     "looking": replace(LOOKING, max_attempts=4),
 }
 DIGESTS = {
-    "live": ["39fad9bbc0c8a49d", "bed07b0e7405d259"],
-    "shared": ["fce54c27eb3e93d6", "686017b00e5054f8"],
-    "crowd": ["788c246638cacc0d", "d466fa7b0f64cb24"],
-    "cold": ["e4941e7b1355262d", "a8728509537dc288"],
-    "looking": ["3374eabe21e73c62", "8b0c3fa7d4447c92"],
+    "live": ["0ba0713a40beaba5", "cb775cba7191a7c8"],
+    "shared": ["962d4fcc2670e956", "49eee0ccf1ef4fdc"],
+    "crowd": ["e712c79caddd1634", "c20136b52a4620e3"],
+    "cold": ["3f6ab36d3d10a2b1", "a8728509537dc288"],
+    "looking": ["3374eabe21e73c62", "bf960c29278c4104"],
 }
 STEADY_DIGESTS = {
-    "live": ["c349e18b8100d6aa", "0e63d3124b2ed496"],
-    "shared": ["ad25bbf78838318a", "215f015156bb1533"],
-    "crowd": ["a1a42a44691c298c", "7359f5a2a5bdf7df"],
-    "cold": ["53ea3d2f1fc42eca", "fb391324dc8630e9"],
-    "looking": ["2669de11e9c6bd51", "9ebaadd8363041b2"],
+    "live": ["1f02d1a45b8c20bb", "0e63d3124b2ed496"],
+    "shared": ["cada6982e171b845", "5a6545bb853161f2"],
+    "crowd": ["c013dca112c28c1c", "08db48721225f43e"],
+    "cold": ["ba01690bacef3be2", "473f555c3a728b80"],
+    "looking": ["406aa339a4b8b2e0", "e77f76f8810ed0d3"],
 }
 CURRENT_DIGESTS = {
-    "live": ["74b1839ec3cb2b8e", "b9bc6d2a58c1e65a"],
-    "shared": ["cc45df984db3daca", "dc05a74920cad83d"],
-    "crowd": ["eda3d208a8b7cbac", "54f48e131a5f5b7c"],
-    "cold": ["e00046edfb7b939e", "763c9e02d69ee59b"],
-    "looking": ["4212c739877c9b46", "95f4b1dc9c3e0b2d"],
+    "live": ["c6e7787611ad99c2", "c116d0394b38aeaf"],
+    "shared": ["eba8f1911e08bfbd", "dc05a74920cad83d"],
+    "crowd": ["b62eba02816218e0", "54f48e131a5f5b7c"],
+    "cold": ["afcb68a8b12c124d", "c5d9ee5f898e9262"],
+    "looking": ["1167886b67e41fbb", "33b5c7944e8606fd"],
 }
 PHASES = (*[api.Phase.UP] * 8, api.Phase.DRAINING, api.Phase.REMOVED)
 STATUSES = (*[api.AttemptStatus.OK] * 12, *api.AttemptStatus)
