--- a/balancer/core/discovery/etcd_watcher/limits.py
+++ b/balancer/core/discovery/etcd_watcher/limits.py
@@ -15,8 +15,9 @@
 """The longest random delay before a broken watch is resumed; many nodes may have lost the same endpoint."""
 MIN_BACKOFF_MS = 200.0
 """The first backoff after a round in which no endpoint was usable."""
-MAX_BACKOFF_MS = 5000.0
-"""The longest backoff between two rounds, before jitter."""
+MAX_BACKOFF_MS = 2500.0
+"""The longest backoff between two rounds, before jitter of up to half of it. After an outage a node has to
+know changes within 6 s, of which a check that gets no answer takes CHECK_TIMEOUT_MS."""
 MAX_RETRY_AFTER_MS = 60_000.0
 """The longest `Retry-After` of an overloaded etcd that is honored."""
 TIMER_RESOLUTION_MS = 1.0
--- a/tests/core/discovery/etcd_watcher/test_endpoint_selection.py
+++ b/tests/core/discovery/etcd_watcher/test_endpoint_selection.py
@@ -7,6 +7,7 @@
 from balancer.core.discovery import endpoint_merger
 from balancer.core.discovery.etcd_watcher import limits, messages
 from balancer.core.discovery.etcd_watcher.state import WatcherPhase
+from balancer.notification_deadlines import NOTIFICATION_DEADLINE_MS
 from tests.core.discovery.etcd_watcher.driver import (
     A,
     B,
@@ -41,6 +42,21 @@
     assert driver.state.selection.backoff.next_ms == limits.MIN_BACKOFF_MS
 
 
+def test_selection_after_a_long_outage_leaves_time_to_know_changes_within_6_s() -> None:
+    """Guards against waits of up to 7.5 s between two rounds, in which a removal is not known."""
+    waits_ms = []
+    for seed in range(20):
+        driver = WatcherDriver(3, seed=seed).start_watching(5, A)
+        driver.fail(messages.OpenWatch)
+        while driver.now_ms < 60_000:
+            before_ms = driver.now_ms
+            driver.fire_next_timer()
+            waits_ms.append(driver.now_ms - before_ms)
+            driver.fail(messages.CheckEndpoint)
+    # An endpoint that never answers may be checked before one that does.
+    assert max(waits_ms) + limits.CHECK_TIMEOUT_MS + limits.RESUME_JITTER_MS < NOTIFICATION_DEADLINE_MS
+
+
 def test_selection_endpoint_that_ends_each_watch_is_called_at_a_bounded_rate() -> None:
     driver = WatcherDriver()
     driver.start_watching(5, A)
