--- a/tests/core/discovery/test_platform_watcher.py
+++ b/tests/core/discovery/test_platform_watcher.py
@@ -325,6 +325,21 @@
         watcher.handle(deadline.deadline_ms, platform_watcher.RetryTimerFired(), 7)
 
 
+@pytest.mark.parametrize("grace_ms", [500.0, 2000.0])
+def test_silent_call_after_an_outage_of_minutes_ends_within_the_drain_grace(grace_ms: float) -> None:
+    """The agent that returns has a drain at once; the call that it never answers has to end in time."""
+    watcher, now_ms = PlatformWatcher(random.Random(1), False, grace_ms), 0.0
+    watcher.handle(now_ms, platform_watcher.SubscriptionChanged(True), 7)
+    while now_ms < 720_000.0:
+        deadline = watcher.start_deadline(now_ms)
+        assert deadline.deadline_ms - now_ms + 1.5 * watcher.timeouts.max_retry_wait_ms <= grace_ms
+        now_ms = deadline.deadline_ms
+        timer = watcher.handle(now_ms, platform_watcher.CallEnded(False), 7)[-1]
+        assert isinstance(timer, platform_watcher.SetRetryTimer)
+        now_ms = timer.at_ms
+        watcher.handle(now_ms, platform_watcher.RetryTimerFired(), 7)
+
+
 def test_timeout_of_a_poll_leaves_time_for_the_next_one() -> None:
     """Guards against a call that hangs for so long that a drain is known late; some calls are patient."""
     watcher = PlatformWatcher(random.Random(1), True, 500.0)
